--- /dev/null
+++ b/src/main/java/org/arbutusfield/package-info.java
@@ -0,0 +1,2 @@
+/** Arbutusfield: global traffic steering between callers and upstreams. */
+package org.arbutusfield;
