--- /dev/null
+++ b/src/main/java/org/arbutusfield/http/HttpAnswer.java
@@ -0,0 +1,89 @@
+package org.arbutusfield.http;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+
+/**
+ * A whole HTTP response.
+ *
+ * @param status HTTP status
+ * @param headers fields besides those that frame the message
+ * @param body content
+ */
+public record HttpAnswer(int status, List<Header> headers, Body body) {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /** A response with a body of the given media type. */
+    public static HttpAnswer of(int status, String mediaType, byte[] body) {
+        return new HttpAnswer(status, List.of(Header.of("content-type", mediaType)), Body.of(body));
+    }
+
+    /** A response whose body is JSON text. */
+    public static HttpAnswer json(int status, String text) {
+        return of(status, "application/json", text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** A response whose body is plain text. */
+    public static HttpAnswer text(int status, String text) {
+        return of(status, "text/plain; charset=utf-8", text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * A problem document (RFC 9457) for a failure, with {@code Retry-After} in whole seconds where the failure has it.
+     * The member {@code notRun} is true when the request certainly had no effect.
+     */
+    public static HttpAnswer problem(Failure failure) {
+        ErrorCode code = failure.code();
+        ObjectNode node = JSON.createObjectNode()
+                .put("type", "urn:arbutusfield:error:" + code.name())
+                .put("title", code.message())
+                .put("status", code.httpStatus())
+                .put("code", code.name())
+                .put("subject", failure.subject())
+                .put("detail", failure.detail())
+                .put("notRun", failure.notRun());
+        List<Header> headers = new ArrayList<>();
+        headers.add(Header.of("content-type", "application/problem+json"));
+        failure.retryAfter().map(HttpAnswer::wholeSeconds).ifPresent(s -> headers.add(Header.of("retry-after", s)));
+        return new HttpAnswer(code.httpStatus(), headers, Body.of(node.toString()));
+    }
+
+    /** The first value of a header field. */
+    public Optional<String> header(String name) {
+        return headers.stream()
+                .filter(h -> h.name().equalsIgnoreCase(name))
+                .map(Header::value)
+                .findFirst();
+    }
+
+    /** The body as UTF-8 text. */
+    public String text() {
+        return body.text();
+    }
+
+    /** The code of a problem document, if the body is one that this release knows. */
+    public Optional<ErrorCode> problemCode() {
+        try {
+            String name = JSON.readTree(body.bytes()).path("code").asText();
+            return Stream.of(ErrorCode.values())
+                    .filter(code -> code.name().equals(name))
+                    .findFirst();
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static String wholeSeconds(Duration delay) {
+        long seconds = (delay.toMillis() + 999) / 1000;
+        return Long.toString(Math.max(1, seconds));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/http/HttpCall.java
@@ -0,0 +1,55 @@
+package org.arbutusfield.http;
+
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A whole HTTP request.
+ *
+ * @param method upper-case method
+ * @param target path with query
+ * @param headers fields besides those that frame the message
+ * @param body content
+ */
+public record HttpCall(String method, String target, List<Header> headers, Body body) {
+
+    /** A request without body. */
+    public static HttpCall of(String method, String target) {
+        return new HttpCall(method, target, List.of(), Body.empty());
+    }
+
+    /** A request with a body. */
+    public static HttpCall of(String method, String target, byte[] body) {
+        return new HttpCall(method, target, List.of(), Body.of(body));
+    }
+
+    /** The same request with these header fields. */
+    public HttpCall withHeaders(Header... fields) {
+        return new HttpCall(method, target, List.of(fields), body);
+    }
+
+    /** The decoded path without query. */
+    public String path() {
+        return new QueryStringDecoder(target).path();
+    }
+
+    /** The first value of a query parameter. */
+    public Optional<String> parameter(String name) {
+        List<String> values = new QueryStringDecoder(target).parameters().get(name);
+        return values == null ? Optional.empty() : values.stream().findFirst();
+    }
+
+    /** The first value of a header field. */
+    public Optional<String> header(String name) {
+        return headers.stream()
+                .filter(h -> h.name().equalsIgnoreCase(name))
+                .map(Header::value)
+                .findFirst();
+    }
+
+    /** The body as UTF-8 text. */
+    public String text() {
+        return body.text();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/store/HttpStore.java
@@ -0,0 +1,147 @@
+package org.arbutusfield.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.http.HttpAnswer;
+import org.arbutusfield.http.HttpCall;
+import org.arbutusfield.http.HttpCaller;
+
+/** The store adapter for the HTTP protocol described in docs/PROTOCOLS.md. */
+public final class HttpStore implements Store {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String VERSION_HEADER = "x-version";
+
+    private final HttpCaller caller;
+    private final InetSocketAddress address;
+    private final Duration timeout;
+
+    private HttpStore(HttpCaller caller, InetSocketAddress address, Duration timeout) {
+        this.caller = caller;
+        this.address = address;
+        this.timeout = timeout;
+    }
+
+    /**
+     * An adapter for the store at an address.
+     *
+     * @param caller sends the calls
+     * @param address the store's address
+     * @param timeout for each call; a watch has this on top of its wait
+     */
+    public static HttpStore create(HttpCaller caller, InetSocketAddress address, Duration timeout) {
+        return new HttpStore(caller, address, timeout);
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Optional<Versioned>>> read(String key) {
+        return send(HttpCall.of("GET", valuePath(key)), timeout).thenApply(r -> r.flatMap(HttpStore::versioned));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Long>> compareAndSwap(String key, long expectedVersion, byte[] value) {
+        if (value.length > MAX_VALUE_BYTES) {
+            return CompletableFuture.completedFuture(Either.left(Failure.of(ErrorCode.STORE_VALUE_TOO_LARGE, key)));
+        }
+        HttpCall call = HttpCall.of("PUT", valuePath(key) + "?expected=" + expectedVersion, value);
+        return send(call, timeout).thenApply(r -> r.flatMap(answer -> newVersion(key, answer)));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Optional<Versioned>>> watch(String key, long afterVersion, Duration wait) {
+        String target = valuePath(key) + "?after=" + afterVersion + "&waitMillis=" + wait.toMillis();
+        return send(HttpCall.of("GET", target), timeout.plus(wait)).thenApply(r -> r.flatMap(HttpStore::versioned));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Lease>> acquireLease(String key, String holder, Duration length) {
+        HttpCall call = HttpCall.of(
+                "POST", leasePath(key) + "?holder=" + encode(holder) + "&lengthMillis=" + length.toMillis());
+        return send(call, timeout).thenApply(r -> r.flatMap(answer -> lease(key, holder, length, answer)));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Boolean>> releaseLease(String key, String holder) {
+        HttpCall call = HttpCall.of("DELETE", leasePath(key) + "?holder=" + encode(holder));
+        return send(call, timeout).thenApply(r -> r.map(answer -> answer.status() == 200));
+    }
+
+    private CompletableFuture<Either<Failure, HttpAnswer>> send(HttpCall call, Duration limit) {
+        return caller.call(address, call, limit)
+                .thenApply(r -> r.mapLeft(this::storeFailure).flatMap(HttpStore::available));
+    }
+
+    private Failure storeFailure(Failure failure) {
+        return switch (failure.code()) {
+            case PEER_UNREACHABLE -> Failure.of(ErrorCode.STORE_UNAVAILABLE, address.toString());
+            case PEER_TIMEOUT -> Failure.of(ErrorCode.STORE_TIMEOUT, address.toString());
+            default -> Failure.of(ErrorCode.STORE_PROTOCOL, address.toString(), failure.detail());
+        };
+    }
+
+    private static Either<Failure, HttpAnswer> available(HttpAnswer answer) {
+        if (answer.status() >= 500) {
+            return Either.left(Failure.of(ErrorCode.STORE_UNAVAILABLE, "", "status " + answer.status()));
+        }
+        return Either.right(answer);
+    }
+
+    private static Either<Failure, Optional<Versioned>> versioned(HttpAnswer answer) {
+        if (answer.status() == 404 || answer.status() == 204) {
+            return Either.right(Optional.empty());
+        }
+        return version(answer)
+                .map(v -> Optional.of(Versioned.of(v, answer.body().bytes())));
+    }
+
+    private static Either<Failure, Long> newVersion(String key, HttpAnswer answer) {
+        if (answer.status() == 409) {
+            return Either.left(Failure.of(ErrorCode.STORE_CONFLICT, key));
+        }
+        return version(answer);
+    }
+
+    private static Either<Failure, Long> version(HttpAnswer answer) {
+        Optional<String> text = answer.header(VERSION_HEADER).filter(v -> v.matches("\\d{1,18}"));
+        if (answer.status() != 200 || text.isEmpty()) {
+            return Either.left(Failure.of(ErrorCode.STORE_PROTOCOL, "", "status " + answer.status()));
+        }
+        return Either.right(Long.parseLong(text.get()));
+    }
+
+    private static Either<Failure, Lease> lease(String key, String holder, Duration length, HttpAnswer answer) {
+        if (answer.status() == 409) {
+            return Either.left(Failure.of(ErrorCode.LEASE_HELD, key));
+        }
+        try {
+            JsonNode node = JSON.readTree(answer.body().bytes());
+            if (answer.status() == 200 && node.path("token").canConvertToLong()) {
+                return Either.right(new Lease(key, holder, node.path("token").asLong(), length));
+            }
+        } catch (IOException e) {
+            return Either.left(Failure.of(ErrorCode.STORE_PROTOCOL, key, "lease answer is not JSON"));
+        }
+        return Either.left(Failure.of(ErrorCode.STORE_PROTOCOL, key, "status " + answer.status()));
+    }
+
+    private static String valuePath(String key) {
+        return "/v1/values/" + encode(key);
+    }
+
+    private static String leasePath(String key) {
+        return "/v1/leases/" + encode(key);
+    }
+
+    private static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+}
