--- /dev/null
+++ b/src/main/java/org/arbutusfield/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command-line tool. */
+package org.arbutusfield.ctl;
--- /dev/null
+++ b/src/main/java/org/arbutusfield/daemon/ArbutusDaemon.java
@@ -0,0 +1,68 @@
+package org.arbutusfield.daemon;
+
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.arbutusfield.Version;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+
+/** The program {@code arbutusd}. Exit codes: 0 stopped or checked, 1 could not start, 2 bad settings or usage. */
+public final class ArbutusDaemon {
+    private static final Duration STOP_LIMIT = Duration.ofMinutes(5);
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_USAGE = 2;
+
+    private ArbutusDaemon() {}
+
+    /** Runs the program. */
+    public static void main(String[] args) throws InterruptedException {
+        Options options = new Options()
+                .addRequiredOption("s", "settings", true, "settings file (JSON)")
+                .addOption(null, "check", false, "check the settings and stop")
+                .addOption(null, "version", false, "print the version and stop");
+        CommandLine line;
+        try {
+            line = new DefaultParser().parse(options, args);
+        } catch (ParseException e) {
+            complain(List.of(Failure.of(ErrorCode.USAGE, "", e.getMessage())));
+            System.exit(EXIT_USAGE);
+            return;
+        }
+        if (line.hasOption("version")) {
+            System.out.println("arbutusd " + Version.RELEASE);
+            return;
+        }
+        Either<List<Failure>, DaemonSettings> settings = DaemonSettings.read(Path.of(line.getOptionValue("settings")));
+        if (settings.isLeft()) {
+            complain(settings.getLeft());
+            System.exit(EXIT_USAGE);
+        }
+        if (line.hasOption("check")) {
+            System.out.println("settings are valid");
+            return;
+        }
+        run(settings.get());
+    }
+
+    private static void run(DaemonSettings settings) throws InterruptedException {
+        Either<Failure, Daemon> daemon = Daemon.start(settings);
+        if (daemon.isLeft()) {
+            complain(List.of(daemon.getLeft()));
+            System.exit(EXIT_FAILED);
+        }
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(() -> daemon.get().stopGracefully(STOP_LIMIT), "graceful-stop"));
+        daemon.get().awaitStop();
+    }
+
+    private static void complain(List<Failure> failures) {
+        failures.forEach(f -> System.err.println(
+                f.code() + " " + f.subject() + ": " + f.code().message() + " " + f.detail()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon of an entry host: settings, start, graceful stop. */
+package org.arbutusfield.daemon;
