--- /dev/null
+++ b/src/main/java/org/arbutusfield/lookup/LookupAnswer.java
@@ -0,0 +1,27 @@
+package org.arbutusfield.lookup;
+
+import java.util.List;
+
+/**
+ * What a caller is told: entry hosts in the order to try them.
+ *
+ * @param service the service asked for
+ * @param maxAgeSeconds how long the caller may use the answer, in seconds
+ * @param entries hosts in order; the first group carries weight, the rest are fallbacks
+ */
+public record LookupAnswer(String service, int maxAgeSeconds, List<Entry> entries) {
+
+    /**
+     * One host of an answer.
+     *
+     * @param host the host
+     * @param weight share of the caller's requests relative to the others; 0 marks a fallback, used when no host with
+     *     weight answers
+     */
+    public record Entry(EntryHost host, double weight) {}
+
+    /** Copies the list so that the answer stays immutable. */
+    public LookupAnswer {
+        entries = List.copyOf(entries);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/lookup/LookupCache.java
@@ -0,0 +1,96 @@
+package org.arbutusfield.lookup;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicReferenceArray;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.model.FailureDomain;
+import org.arbutusfield.model.Service;
+
+/**
+ * The JSON bytes of look-up answers of one view, made on first use and then shared.
+ *
+ * <p>Thread-safe: two threads that miss at once make equal bytes and either may stay. A new view gets a new cache.
+ */
+public final class LookupCache {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final LookupView view;
+    private final Map<String, AtomicReferenceArray<byte[]>> answers = new HashMap<>();
+
+    private LookupCache(LookupView view) {
+        this.view = view;
+        for (Service service : view.configuration().items(Service.class)) {
+            for (FailureDomain domain : view.configuration().items(FailureDomain.class)) {
+                answers.put(key(service.name(), domain.name()), new AtomicReferenceArray<>(2 * LookupPolicy.SPREAD));
+            }
+        }
+    }
+
+    /** An empty cache over a view. */
+    public static LookupCache over(LookupView view) {
+        return new LookupCache(view);
+    }
+
+    /** The view that the answers are made from. */
+    public LookupView view() {
+        return view;
+    }
+
+    /**
+     * The answer for one caller as UTF-8 JSON. The array is shared: do not write to it.
+     *
+     * @param service the service asked for
+     * @param address the caller's IPv4 address as 32 bits
+     * @param nowNanos monotonic time
+     */
+    public Either<Failure, byte[]> answer(String service, int address, long nowNanos) {
+        String domain = view.nearestFailureDomain(address);
+        int group = LookupPolicy.spreadGroup(address);
+        boolean stale = LookupPolicy.stale(view, nowNanos);
+        AtomicReferenceArray<byte[]> slots = answers.get(key(service, domain));
+        int slot = stale ? LookupPolicy.SPREAD + group : group;
+        byte[] known = slots == null ? null : slots.get(slot);
+        if (known != null) {
+            return Either.right(known);
+        }
+        Either<Failure, byte[]> made =
+                LookupPolicy.answer(view, service, domain, group, stale).flatMap(LookupCache::toJson);
+        if (slots != null && made.isRight()) {
+            slots.set(slot, made.get());
+        }
+        return made;
+    }
+
+    /** The answer as UTF-8 JSON. */
+    public static Either<Failure, byte[]> toJson(LookupAnswer answer) {
+        ObjectNode root = MAPPER.createObjectNode();
+        root.put("service", answer.service()).put("maxAgeSeconds", answer.maxAgeSeconds());
+        ArrayNode hosts = root.putArray("hosts");
+        for (LookupAnswer.Entry entry : answer.entries()) {
+            EntryHost host = entry.host();
+            hosts.addObject()
+                    .put("name", host.name())
+                    .put("host", host.host())
+                    .put("port", host.port())
+                    .put("region", host.region())
+                    .put("failureDomain", host.failureDomain())
+                    .put("weight", entry.weight());
+        }
+        try {
+            return Either.right(MAPPER.writeValueAsBytes(root));
+        } catch (JsonProcessingException e) {
+            return Either.left(Failure.of(ErrorCode.INTERNAL, "lookup", e.getOriginalMessage()));
+        }
+    }
+
+    private static String key(String service, String domain) {
+        return service + "/" + domain;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/lookup/LookupPolicy.java
@@ -0,0 +1,155 @@
+package org.arbutusfield.lookup;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.model.FailureDomain;
+
+/**
+ * Decides which entry hosts a caller should use.
+ *
+ * <p><b>Problem.</b> No balancer stands before the hosts; the answers are the balancer. A caller keeps its answer for
+ * its maximum age, so that an answer must survive the loss of a host or a failure domain, and no host may end up with
+ * everybody.
+ *
+ * <p><b>Idea.</b> The caller's /24 block falls into one of {@link #SPREAD} spread groups. For a group and the caller's
+ * nearest failure domain, weighted rendezvous hashing orders the hosts of the home region. The answer takes hosts from
+ * failure domains in turn, nearest first, and then fallbacks of the first allowed region with hosts. When the look-up
+ * moves callers, the groups below the moved share get the target region first.
+ *
+ * <p><b>Invariants.</b> A leaving, silent or drained host is never named; a region without a rule is never named; equal
+ * views give equal answers on every host; an answer depends on service, failure domain, spread group and freshness
+ * only, so that it can be kept as bytes.
+ *
+ * <p><b>Example.</b> Home region with domains a (a1, a2) and b (b1): {@code [a2, b1, a1]} with weight, then {@code [d3,
+ * d1]} of the next region with weight 0.
+ */
+public final class LookupPolicy {
+    /** Number of groups that caller blocks are spread over. */
+    public static final int SPREAD = 512;
+
+    /** Age of an answer while the host list is fresh, in seconds. */
+    public static final int MAX_AGE_SECONDS = 5;
+
+    /** Age of an answer while the host list is stale or callers are being moved, in seconds. */
+    public static final int SHORT_MAX_AGE_SECONDS = 2;
+
+    /** A host list older than this is stale. */
+    public static final Duration STALE_AFTER = Duration.ofSeconds(5);
+
+    private static final int HOME_HOSTS = 3;
+    private static final int FALLBACK_HOSTS = 2;
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(2);
+    private static final int BLOCK_BITS = 8;
+
+    private LookupPolicy() {}
+
+    /**
+     * The answer for one caller.
+     *
+     * @param view hosts, blocks and configuration
+     * @param service the service asked for
+     * @param address the caller's IPv4 address as 32 bits
+     * @param nowNanos monotonic time
+     * @return the answer; {@code SERVICE_UNKNOWN}, or {@code NO_UPSTREAM} when no allowed region has a host to name
+     */
+    public static Either<Failure, LookupAnswer> answer(LookupView view, String service, int address, long nowNanos) {
+        String domain = view.nearestFailureDomain(address);
+        return answer(view, service, domain, spreadGroup(address), stale(view, nowNanos));
+    }
+
+    /** The spread group of a caller: 0 to {@link #SPREAD} - 1, equal for all addresses of a /24 block. */
+    public static int spreadGroup(int address) {
+        return (int) (Rendezvous.mix(address >>> BLOCK_BITS) >>> 32) & (SPREAD - 1);
+    }
+
+    /** True when the view's host list is too old to be trusted for long. */
+    public static boolean stale(LookupView view, long nowNanos) {
+        return nowNanos - view.madeNanos() > STALE_AFTER.toNanos();
+    }
+
+    /** The answer for all callers of a spread group near a failure domain. */
+    static Either<Failure, LookupAnswer> answer(
+            LookupView view, String service, String domain, int group, boolean stale) {
+        if (view.configuration().service(service).isEmpty()) {
+            return Either.left(Failure.of(ErrorCode.SERVICE_UNKNOWN, service));
+        }
+        String home = view.configuration()
+                .failureDomain(domain)
+                .map(FailureDomain::region)
+                .orElse("");
+        List<String> regions = regions(view, service, home, group);
+        List<LookupAnswer.Entry> entries = new ArrayList<>(HOME_HOSTS + FALLBACK_HOSTS);
+        for (String region : regions) {
+            boolean first = entries.isEmpty();
+            int limit = first ? HOME_HOSTS : FALLBACK_HOSTS;
+            for (EntryHost host : spreadOver(view.candidates(region), domain, group, limit)) {
+                entries.add(new LookupAnswer.Entry(host, first ? host.weight() : 0));
+            }
+            if (!first && entries.size() > HOME_HOSTS) {
+                break;
+            }
+        }
+        if (entries.isEmpty()) {
+            return Either.left(
+                    Failure.of(ErrorCode.NO_UPSTREAM, service, "no entry host").withRetryAfter(RETRY_AFTER));
+        }
+        boolean moving = view.shiftOf(home).isPresent();
+        int maxAge = stale || moving ? SHORT_MAX_AGE_SECONDS : MAX_AGE_SECONDS;
+        return Either.right(new LookupAnswer(service, maxAge, entries));
+    }
+
+    private static List<String> regions(LookupView view, String service, String home, int group) {
+        List<String> allowed = view.alternatives(service, home);
+        List<String> regions = new ArrayList<>(allowed.size() + 1);
+        regions.add(home);
+        regions.addAll(allowed);
+        Optional<RegionShift> shift = view.shiftOf(home);
+        if (shift.isPresent()
+                && allowed.contains(shift.get().to())
+                && group < shift.get().share() * SPREAD) {
+            regions.remove(shift.get().to());
+            regions.add(0, shift.get().to());
+        }
+        return regions;
+    }
+
+    /** Takes hosts from the failure domains in turn, the nearest domain first, each in rendezvous order. */
+    private static List<EntryHost> spreadOver(
+            List<LookupView.Candidate> candidates, String nearest, int group, int limit) {
+        long key = Rendezvous.mix(group + 1L);
+        List<LookupView.Candidate> left = new ArrayList<>(candidates);
+        left.sort(Comparator.comparingDouble((LookupView.Candidate c) ->
+                        -Rendezvous.score(c.nameHash(), key, c.host().weight()))
+                .thenComparing(c -> c.host().name()));
+        List<EntryHost> chosen = new ArrayList<>(limit);
+        List<String> seen = new ArrayList<>(limit);
+        seen.add(nearest);
+        takeFirst(left, c -> c.host().failureDomain().equals(nearest), chosen);
+        while (chosen.size() < limit && !left.isEmpty()) {
+            if (!takeFirst(left, c -> !seen.contains(c.host().failureDomain()), chosen)) {
+                seen.clear();
+                continue;
+            }
+            seen.add(chosen.get(chosen.size() - 1).failureDomain());
+        }
+        return chosen;
+    }
+
+    private static boolean takeFirst(
+            List<LookupView.Candidate> left, Predicate<LookupView.Candidate> wanted, List<EntryHost> chosen) {
+        for (int i = 0; i < left.size(); i++) {
+            if (wanted.test(left.get(i))) {
+                chosen.add(left.remove(i).host());
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/lookup/LookupView.java
@@ -0,0 +1,156 @@
+package org.arbutusfield.lookup;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.arbutusfield.model.Configuration;
+import org.arbutusfield.model.Drain;
+import org.arbutusfield.model.FailureDomain;
+import org.arbutusfield.model.Kind;
+import org.arbutusfield.model.Link;
+import org.arbutusfield.model.MoveRule;
+import org.arbutusfield.model.Site;
+
+/**
+ * Everything that look-up answers are made from, at one moment. Immutable; a change of any part is a new view with a
+ * new version.
+ */
+public final class LookupView {
+    private final long version;
+    private final long madeNanos;
+    private final Configuration configuration;
+    private final BlockTable blocks;
+    private final Map<String, RegionShift> shifts;
+    private final Map<String, List<Candidate>> hostsByRegion;
+    private final String[] domainOfSite;
+
+    private LookupView(
+            Version version,
+            Configuration configuration,
+            List<EntryHost> hosts,
+            BlockTable blocks,
+            String localFailureDomain,
+            List<RegionShift> shifts) {
+        this.version = version.number();
+        this.madeNanos = version.madeNanos();
+        this.configuration = configuration;
+        this.blocks = blocks;
+        this.shifts = new HashMap<>();
+        shifts.forEach(shift -> this.shifts.put(shift.from(), shift));
+        this.hostsByRegion = eligible(configuration, hosts);
+        this.domainOfSite = domains(configuration, blocks, localFailureDomain);
+    }
+
+    /**
+     * When a view was made.
+     *
+     * @param number grows with each view of this process
+     * @param madeNanos monotonic time of the newest host list in the view
+     */
+    public record Version(long number, long madeNanos) {}
+
+    /** A host that may be named, with the hash of its name. */
+    record Candidate(EntryHost host, long nameHash) {}
+
+    /**
+     * A view of the given parts.
+     *
+     * @param version number and age of the view
+     * @param configuration the configuration in force
+     * @param hosts all hosts known, in any state
+     * @param blocks table of the configuration's client blocks
+     * @param localFailureDomain where this host stands; callers without a block are treated as being here
+     * @param shifts what look-ups move between regions; at most one per home region
+     */
+    public static LookupView of(
+            Version version,
+            Configuration configuration,
+            List<EntryHost> hosts,
+            BlockTable blocks,
+            String localFailureDomain,
+            List<RegionShift> shifts) {
+        return new LookupView(version, configuration, hosts, blocks, localFailureDomain, shifts);
+    }
+
+    /** Grows with each view of this process. */
+    public long version() {
+        return version;
+    }
+
+    /** Monotonic time of the newest host list in the view. */
+    public long madeNanos() {
+        return madeNanos;
+    }
+
+    /** The configuration in force. */
+    public Configuration configuration() {
+        return configuration;
+    }
+
+    /** Failure domain nearest to a caller; this host's own when no block covers the address. */
+    public String nearestFailureDomain(int address) {
+        return domainOfSite[blocks.siteNumber(address)];
+    }
+
+    /** Region nearest to a caller; empty only when the configuration does not know this host's failure domain. */
+    public Optional<String> homeRegion(int address) {
+        return configuration.failureDomain(nearestFailureDomain(address)).map(FailureDomain::region);
+    }
+
+    /** The shift of a region's callers, if there is one. */
+    Optional<RegionShift> shiftOf(String region) {
+        return Optional.ofNullable(shifts.get(region));
+    }
+
+    /** The hosts of a region that may be named. */
+    List<Candidate> candidates(String region) {
+        return hostsByRegion.getOrDefault(region, List.of());
+    }
+
+    /** Regions that rules allow for the service's callers of a region: by preference, then by delay. */
+    List<String> alternatives(String service, String home) {
+        return configuration.items(MoveRule.class).stream()
+                .filter(rule -> rule.service().equals(service) && rule.from().equals(home))
+                .sorted(Comparator.comparingInt(MoveRule::preference)
+                        .thenComparingDouble(rule -> delayMillis(home, rule.to()))
+                        .thenComparing(MoveRule::to))
+                .map(MoveRule::to)
+                .toList();
+    }
+
+    private double delayMillis(String from, String to) {
+        return configuration
+                .find(Kind.LINK, from + ">" + to)
+                .map(link -> ((Link) link).oneWayMillis())
+                .orElse(Double.MAX_VALUE);
+    }
+
+    private static Map<String, List<Candidate>> eligible(Configuration configuration, List<EntryHost> hosts) {
+        Map<String, List<Candidate>> regions = new HashMap<>();
+        for (EntryHost host : hosts) {
+            boolean drained = configuration.drained(Drain.Target.HOST, host.name())
+                    || configuration.drained(Drain.Target.FAILURE_DOMAIN, host.failureDomain())
+                    || configuration.drained(Drain.Target.REGION, host.region());
+            if (host.serving() && !drained) {
+                regions.computeIfAbsent(host.region(), name -> new ArrayList<>())
+                        .add(new Candidate(host, Rendezvous.hash(host.name())));
+            }
+        }
+        regions.replaceAll((name, list) -> List.copyOf(list));
+        return regions;
+    }
+
+    private static String[] domains(Configuration configuration, BlockTable blocks, String local) {
+        String[] domains = new String[blocks.siteCount() + 1];
+        for (int number = 0; number < domains.length; number++) {
+            domains[number] = configuration
+                    .find(Kind.SITE, blocks.siteName(number))
+                    .map(site -> ((Site) site).failureDomain())
+                    .orElse(local);
+        }
+        return domains;
+    }
+}
