Admission: slot broker for one service in one region

Cause: 16 to 20 hosts share servers of 3 to 9 slots. Lagging load reports show all of them the same idle server, and a host's own count misses the others' requests. Change: SlotBroker holds the only queue for all slots of the region's servers and grants slots of named servers. Pure state machine: time comes in, decisions go out. Priorities with a guaranteed turn for the one served longest ago, refusal at once when the work ahead leaves too little of the deadline, Retry-After from the backlog spread by request id, slots of lost hosts held until the deadline, recovery of a new broker from hosts' reports, additive recovery of a server that shed. Ruled out: freeing a lost host's slots at once; its servers may still run the requests. Result: 17 table tests pass.

--- /dev/null
+++ b/src/main/java/org/arbutusfield/admission/BrokerSettings.java
@@ -0,0 +1,59 @@
+package org.arbutusfield.admission;
+
+import java.time.Duration;
+
+/**
+ * Tuning of a broker. All times are in nanoseconds.
+ *
+ * @param order order of service within a priority
+ * @param maxQueued most requests that wait at once
+ * @param lowerClassInterval one grant in this many goes to the lower priority served longest ago
+ * @param expirySlackNanos how long after its deadline a request may still occupy its slot
+ * @param recoverNanos time after which one slot lost to a shed is tried again
+ * @param graceNanos how long a new broker waits for hosts that do not report
+ * @param retentionNanos how long answers are remembered for repeated questions
+ * @param minRetryNanos shortest Retry-After
+ */
+public record BrokerSettings(
+        QueueOrder order,
+        int maxQueued,
+        int lowerClassInterval,
+        long expirySlackNanos,
+        long recoverNanos,
+        long graceNanos,
+        long retentionNanos,
+        long minRetryNanos) {
+    private static final int MAX_QUEUED = 10_000;
+    private static final int LOWER_CLASS_INTERVAL = 20;
+    private static final long EXPIRY_SLACK_NANOS = Duration.ofMillis(50).toNanos();
+    private static final long RECOVER_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final long GRACE_NANOS = Duration.ofMillis(500).toNanos();
+    private static final long RETENTION_NANOS = Duration.ofSeconds(30).toNanos();
+    private static final long MIN_RETRY_NANOS = Duration.ofMillis(250).toNanos();
+
+    /** The settings of a production broker. */
+    public static BrokerSettings defaults() {
+        return new BrokerSettings(
+                QueueOrder.FIFO,
+                MAX_QUEUED,
+                LOWER_CLASS_INTERVAL,
+                EXPIRY_SLACK_NANOS,
+                RECOVER_NANOS,
+                GRACE_NANOS,
+                RETENTION_NANOS,
+                MIN_RETRY_NANOS);
+    }
+
+    /** The same settings with another order of service. */
+    public BrokerSettings withOrder(QueueOrder other) {
+        return new BrokerSettings(
+                other,
+                maxQueued,
+                lowerClassInterval,
+                expirySlackNanos,
+                recoverNanos,
+                graceNanos,
+                retentionNanos,
+                minRetryNanos);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/admission/LiveGrant.java
@@ -0,0 +1,46 @@
+package org.arbutusfield.admission;
+
+/** A slot in use: by a grant of this broker, or of another one as reported by the host that holds it. */
+final class LiveGrant {
+    private final SlotToken token;
+    private final String requestId;
+    private final String requestClass;
+    private final ServerState server;
+    private long expiryNanos;
+
+    private LiveGrant(SlotToken token, String requestId, String requestClass, ServerState server, long expiryNanos) {
+        this.token = token;
+        this.requestId = requestId;
+        this.requestClass = requestClass;
+        this.server = server;
+        this.expiryNanos = expiryNanos;
+    }
+
+    static LiveGrant of(SlotToken token, String requestId, String requestClass, ServerState server, long expiryNanos) {
+        return new LiveGrant(token, requestId, requestClass, server, expiryNanos);
+    }
+
+    SlotToken token() {
+        return token;
+    }
+
+    String requestId() {
+        return requestId;
+    }
+
+    String requestClass() {
+        return requestClass;
+    }
+
+    ServerState server() {
+        return server;
+    }
+
+    long expiryNanos() {
+        return expiryNanos;
+    }
+
+    void extendTo(long nanos) {
+        expiryNanos = Math.max(expiryNanos, nanos);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/admission/SlotGrant.java
@@ -0,0 +1,13 @@
+package org.arbutusfield.admission;
+
+/**
+ * Permission to run one request on one server.
+ *
+ * @param requestId the request
+ * @param host the host that may use the slot
+ * @param upstream name of the server
+ * @param token names the grant in its release
+ * @param validNanos how long the slot stays reserved without a release or report, in nanoseconds from receipt
+ */
+public record SlotGrant(String requestId, String host, String upstream, SlotToken token, long validNanos)
+        implements SlotDecision {}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/admission/WaitingQueue.java
@@ -0,0 +1,173 @@
+package org.arbutusfield.admission;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+/** Waiting requests by priority, with the rate at which each priority is served while it waits. */
+final class WaitingQueue {
+    private final Map<Priority, Line> lines = new EnumMap<>(Priority.class);
+    private final Map<String, Waiting> byRequest = new HashMap<>();
+    private final PriorityQueue<Waiting> byLatestStart = new PriorityQueue<>(Waiting.BY_LATEST_START);
+    private final int lowerClassInterval;
+    private long taken;
+
+    private WaitingQueue(int lowerClassInterval) {
+        this.lowerClassInterval = lowerClassInterval;
+        for (Priority priority : Priority.values()) {
+            lines.put(priority, new Line());
+        }
+    }
+
+    static WaitingQueue create(int lowerClassInterval) {
+        return new WaitingQueue(lowerClassInterval);
+    }
+
+    int size() {
+        return byRequest.size();
+    }
+
+    boolean isEmpty() {
+        return byRequest.isEmpty();
+    }
+
+    boolean contains(String requestId) {
+        return byRequest.containsKey(requestId);
+    }
+
+    /** Requests of this and higher priorities. */
+    int sizeUpTo(Priority priority) {
+        int size = 0;
+        for (Map.Entry<Priority, Line> line : lines.entrySet()) {
+            if (line.getKey().compareTo(priority) <= 0) {
+                size += line.getValue().requests.size();
+            }
+        }
+        return size;
+    }
+
+    /** Time that the given number of requests of one priority take to be served at the rate seen, in nanoseconds. */
+    long drainNanos(Priority priority, int requests, long nowNanos) {
+        Line line = lines.get(priority);
+        if (line.requests.isEmpty()) {
+            return 0;
+        }
+        double interval = Math.max(line.intervalNanos, (double) (nowNanos - line.anchorNanos));
+        return (long) (requests * interval);
+    }
+
+    int size(Priority priority) {
+        return lines.get(priority).requests.size();
+    }
+
+    Optional<Waiting> last(Priority priority) {
+        TreeSet<Waiting> requests = lines.get(priority).requests;
+        return requests.isEmpty() ? Optional.empty() : Optional.of(requests.last());
+    }
+
+    /** When the first waiting request can no longer finish; {@link Long#MAX_VALUE} when none waits. */
+    long firstLatestStartNanos() {
+        dropStale();
+        return byLatestStart.isEmpty() ? Long.MAX_VALUE : byLatestStart.peek().latestStartNanos();
+    }
+
+    void add(Waiting waiting, long nowNanos) {
+        Line line = lines.get(waiting.request().priority());
+        if (line.requests.isEmpty()) {
+            line.anchorNanos = nowNanos;
+        }
+        line.requests.add(waiting);
+        byRequest.put(waiting.request().requestId(), waiting);
+        byLatestStart.add(waiting);
+    }
+
+    /** Takes the request to be served next; the queue must not be empty. */
+    Waiting take(long nowNanos) {
+        taken++;
+        Line line = taken % lowerClassInterval == 0 ? longestUnserved() : highest();
+        Waiting next = line.requests.first();
+        line.served(nowNanos);
+        remove(next.request().requestId());
+        return next;
+    }
+
+    Optional<Waiting> remove(String requestId) {
+        Waiting waiting = byRequest.remove(requestId);
+        if (waiting == null) {
+            return Optional.empty();
+        }
+        lines.get(waiting.request().priority()).requests.remove(waiting);
+        return Optional.of(waiting);
+    }
+
+    /** Removes and returns the requests that can no longer finish. */
+    List<Waiting> removeLate(long nowNanos) {
+        List<Waiting> late = new ArrayList<>();
+        while (firstLatestStartNanos() < nowNanos) {
+            late.add(byLatestStart.remove());
+            remove(late.get(late.size() - 1).request().requestId());
+        }
+        return late;
+    }
+
+    /** Removes the requests that match and returns them in order of service. */
+    List<Waiting> removeIf(Predicate<SlotRequest> condition) {
+        List<Waiting> removed = new ArrayList<>();
+        for (Line line : lines.values()) {
+            for (Waiting waiting : line.requests) {
+                if (condition.test(waiting.request())) {
+                    removed.add(waiting);
+                }
+            }
+        }
+        removed.forEach(waiting -> remove(waiting.request().requestId()));
+        return removed;
+    }
+
+    private Line highest() {
+        for (Line line : lines.values()) {
+            if (!line.requests.isEmpty()) {
+                return line;
+            }
+        }
+        throw new IllegalStateException("the queue is empty");
+    }
+
+    private Line longestUnserved() {
+        Line oldest = highest();
+        for (Line line : lines.values()) {
+            if (!line.requests.isEmpty() && line.anchorNanos < oldest.anchorNanos) {
+                oldest = line;
+            }
+        }
+        return oldest;
+    }
+
+    private void dropStale() {
+        while (!byLatestStart.isEmpty()
+                && !byLatestStart
+                        .peek()
+                        .equals(byRequest.get(byLatestStart.peek().request().requestId()))) {
+            byLatestStart.remove();
+        }
+    }
+
+    private static final class Line {
+        private static final double GAIN = 1.0 / 16;
+
+        private final TreeSet<Waiting> requests = new TreeSet<>(Waiting.BY_RANK);
+        private double intervalNanos;
+        private long anchorNanos;
+
+        private void served(long nowNanos) {
+            intervalNanos += GAIN * (nowNanos - anchorNanos - intervalNanos);
+            anchorNanos = nowNanos;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/arbutusfield/admission/SlotBrokerTest.java
@@ -0,0 +1,223 @@
+package org.arbutusfield.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.arbutusfield.admission.SlotRelease.Outcome;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class SlotBrokerTest {
+    private static final long MS = 1_000_000;
+    private static final SlotServer S1 = new SlotServer("s1", "a", 1, false);
+    private static final SlotServer S2 = new SlotServer("s2", "b", 1, false);
+
+    private final List<SlotDecision> out = new ArrayList<>();
+
+    private static SlotBroker broker(BrokerSettings settings, SlotServer... servers) {
+        SlotBroker broker = SlotBroker.create(settings, "h0", 1, Set.of(), 0);
+        broker.configure(List.of(servers), 0);
+        return broker;
+    }
+
+    private static SlotRequest ask(String id, Priority priority, long remainingMillis) {
+        return new SlotRequest(id, "h1", 1, "a", "quotedesk", "class", priority, remainingMillis * MS);
+    }
+
+    private static SlotRequest ask(String id) {
+        return ask(id, Priority.INTERACTIVE, 1000);
+    }
+
+    private List<String> answers() {
+        List<String> answers = out.stream().map(SlotBrokerTest::describe).toList();
+        out.clear();
+        return answers;
+    }
+
+    private static String describe(SlotDecision decision) {
+        return decision instanceof SlotGrant grant
+                ? grant.requestId() + "@" + grant.upstream()
+                : decision.requestId() + "!"
+                        + ((SlotRefusal) decision).failure().code();
+    }
+
+    private static SlotRelease end(SlotDecision grant, Outcome outcome, long millis) {
+        return new SlotRelease(((SlotGrant) grant).token(), outcome, millis * MS);
+    }
+
+    @Test
+    void grantsEachSlotOnceAndRepeatsTheFirstAnswer() {
+        SlotBroker broker = broker(BrokerSettings.defaults(), S1, S2);
+        List<SlotDecision> first = broker.request(ask("r1"), 0);
+        out.addAll(first);
+        out.addAll(broker.request(ask("r1"), 1));
+        out.addAll(broker.request(ask("r2"), 2));
+        out.addAll(broker.request(ask("r3"), 3));
+        out.addAll(broker.request(ask("r3"), 4));
+        assertThat(answers()).containsExactly("r1@s1", "r1@s1", "r2@s2");
+        out.addAll(broker.release(end(first.get(0), Outcome.COMPLETED, 1), 5));
+        out.addAll(broker.release(end(first.get(0), Outcome.COMPLETED, 1), 6));
+        assertThat(answers()).containsExactly("r3@s1");
+        assertThat(broker.inUse("s1")).isEqualTo(1);
+    }
+
+    @Test
+    void servesByPriorityAndLetsNoPriorityStarve() {
+        SlotBroker broker = broker(BrokerSettings.defaults(), S1);
+        SlotDecision running = broker.request(ask("r0"), 0).get(0);
+        broker.request(ask("leisure", Priority.LEISURE, 60_000), 1);
+        for (int i = 0; i < 20; i++) {
+            broker.request(ask("i" + i, Priority.INTERACTIVE, 60_000), 2);
+        }
+        broker.request(ask("booking", Priority.BOOKING, 60_000), 3);
+        List<String> served = new ArrayList<>();
+        for (int i = 0; i < 22; i++) {
+            running = broker.release(end(running, Outcome.COMPLETED, 0), 4 + i).get(0);
+            served.add(running.requestId());
+        }
+        assertThat(served.get(0)).isEqualTo("booking");
+        assertThat(served.indexOf("leisure")).isEqualTo(18);
+    }
+
+    @Test
+    void earliestDeadlineGoesFirstWhenSoOrdered() {
+        SlotBroker broker = broker(BrokerSettings.defaults().withOrder(QueueOrder.EARLIEST_DEADLINE), S1);
+        SlotDecision running = broker.request(ask("r0"), 0).get(0);
+        broker.request(ask("late", Priority.INTERACTIVE, 900), 1);
+        broker.request(ask("soon", Priority.INTERACTIVE, 500), 2);
+        out.addAll(broker.release(end(running, Outcome.COMPLETED, 1), 3));
+        assertThat(answers()).containsExactly("soon@s1");
+    }
+
+    /** Mean service time 100 ms on one slot, one request running and so many waiting. */
+    @ParameterizedTest
+    @CsvSource({
+        "0, 90, DEADLINE_UNREACHABLE",
+        "0, 0, DEADLINE_PASSED",
+        "0, 300, ''",
+        "3, 300, OVERLOADED",
+        "3, 2000, ''",
+        "9, 1000, OVERLOADED",
+    })
+    void refusesAtOnceWhatCannotFinish(int waiting, long remainingMillis, String expected) {
+        SlotBroker broker = broker(BrokerSettings.defaults(), S1);
+        SlotDecision grant = broker.request(ask("r0"), 0).get(0);
+        broker.release(end(grant, Outcome.COMPLETED, 100), 100 * MS);
+        broker.request(ask("r1"), 100 * MS);
+        for (int i = 0; i < waiting; i++) {
+            broker.request(ask("w" + i, Priority.INTERACTIVE, 60_000), 100 * MS);
+        }
+        out.addAll(broker.request(ask("x", Priority.INTERACTIVE, remainingMillis), 100 * MS));
+        assertThat(answers()).isEqualTo(expected.isEmpty() ? List.of() : List.of("x!" + expected));
+    }
+
+    @Test
+    void bookingsDisplaceLeisureAtOnceAndRetryAfterTracksTheBacklog() {
+        SlotBroker broker = broker(BrokerSettings.defaults(), S1);
+        SlotDecision grant = broker.request(ask("r0"), 0).get(0);
+        broker.release(end(grant, Outcome.COMPLETED, 100), 100 * MS);
+        broker.request(ask("r1"), 100 * MS);
+        broker.request(ask("leisure", Priority.LEISURE, 1000), 100 * MS);
+        for (int i = 0; i < 9; i++) {
+            out.addAll(broker.request(ask("b" + i, Priority.BOOKING, 60_000), 100 * MS));
+        }
+        assertThat(out).hasSize(1);
+        Duration retry = ((SlotRefusal) out.get(0)).failure().retryAfter().orElseThrow();
+        assertThat(answers()).containsExactly("leisure!OVERLOADED");
+        assertThat(retry).isBetween(Duration.ofMillis(500), Duration.ofMillis(1000));
+    }
+
+    @Test
+    void refusesAWaitingRequestOnceItsLatestStartPassed() {
+        SlotBroker broker = broker(BrokerSettings.defaults(), S1);
+        broker.request(ask("r0", Priority.INTERACTIVE, 60_000), 0);
+        broker.request(ask("r1"), 0);
+        assertThat(broker.nextWakeNanos(0)).isEqualTo(1000 * MS + 1);
+        out.addAll(broker.tick(1000 * MS + 1));
+        assertThat(answers()).containsExactly("r1!OVERLOADED");
+    }
+
+    @Test
+    void drainedAndWithdrawnServersGetNoGrant() {
+        SlotBroker broker = broker(BrokerSettings.defaults(), S1, S2);
+        SlotDecision r1 = broker.request(ask("r1"), 0).get(0);
+        broker.configure(List.of(new SlotServer("s1", "a", 1, true), S2), 1);
+        out.addAll(broker.request(ask("r2"), 2));
+        out.addAll(broker.request(ask("r3"), 3));
+        out.addAll(broker.release(end(r1, Outcome.COMPLETED, 0), 4));
+        assertThat(answers()).containsExactly("r2@s2");
+        broker.configure(List.of(new SlotServer("s1", "a", 1, true)), 5);
+        out.addAll(broker.request(ask("r4"), 6));
+        assertThat(answers()).containsExactly("r4!NO_UPSTREAM");
+    }
+
+    @Test
+    void aLostHostsSlotsAreHeldUntilTheDeadline() {
+        SlotBroker broker = broker(BrokerSettings.defaults(), S1);
+        broker.request(ask("r1", Priority.INTERACTIVE, 100), 0);
+        broker.request(ask("r2"), 0);
+        out.addAll(broker.hostLost("h1", 1, 1));
+        out.addAll(broker.request(new SlotRequest("r3", "h2", 1, "b", "q", "c", Priority.LEISURE, 9000 * MS), 2));
+        assertThat(answers()).isEmpty();
+        out.addAll(broker.tick(150 * MS));
+        assertThat(answers()).containsExactly("r3@s1");
+    }
+
+    @Test
+    void aNewBrokerCountsReportedSlotsBeforeItGrants() {
+        SlotBroker broker = SlotBroker.create(BrokerSettings.defaults(), "h0", 2, Set.of("h1", "h2"), 0);
+        broker.configure(List.of(S1, S2), 0);
+        SlotToken old = new SlotToken("h9", 7, 3);
+        out.addAll(broker.request(ask("r1"), 1));
+        out.addAll(broker.report(new HeldSlots("h1", 1, List.of()), 2));
+        assertThat(answers()).isEmpty();
+        var held = new HeldSlots.Held(old, "r0", "class", "s1", 1000 * MS);
+        out.addAll(broker.report(new HeldSlots("h2", 1, List.of(held)), 3));
+        out.addAll(broker.request(ask("r2"), 4));
+        assertThat(answers()).containsExactly("r1@s2");
+        out.addAll(broker.release(new SlotRelease(old, Outcome.COMPLETED, 1), 5));
+        out.addAll(broker.report(new HeldSlots("h2", 1, List.of(held)), 6));
+        assertThat(answers()).containsExactly("r2@s1");
+        assertThat(broker.inUse("s1")).isEqualTo(1);
+    }
+
+    @Test
+    void aNewBrokerStopsWaitingAfterTheGraceTime() {
+        SlotBroker broker = SlotBroker.create(BrokerSettings.defaults(), "h0", 2, Set.of("h1", "h2"), 0);
+        broker.configure(List.of(S1), 0);
+        broker.request(ask("r1"), 1);
+        assertThat(broker.nextWakeNanos(1)).isEqualTo(500 * MS);
+        out.addAll(broker.tick(500 * MS));
+        assertThat(answers()).containsExactly("r1@s1");
+    }
+
+    @Test
+    void aShedLowersTheServerAndItRecoversStepByStep() {
+        SlotBroker broker = broker(BrokerSettings.defaults(), new SlotServer("s1", "a", 2, false));
+        SlotDecision r1 = broker.request(ask("r1"), 0).get(0);
+        broker.request(ask("r2", Priority.INTERACTIVE, 60_000), 0);
+        broker.request(ask("r3", Priority.INTERACTIVE, 60_000), 0);
+        out.addAll(broker.release(end(r1, Outcome.SHED, 0), MS));
+        assertThat(answers()).isEmpty();
+        assertThat(broker.capacity(MS)).isEqualTo(1);
+        out.addAll(broker.tick(1001 * MS));
+        assertThat(answers()).containsExactly("r3@s1");
+    }
+
+    @Test
+    void aCancelledQuestionIsNeitherQueuedNorGranted() {
+        SlotBroker broker = broker(BrokerSettings.defaults(), S1);
+        broker.request(ask("r1"), 0);
+        broker.request(ask("r2"), 0);
+        broker.cancel("r2", 1);
+        broker.cancel("r3", 1);
+        broker.request(ask("r3"), 2);
+        out.addAll(broker.request(ask("r4"), 2));
+        out.addAll(broker.cancel("r1", 3));
+        assertThat(answers()).containsExactly("r4@s1");
+    }
+}
