Wire: control messages between hosts in Thrift frames over Netty

Cause: hosts had no way to talk to each other. Ruled out: Thrift service stubs (the generator's stubs don't compile against the library here, and structs in frames need none); one connection per call (a handshake for each heartbeat); moving calls to a new connection (the peer may have run them). Change: structs and generated code, envelope with version, kind and correlation id, server with handlers per message type, client with one connection per peer, backoff, bounded queue and replacement of connections that owe a response and went silent. Unknown members are refused by id and the connection goes on.

--- a/src/main/java/org/arbutusfield/error/ErrorCode.java
+++ b/src/main/java/org/arbutusfield/error/ErrorCode.java
@@ -80,6 +80,12 @@
     PEER_TIMEOUT(Severity.WARNING, 504, Execution.UNKNOWN, "the peer did not answer in time"),
     PEER_PROTOCOL(Severity.WARNING, 502, Execution.UNKNOWN, "the peer's message is not understood"),
     FRAME_TOO_LARGE(Severity.WARNING, 413, Execution.NOT_RUN, "a frame exceeds the size limit"),
+    PEER_LOST(Severity.WARNING, 502, Execution.UNKNOWN, "the connection to the peer was lost; the outcome is unknown"),
+    PEER_BUSY(Severity.NOTICE, 503, Execution.NOT_RUN, "too many messages wait for the peer"),
+    MESSAGE_UNKNOWN(Severity.NOTICE, 501, Execution.NOT_RUN, "the peer does not know this type of message"),
+    REVISION_CONFLICT(Severity.ERROR, 409, Execution.NOT_RUN, "one revision has two contents"),
+    REVISION_OLDER(Severity.NOTICE, 409, Execution.NOT_RUN, "a newer revision is in force"),
+    REVISION_UNKNOWN(Severity.NOTICE, 404, Execution.NOT_RUN, "the peer does not have this revision"),
 
     INTERNAL(Severity.ERROR, 500, Execution.UNKNOWN, "an internal fault");
 
--- /dev/null
+++ b/src/main/java/org/arbutusfield/wire/ControlHandler.java
@@ -0,0 +1,16 @@
+package org.arbutusfield.wire;
+
+import io.vavr.control.Either;
+import java.util.concurrent.CompletableFuture;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.wire.gen.ControlMessage;
+
+/**
+ * Answers one type of control message. Runs on a network thread and must not block. A {@code Left} reaches the sender
+ * as a refusal; the result of a one-way message is dropped.
+ */
+@FunctionalInterface
+public interface ControlHandler {
+    /** Answers a message. */
+    CompletableFuture<Either<Failure, ControlMessage>> handle(ControlMessage message);
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/wire/ControlHandlers.java
@@ -0,0 +1,54 @@
+package org.arbutusfield.wire;
+
+import io.vavr.control.Either;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.wire.gen.ControlMessage;
+
+/**
+ * The handlers of a host, one per type of message. Types without a handler are refused with {@code MESSAGE_UNKNOWN}.
+ */
+public final class ControlHandlers {
+    private static final Logger LOG = LogManager.getLogger(ControlHandlers.class);
+
+    private final Map<ControlMessage._Fields, ControlHandler> handlers = new ConcurrentHashMap<>();
+
+    private ControlHandlers() {}
+
+    /** A registry without handlers. */
+    public static ControlHandlers create() {
+        return new ControlHandlers();
+    }
+
+    /** Sets the handler of a type of message, in place of an earlier one. */
+    public void register(ControlMessage._Fields type, ControlHandler handler) {
+        handlers.put(type, handler);
+    }
+
+    /** Answers a message by its handler; faults of a handler become {@code INTERNAL}. */
+    public CompletableFuture<Either<Failure, ControlMessage>> answer(ControlMessage message) {
+        if (message == null || !message.isSet()) {
+            return refused(Failure.of(ErrorCode.MESSAGE_UNKNOWN));
+        }
+        ControlMessage._Fields type = message.getSetField();
+        ControlHandler handler = handlers.get(type);
+        if (handler == null) {
+            return refused(Failure.of(ErrorCode.MESSAGE_UNKNOWN, type.getFieldName()));
+        }
+        try {
+            return handler.handle(message);
+        } catch (RuntimeException e) {
+            LOG.error("event=control_handler_failed type={}", type.getFieldName(), e);
+            return refused(Failure.of(ErrorCode.INTERNAL, type.getFieldName()));
+        }
+    }
+
+    private static CompletableFuture<Either<Failure, ControlMessage>> refused(Failure failure) {
+        return CompletableFuture.completedFuture(Either.left(failure));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/wire/ControlLimits.java
@@ -0,0 +1,46 @@
+package org.arbutusfield.wire;
+
+import java.time.Duration;
+
+/**
+ * Limits of control connections.
+ *
+ * @param connectTimeout how long opening a connection may take
+ * @param progressTimeout how long requests may stay unanswered with nothing received before the connection is replaced
+ * @param idleTimeout how long a connection may stay unused before it is closed
+ * @param firstBackoff wait after the first failed attempt to connect
+ * @param longestBackoff longest wait between attempts to connect
+ * @param maxQueued requests that may wait for a connection, per peer
+ * @param maxInFlight requests that a server runs at a time, per connection
+ * @param maxConnections connections that a server accepts
+ */
+public record ControlLimits(
+        Duration connectTimeout,
+        Duration progressTimeout,
+        Duration idleTimeout,
+        Duration firstBackoff,
+        Duration longestBackoff,
+        int maxQueued,
+        int maxInFlight,
+        int maxConnections) {
+    /** Largest content of a frame, in bytes. */
+    public static final int MAX_FRAME_BYTES = 256 * 1024;
+
+    /** Bytes waiting in a connection's send buffer above which further messages are refused. */
+    public static final int SEND_BUFFER_BYTES = 512 * 1024;
+
+    private static final ControlLimits STANDARD = new ControlLimits(
+            Duration.ofSeconds(1),
+            Duration.ofSeconds(2),
+            Duration.ofSeconds(60),
+            Duration.ofMillis(100),
+            Duration.ofSeconds(5),
+            256,
+            256,
+            1024);
+
+    /** The limits of a daemon. */
+    public static ControlLimits standard() {
+        return STANDARD;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/wire/PeerConnection.java
@@ -0,0 +1,275 @@
+package org.arbutusfield.wire;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.timer.TimerService;
+import org.arbutusfield.wire.gen.ControlMessage;
+import org.arbutusfield.wire.gen.Envelope;
+
+/**
+ * The calling end of the connection to one peer, through all its reconnects.
+ *
+ * <p>Problem: a connection whose state was lost somewhere between the ends accepts bytes for ever and returns none,
+ * while a new one would work. Idea: a connection that owes a response and received nothing for the progress timeout is
+ * closed, and the next call opens another. Calls are never moved to another connection, since the peer may have run
+ * them.
+ *
+ * <p>State is guarded by this object's lock; futures are completed outside of it.
+ */
+final class PeerConnection {
+    private static final Logger LOG = LogManager.getLogger(PeerConnection.class);
+    private static final long NONE = Long.MIN_VALUE;
+
+    private final PeerAddress peer;
+    private final Bootstrap bootstrap;
+    private final TimerService timer;
+    private final ControlLimits limits;
+    private final Map<Long, Call> inFlight = new HashMap<>();
+    private final Deque<byte[]> queued = new ArrayDeque<>();
+    private Channel channel;
+    private boolean connecting;
+    private boolean closed;
+    private long nextCorrelationId = 1;
+    private long retryAtNanos = NONE;
+    private Duration backoff;
+    private long unansweredSinceNanos = NONE;
+    private long lastUseNanos;
+
+    PeerConnection(PeerAddress peer, Bootstrap bootstrap, TimerService timer, ControlLimits limits) {
+        this.peer = peer;
+        this.bootstrap = bootstrap.clone();
+        this.timer = timer;
+        this.limits = limits;
+        this.backoff = limits.firstBackoff();
+        this.lastUseNanos = timer.nowNanos();
+        this.bootstrap.handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel opened) {
+                FrameCodec.install(opened.pipeline());
+                opened.pipeline().addLast(new ClientConnection(PeerConnection.this));
+            }
+        });
+    }
+
+    CompletableFuture<Either<Failure, ControlMessage>> call(ControlMessage message, Duration timeout) {
+        CompletableFuture<Either<Failure, ControlMessage>> result = new CompletableFuture<>();
+        Either<Failure, Long> sent = start(message, result);
+        if (sent.isLeft()) {
+            result.complete(Either.left(sent.getLeft()));
+            return result;
+        }
+        TimerService.Subscription expiry = timer.after(timeout, () -> expire(sent.get()));
+        return result.whenComplete((answer, fault) -> expiry.cancel());
+    }
+
+    Either<Failure, Long> send(ControlMessage message) {
+        return EnvelopeCodec.encode(EnvelopeCodec.envelope(EnvelopeKind.ONE_WAY, 0, message))
+                .flatMap(this::write);
+    }
+
+    /** Takes a response in. */
+    void received(Channel from, Envelope envelope) {
+        Call call;
+        synchronized (this) {
+            call = inFlight.remove(envelope.getCorrelationId());
+            if (from == channel) {
+                unansweredSinceNanos = inFlight.isEmpty() ? NONE : timer.nowNanos();
+            }
+        }
+        if (call == null) {
+            return;
+        }
+        call.result.complete(answer(envelope));
+    }
+
+    /** Fails every call that was sent on a channel which is gone. */
+    void lost(Channel gone) {
+        List<Call> failed = List.of();
+        synchronized (this) {
+            if (gone == channel) {
+                channel = null;
+                unansweredSinceNanos = NONE;
+                failed = drain();
+            }
+        }
+        fail(failed, ErrorCode.PEER_LOST);
+    }
+
+    /** Replaces the connection when it owes a response and went silent, and closes it when idle. */
+    void sweep(long nowNanos) {
+        Channel stale = null;
+        synchronized (this) {
+            boolean silent = unansweredSinceNanos != NONE
+                    && nowNanos - unansweredSinceNanos
+                            >= limits.progressTimeout().toNanos();
+            boolean idle = inFlight.isEmpty()
+                    && nowNanos - lastUseNanos >= limits.idleTimeout().toNanos();
+            if (channel != null && (silent || idle)) {
+                stale = channel;
+                if (silent) {
+                    LOG.warn("event=control_connection_silent peer={}", peer);
+                }
+            }
+        }
+        if (stale != null) {
+            lost(stale);
+            Channels.close(stale);
+        }
+    }
+
+    synchronized boolean forgettable(long nowNanos) {
+        return channel == null
+                && !connecting
+                && inFlight.isEmpty()
+                && nowNanos - lastUseNanos >= limits.idleTimeout().toNanos();
+    }
+
+    void close() {
+        Channel last;
+        List<Call> failed;
+        synchronized (this) {
+            closed = true;
+            last = channel;
+            channel = null;
+            failed = drain();
+        }
+        if (last != null) {
+            Channels.close(last);
+        }
+        fail(failed, ErrorCode.PEER_LOST);
+    }
+
+    private Either<Failure, Long> start(
+            ControlMessage message, CompletableFuture<Either<Failure, ControlMessage>> result) {
+        long id;
+        synchronized (this) {
+            id = nextCorrelationId++;
+            inFlight.put(id, new Call(result));
+        }
+        Either<Failure, Long> sent = EnvelopeCodec.encode(EnvelopeCodec.envelope(EnvelopeKind.REQUEST, id, message))
+                .flatMap(this::write)
+                .map(written -> id);
+        synchronized (this) {
+            if (sent.isLeft()) {
+                inFlight.remove(id);
+            } else if (channel != null && unansweredSinceNanos == NONE && inFlight.containsKey(id)) {
+                unansweredSinceNanos = timer.nowNanos();
+            }
+        }
+        return sent;
+    }
+
+    private Either<Failure, Long> write(byte[] frame) {
+        synchronized (this) {
+            lastUseNanos = timer.nowNanos();
+            if (closed || (channel == null && !connecting && lastUseNanos < retryAtNanos)) {
+                return Either.left(Failure.of(ErrorCode.PEER_UNREACHABLE, peer.toString()));
+            }
+            boolean full = channel == null ? queued.size() >= limits.maxQueued() : !channel.isWritable();
+            if (full) {
+                return Either.left(Failure.of(ErrorCode.PEER_BUSY, peer.toString()));
+            }
+            if (channel != null) {
+                Channels.send(channel, frame);
+                return Either.right((long) frame.length);
+            }
+            queued.add(frame);
+            if (connecting) {
+                return Either.right((long) frame.length);
+            }
+            connecting = true;
+        }
+        ChannelFuture unused =
+                bootstrap.connect(peer.host(), peer.port()).addListener((ChannelFuture attempt) -> connected(attempt));
+        return Either.right((long) frame.length);
+    }
+
+    private void connected(ChannelFuture attempt) {
+        List<Call> failed = List.of();
+        boolean adopted;
+        synchronized (this) {
+            connecting = false;
+            adopted = attempt.isSuccess() && !closed;
+            if (adopted) {
+                adopt(attempt.channel());
+            } else {
+                retryAtNanos = timer.nowNanos() + backoff.toNanos();
+                backoff = longer(backoff);
+                failed = drain();
+            }
+        }
+        if (!adopted) {
+            Channels.close(attempt.channel());
+        }
+        fail(failed, ErrorCode.PEER_UNREACHABLE);
+    }
+
+    private void adopt(Channel opened) {
+        channel = opened;
+        backoff = limits.firstBackoff();
+        retryAtNanos = NONE;
+        for (byte[] frame : queued) {
+            Channels.send(opened, frame);
+        }
+        queued.clear();
+        if (!inFlight.isEmpty()) {
+            unansweredSinceNanos = timer.nowNanos();
+        }
+    }
+
+    private List<Call> drain() {
+        List<Call> failed = new ArrayList<>(inFlight.values());
+        inFlight.clear();
+        queued.clear();
+        return failed;
+    }
+
+    private void expire(long correlationId) {
+        Call call;
+        synchronized (this) {
+            call = inFlight.remove(correlationId);
+        }
+        if (call != null) {
+            fail(List.of(call), ErrorCode.PEER_TIMEOUT);
+        }
+    }
+
+    private void fail(List<Call> calls, ErrorCode code) {
+        for (Call call : calls) {
+            call.result.complete(Either.left(Failure.of(code, peer.toString())));
+        }
+    }
+
+    private Duration longer(Duration wait) {
+        Duration doubled = wait.multipliedBy(2);
+        return doubled.compareTo(limits.longestBackoff()) > 0 ? limits.longestBackoff() : doubled;
+    }
+
+    private Either<Failure, ControlMessage> answer(Envelope envelope) {
+        ControlMessage message = envelope.getMessage();
+        if (message == null || !message.isSet()) {
+            return Either.left(Failure.of(ErrorCode.MESSAGE_UNKNOWN, peer.toString()));
+        }
+        if (message.isSetRefusal()) {
+            return Either.left(Refusals.decode(message.getRefusal()));
+        }
+        return Either.right(message);
+    }
+
+    private record Call(CompletableFuture<Either<Failure, ControlMessage>> result) {}
+}
--- /dev/null
+++ b/src/main/thrift/control.thrift
@@ -0,0 +1,135 @@
+// Messages between the hosts of the system. Format and rules of change: docs/protocols/control.md.
+namespace java org.arbutusfield.wire.gen
+
+// The answer to a message that was not carried out. `code` is a name of the error table.
+struct Refusal {
+  1: string code
+  2: string detail
+  3: i64 retryAfterMillis
+}
+
+// What is known of one member. `state`: 0 alive, 1 suspect, 2 leaving, 3 dead.
+struct MemberRecord {
+  1: string name
+  2: string region
+  3: string failureDomain
+  4: string callerHost
+  5: i32 callerPort
+  6: i32 controlPort
+  7: i64 incarnation
+  8: i32 state
+  9: i32 refutation
+}
+
+// A sign of life, sent as request and as its response.
+struct Heartbeat {
+  1: string name
+  2: i64 incarnation
+  3: i32 state
+  4: i32 refutation
+  5: i64 revision
+  6: binary digest
+  7: i64 tableDigest
+  8: bool introduce
+  9: list<MemberRecord> rumours
+}
+
+// Asks for the records of those buckets of the member table whose digests differ.
+struct TableRequest {
+  1: list<i64> bucketDigests
+}
+
+struct MemberTable {
+  1: list<MemberRecord> records
+}
+
+// Asks for a part of the running configuration, as a delta against what the sender has where possible.
+struct SnapshotRequest {
+  1: i64 haveRevision
+  2: string haveDigest
+  3: i64 wantRevision
+  4: string wantDigest
+  5: i64 offset
+  6: i32 maxBytes
+  7: bool full
+}
+
+// A part of an encoding of a revision. `baseRevision` 0: the whole content; else a delta against that revision.
+struct SnapshotChunk {
+  1: i64 revision
+  2: string digest
+  3: i64 baseRevision
+  4: string baseDigest
+  5: i64 totalBytes
+  6: i64 offset
+  7: binary content
+}
+
+struct SlotRequest {
+  1: i64 requestId
+  2: string host
+  3: i64 hostIncarnation
+  4: string serviceName
+  5: string requestClass
+  6: i32 priority
+  7: i64 remainingNanos
+}
+
+struct SlotGrant {
+  1: i64 requestId
+  2: string upstream
+  3: i64 token
+  4: i64 expiresInNanos
+}
+
+struct SlotRefusal {
+  1: i64 requestId
+  2: string code
+  3: string detail
+  4: i64 retryAfterMillis
+}
+
+struct SlotRelease {
+  1: i64 token
+  2: i32 outcome
+  3: i64 serviceNanos
+}
+
+struct SlotCancel {
+  1: i64 requestId
+}
+
+struct HeldSlot {
+  1: i64 token
+  2: string upstream
+  3: i64 ageNanos
+}
+
+struct HeldSlots {
+  1: string host
+  2: i64 hostIncarnation
+  3: list<HeldSlot> held
+}
+
+union ControlMessage {
+  1: Refusal refusal
+  2: Heartbeat heartbeat
+  3: TableRequest tableRequest
+  4: MemberTable memberTable
+  5: SnapshotRequest snapshotRequest
+  6: SnapshotChunk snapshotChunk
+  20: SlotRequest slotRequest
+  21: SlotGrant slotGrant
+  22: SlotRefusal slotRefusal
+  23: SlotRelease slotRelease
+  24: SlotCancel slotCancel
+  25: HeldSlots heldSlots
+}
+
+// One frame. `kind`: 0 one-way, 1 request, 2 response.
+struct Envelope {
+  1: i32 version
+  2: i32 kind
+  3: i64 correlationId
+  4: ControlMessage message
+}
