Settings checked against one table; command-line tool with its commands

Cause: settings faults came one at a time and as parser messages; the tool knew one command. Change: an enum of settings with form, range and default, read with every fault at once; an enum of commands, options and exit codes from which help and parsing are made; note check, diff, apply, wait, show, status, drain and undrain. report burn is not built yet and says so.

--- a/src/main/java/org/arbutusfield/ctl/ArbutusCtl.java
+++ b/src/main/java/org/arbutusfield/ctl/ArbutusCtl.java
@@ -1,67 +1,192 @@
 package org.arbutusfield.ctl;
 
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.vavr.control.Either;
-import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.DefaultParser;
-import org.apache.commons.cli.Options;
-import org.apache.commons.cli.ParseException;
+import org.arbutusfield.Version;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.http.HttpCaller;
 import org.arbutusfield.model.Configuration;
+import org.arbutusfield.model.Entity;
+import org.arbutusfield.model.Kind;
 import org.arbutusfield.note.ConfigurationRepository;
-import org.arbutusfield.note.NoteReader;
 import org.arbutusfield.store.HttpStore;
 
-/** The program {@code arbutusctl}. Exit codes: 0 done, 1 refused or failed, 2 usage. */
+/** The program {@code arbutusctl}: parse, choose the command, run it, print, exit with {@link ExitCode}. */
 public final class ArbutusCtl {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration STORE_TIMEOUT = Duration.ofSeconds(3);
+    private static final long POLL_MILLIS = 50;
 
-    private ArbutusCtl() {}
+    private final Invocation invocation;
+    private final Printer printer;
+    private final NoteCommands notes;
+    private final HostQuery hosts;
 
-    /** Runs the program: {@code --store ADDRESS:PORT note apply FILE}. */
-    public static void main(String[] args) throws IOException {
-        Options options = new Options().addRequiredOption(null, "store", true, "the store's address:port");
-        CommandLine line;
+    private ArbutusCtl(Invocation invocation, Printer printer, HttpCaller caller) {
+        this.invocation = invocation;
+        this.printer = printer;
+        InetSocketAddress store =
+                invocation.store().orElseGet(() -> new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
+        this.notes = NoteCommands.of(ConfigurationRepository.of(HttpStore.create(caller, store, STORE_TIMEOUT)));
+        this.hosts = HostQuery.of(caller, invocation.hosts());
+    }
+
+    /** Runs the program. */
+    public static void main(String[] args) {
+        System.exit(run(System.out, System.err, args).status());
+    }
+
+    /** Runs one command line, printing to the given streams. */
+    static ExitCode run(PrintStream out, PrintStream err, String... args) {
+        Either<Failure, Invocation> parsed = Invocation.parse(args);
+        if (parsed.isLeft()) {
+            Printer.of(out, err, false).complain(List.of(parsed.getLeft()));
+            err.print(Help.text());
+            return ExitCode.USAGE;
+        }
+        Invocation invocation = parsed.get();
+        EventLoopGroup group = new NioEventLoopGroup(1);
         try {
-            line = new DefaultParser().parse(options, args);
-        } catch (ParseException e) {
-            System.exit(report(List.of(Failure.of(ErrorCode.USAGE, "", e.getMessage())), 2));
-            return;
+            HttpCaller caller = HttpCaller.create(group, CONNECT_TIMEOUT);
+            return new ArbutusCtl(invocation, Printer.of(out, err, invocation.json()), caller).execute();
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         }
-        NioEventLoopGroup group = new NioEventLoopGroup(1);
-        String[] store = line.getOptionValue("store").split(":", 2);
-        ConfigurationRepository repository = ConfigurationRepository.of(HttpStore.create(
-                HttpCaller.create(group, CONNECT_TIMEOUT),
-                new InetSocketAddress(store[0], Integer.parseInt(store[1])),
-                STORE_TIMEOUT));
-        int exit = applyNote(repository, Path.of(line.getArgList().get(2)));
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
-        System.exit(exit);
     }
 
-    private static int applyNote(ConfigurationRepository repository, Path file) throws IOException {
-        Either<List<Failure>, Configuration> result = NoteReader.read(Files.readAllBytes(file))
-                .flatMap(note -> repository.apply(note).join());
+    private ExitCode execute() {
+        if (invocation.command().isEmpty()) {
+            printer.print(Help.text(), Help.text());
+            return ExitCode.DONE;
+        }
+        CtlCommand command = invocation.command().get();
+        Either<List<Failure>, ExitCode> needed = requirements(command);
+        Either<List<Failure>, ExitCode> result = needed.isLeft() ? needed : perform(command);
         if (result.isLeft()) {
-            return report(result.getLeft(), 1);
+            printer.complain(result.getLeft());
+            return ExitCode.of(result.getLeft());
+        }
+        return result.get();
+    }
+
+    private Either<List<Failure>, ExitCode> requirements(CtlCommand command) {
+        boolean asksHosts =
+                switch (command) {
+                    case NOTE_WAIT, STATUS, REPORT_BURN -> true;
+                    default -> false;
+                };
+        if (asksHosts && invocation.hosts().isEmpty()) {
+            return Either.left(List.of(Failure.of(ErrorCode.USAGE, command.words(), "needs --hosts")));
+        }
+        if (!asksHosts && command != CtlCommand.VERSION && invocation.store().isEmpty()) {
+            return Either.left(List.of(Failure.of(ErrorCode.USAGE, command.words(), "needs --store")));
+        }
+        return Either.right(ExitCode.DONE);
+    }
+
+    private Either<List<Failure>, ExitCode> perform(CtlCommand command) {
+        String argument = invocation.argument();
+        return switch (command) {
+            case NOTE_CHECK -> notes.check(argument).map(next -> printRevision("valid; would be revision ", next));
+            case NOTE_DIFF -> notes.diff(argument).map(this::printLines);
+            case NOTE_APPLY -> notes.apply(argument).map(next -> printRevision("applied as revision ", next));
+            case NOTE_STATUS -> notes.running().map(this::printNoteStatus);
+            case NOTE_WAIT -> awaitRevision(argument);
+            case SHOW -> notes.running().flatMap(this::show);
+            case STATUS -> Either.right(printStatuses(hosts.statuses()));
+            case DRAIN ->
+                notes.drain(argument, true, invocation.noteId())
+                        .map(next -> printRevision("drained in revision ", next));
+            case UNDRAIN ->
+                notes.drain(argument, false, invocation.noteId())
+                        .map(next -> printRevision("undrained in revision ", next));
+            case REPORT_BURN -> Either.left(List.of(Failure.of(ErrorCode.USAGE, command.words(), "not in this build")));
+            case VERSION -> {
+                printer.print("arbutusctl " + Version.RELEASE, Version.RELEASE);
+                yield Either.right(ExitCode.DONE);
+            }
+        };
+    }
+
+    private ExitCode printRevision(String words, Configuration state) {
+        printer.print(words + state.revision(), new Applied(state.revision(), state.noteId()));
+        return ExitCode.DONE;
+    }
+
+    private ExitCode printLines(List<String> lines) {
+        printer.print(String.join("\n", lines), lines);
+        return ExitCode.DONE;
+    }
+
+    private ExitCode printNoteStatus(Configuration state) {
+        boolean applied = state.noteId().equals(invocation.argument());
+        printer.print(
+                applied
+                        ? "applied as revision " + state.revision()
+                        : "not the latest note; running is " + state.noteId(),
+                new Applied(state.revision(), state.noteId()));
+        return applied ? ExitCode.DONE : ExitCode.REFUSED;
+    }
+
+    private Either<List<Failure>, ExitCode> show(Configuration state) {
+        return Kind.ofField(invocation.argument())
+                .map(kind -> Either.<List<Failure>, ExitCode>right(printItems(state, kind)))
+                .orElseGet(() -> Either.left(
+                        List.of(Failure.of(ErrorCode.USAGE, invocation.argument(), "no such kind of item"))));
+    }
+
+    private ExitCode printItems(Configuration state, Kind kind) {
+        List<Entity> items = List.copyOf(state.table(kind).values());
+        StringBuilder text = new StringBuilder();
+        items.forEach(item -> text.append(item).append('\n'));
+        printer.print(items.isEmpty() ? "none" : text.toString(), items);
+        return ExitCode.DONE;
+    }
+
+    private ExitCode printStatuses(List<HostStatus> statuses) {
+        TextTable table = TextTable.of("ADDRESS", "HOST", "STATE", "REVISION", "IN FLIGHT");
+        for (HostStatus s : statuses) {
+            table.row(s.address(), s.name(), s.state(), Long.toString(s.revision()), Long.toString(s.inFlight()));
+        }
+        printer.print(table.toString(), statuses);
+        return statuses.stream().allMatch(HostStatus::answered) ? ExitCode.DONE : ExitCode.UNREACHABLE;
+    }
+
+    private Either<List<Failure>, ExitCode> awaitRevision(String argument) {
+        if (!argument.matches("\\d{1,18}")) {
+            return Either.left(List.of(Failure.of(ErrorCode.USAGE, argument, "expected a revision number")));
         }
-        System.out.println("applied as revision " + result.get().revision());
-        return 0;
+        long revision = Long.parseLong(argument);
+        long start = System.nanoTime();
+        long limit = TimeUnit.SECONDS.toNanos(invocation.waitSeconds());
+        while (System.nanoTime() - start < limit) {
+            if (hosts.statuses().stream().allMatch(s -> s.answered() && s.revision() >= revision)) {
+                double seconds = (System.nanoTime() - start) / 1e9;
+                printer.print(String.format("in force on all hosts after %.2f s", seconds), seconds);
+                return Either.right(ExitCode.DONE);
+            }
+            pause();
+        }
+        printStatuses(hosts.statuses());
+        return Either.right(ExitCode.TIMEOUT);
     }
 
-    private static int report(List<Failure> failures, int exit) {
-        failures.forEach(f -> System.err.println(
-                f.code() + " " + f.subject() + ": " + f.code().message() + " " + f.detail()));
-        return exit;
+    private static void pause() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
+
+    /** The revision that holds after a command, and the note that made it. */
+    private record Applied(long revision, String noteId) {}
 }
--- /dev/null
+++ b/src/main/java/org/arbutusfield/ctl/CtlCommand.java
@@ -0,0 +1,56 @@
+package org.arbutusfield.ctl;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/** Every command of the tool: its words, arguments and meaning. */
+public enum CtlCommand {
+    NOTE_CHECK("note check", "FILE", "check a release note against the running state; change nothing"),
+    NOTE_DIFF("note diff", "FILE", "show what a release note would add, change and withdraw"),
+    NOTE_APPLY("note apply", "FILE", "make the note the running state, as a whole"),
+    NOTE_STATUS("note status", "ID", "tell whether the note with this id was applied, and as which revision"),
+    NOTE_WAIT("note wait", "REVISION", "wait until every host has the revision in force"),
+    SHOW("show", "KIND", "list items: " + String.join(", ", KindNames.ALL)),
+    STATUS("status", "", "list hosts with state, revision in force and running requests"),
+    DRAIN("drain", "TARGET:NAME", "stop new work for an upstream, failure_domain, region or host"),
+    UNDRAIN("undrain", "TARGET:NAME", "take a drain back"),
+    REPORT_BURN("report burn", "", "show service-level objectives, budgets and what burns them"),
+    VERSION("version", "", "print the release");
+
+    private final String words;
+    private final String argument;
+    private final String meaning;
+
+    CtlCommand(String words, String argument, String meaning) {
+        this.words = words;
+        this.argument = argument;
+        this.meaning = meaning;
+    }
+
+    /** The words on the command line, separated by one space. */
+    public String words() {
+        return words;
+    }
+
+    /** The name of the one argument; empty when there is none. */
+    public String argument() {
+        return argument;
+    }
+
+    /** What the command does. */
+    public String meaning() {
+        return meaning;
+    }
+
+    /** The command that the given words name in full, with its argument if it takes one. */
+    static Optional<CtlCommand> of(List<String> words) {
+        return Stream.of(values()).filter(command -> command.matches(words)).findFirst();
+    }
+
+    private boolean matches(List<String> given) {
+        List<String> own = List.of(words.split(" "));
+        int size = own.size() + (argument.isEmpty() ? 0 : 1);
+        return given.size() == size && given.subList(0, own.size()).equals(own);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/ctl/CtlOption.java
@@ -0,0 +1,44 @@
+package org.arbutusfield.ctl;
+
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+
+/** Every option of the command-line tool. */
+public enum CtlOption {
+    STORE("store", "IP:PORT", "address of the platform's store"),
+    HOSTS("hosts", "IP:PORT,...", "admin addresses of the entry hosts"),
+    WAIT_SECONDS("wait-seconds", "SECONDS", "how long 'note wait' waits; default 30"),
+    NOTE_ID("id", "ID", "id of the note that 'drain' and 'undrain' write"),
+    OUT("out", "FILE", "file for the HTML form of a report"),
+    JSON("json", null, "print JSON instead of a table"),
+    HELP("help", null, "print this help");
+
+    private final String word;
+    private final String argument;
+    private final String meaning;
+
+    CtlOption(String word, String argument, String meaning) {
+        this.word = word;
+        this.argument = argument;
+        this.meaning = meaning;
+    }
+
+    /** The option's long name, without dashes. */
+    public String word() {
+        return word;
+    }
+
+    /** All options in the form that the parser takes. */
+    static Options options() {
+        Options options = new Options();
+        for (CtlOption option : values()) {
+            options.addOption(Option.builder()
+                    .longOpt(option.word)
+                    .hasArg(option.argument != null)
+                    .argName(option.argument)
+                    .desc(option.meaning)
+                    .get());
+        }
+        return options;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/ctl/ExitCode.java
@@ -0,0 +1,45 @@
+package org.arbutusfield.ctl;
+
+import java.util.List;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+
+/** The exit codes of the command-line tool. */
+public enum ExitCode {
+    DONE(0, "done"),
+    REFUSED(1, "refused; nothing was changed"),
+    USAGE(2, "the command line is not understood"),
+    CONFLICT(3, "the running state moved; nothing was changed"),
+    UNKNOWN(4, "the outcome is unknown; ask with 'note status ID'"),
+    UNREACHABLE(5, "the store or a host cannot be reached; nothing was changed"),
+    TIMEOUT(6, "not in force everywhere within the time given");
+
+    private final int status;
+    private final String meaning;
+
+    ExitCode(int status, String meaning) {
+        this.status = status;
+        this.meaning = meaning;
+    }
+
+    /** The process's exit status. */
+    public int status() {
+        return status;
+    }
+
+    /** What it tells the operator. */
+    public String meaning() {
+        return meaning;
+    }
+
+    /** The exit code for failures; the first one decides. */
+    public static ExitCode of(List<Failure> failures) {
+        ErrorCode code = failures.get(0).code();
+        return switch (code) {
+            case USAGE -> USAGE;
+            case NOTE_CONFLICT, STORE_CONFLICT -> CONFLICT;
+            case STORE_UNAVAILABLE, PEER_UNREACHABLE -> UNREACHABLE;
+            default -> code.execution() == ErrorCode.Execution.UNKNOWN ? UNKNOWN : REFUSED;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/ctl/NoteCommands.java
@@ -0,0 +1,104 @@
+package org.arbutusfield.ctl;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.model.Configuration;
+import org.arbutusfield.model.Drain;
+import org.arbutusfield.model.Entity;
+import org.arbutusfield.model.Kind;
+import org.arbutusfield.note.ConfigurationRepository;
+import org.arbutusfield.note.EntityKey;
+import org.arbutusfield.note.NoteApplier;
+import org.arbutusfield.note.NoteReader;
+import org.arbutusfield.note.ReleaseNote;
+
+/** The commands that read or write release notes. */
+final class NoteCommands {
+    private final ConfigurationRepository repository;
+
+    private NoteCommands(ConfigurationRepository repository) {
+        this.repository = repository;
+    }
+
+    /** Commands over a repository. */
+    static NoteCommands of(ConfigurationRepository repository) {
+        return new NoteCommands(repository);
+    }
+
+    /** Checks a note against the running state; the state it would lead to. */
+    Either<List<Failure>, Configuration> check(String file) {
+        return readNote(file).flatMap(note -> running().flatMap(state -> NoteApplier.apply(state, note)));
+    }
+
+    /** What a note would do, a line an item. */
+    Either<List<Failure>, List<String>> diff(String file) {
+        return readNote(file).flatMap(note -> running().map(state -> diff(state, note)));
+    }
+
+    /** Applies a note. */
+    Either<List<Failure>, Configuration> apply(String file) {
+        return readNote(file).flatMap(note -> repository.apply(note).join());
+    }
+
+    /** Writes a note that adds or withdraws one drain, against the state now running. */
+    Either<List<Failure>, Configuration> drain(String target, boolean add, Optional<String> noteId) {
+        return parseDrain(target)
+                .flatMap(drain -> running().flatMap(state -> {
+                    String id = noteId.orElse((add ? "drain-" : "undrain-") + (state.revision() + 1));
+                    ReleaseNote note = add
+                            ? new ReleaseNote(id, state.revision(), List.of(drain), List.of(), List.of())
+                            : new ReleaseNote(
+                                    id,
+                                    state.revision(),
+                                    List.of(),
+                                    List.of(),
+                                    List.of(new EntityKey(Kind.DRAIN, drain.key())));
+                    return repository.apply(note).join();
+                }));
+    }
+
+    /** The state now running, as the store has it. */
+    Either<List<Failure>, Configuration> running() {
+        return repository.latest().join().mapLeft(List::of);
+    }
+
+    private static Either<List<Failure>, ReleaseNote> readNote(String file) {
+        try {
+            return NoteReader.read(Files.readAllBytes(Path.of(file)));
+        } catch (IOException e) {
+            return Either.left(List.of(Failure.of(ErrorCode.USAGE, file, e.toString())));
+        }
+    }
+
+    private static Either<List<Failure>, Drain> parseDrain(String target) {
+        String[] parts = target.split(":", 2);
+        Optional<Drain.Target> kind = Stream.of(Drain.Target.values())
+                .filter(t -> t.name().equals(parts[0].toUpperCase(Locale.ROOT)))
+                .findFirst();
+        if (parts.length < 2 || kind.isEmpty()) {
+            return Either.left(List.of(Failure.of(ErrorCode.USAGE, target, "expected TARGET:NAME")));
+        }
+        return Either.right(new Drain(kind.get(), parts[1]));
+    }
+
+    private static List<String> diff(Configuration state, ReleaseNote note) {
+        List<String> lines = new ArrayList<>();
+        note.withdrawn().forEach(key -> lines.add("- " + key.kind().field() + " " + key.key()));
+        for (Entity item : note.changed()) {
+            String before =
+                    state.find(item.kind(), item.key()).map(Entity::toString).orElse("(missing)");
+            lines.add("~ " + item.kind().field() + " " + item.key() + ": " + before + " -> " + item);
+        }
+        note.added().forEach(item -> lines.add("+ " + item.kind().field() + " " + item));
+        return lines;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/ctl/Printer.java
@@ -0,0 +1,53 @@
+package org.arbutusfield.ctl;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.PrintStream;
+import java.util.List;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.http.HttpAnswer;
+
+/** Prints results for a person or as JSON. */
+final class Printer {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final PrintStream out;
+    private final PrintStream err;
+    private final boolean json;
+
+    private Printer(PrintStream out, PrintStream err, boolean json) {
+        this.out = out;
+        this.err = err;
+        this.json = json;
+    }
+
+    /** A printer to these streams. */
+    static Printer of(PrintStream out, PrintStream err, boolean json) {
+        return new Printer(out, err, json);
+    }
+
+    /** Prints text for a person, or the value as JSON. */
+    void print(String text, Object value) {
+        if (!json) {
+            out.print(text.endsWith("\n") ? text : text + "\n");
+            return;
+        }
+        try {
+            out.println(JSON.writeValueAsString(value));
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("not writable as JSON: " + value.getClass(), e);
+        }
+    }
+
+    /** Prints failures, a line each, on the error stream. */
+    void complain(List<Failure> failures) {
+        for (Failure failure : failures) {
+            err.println(
+                    json
+                            ? HttpAnswer.problem(failure).text()
+                            : failure.code() + " " + failure.subject() + ": "
+                                    + failure.code().message()
+                                    + (failure.detail().isEmpty() ? "" : " (" + failure.detail() + ")"));
+        }
+    }
+}
--- a/src/main/java/org/arbutusfield/daemon/ArbutusDaemon.java
+++ b/src/main/java/org/arbutusfield/daemon/ArbutusDaemon.java
@@ -11,6 +11,8 @@
 import org.arbutusfield.Version;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.settings.HostSettings;
+import org.arbutusfield.settings.SettingsReader;
 
 /** The program {@code arbutusd}. Exit codes: 0 stopped or checked, 1 could not start, 2 bad settings or usage. */
 public final class ArbutusDaemon {
@@ -38,7 +40,7 @@
             System.out.println("arbutusd " + Version.RELEASE);
             return;
         }
-        Either<List<Failure>, DaemonSettings> settings = DaemonSettings.read(Path.of(line.getOptionValue("settings")));
+        Either<List<Failure>, HostSettings> settings = SettingsReader.read(Path.of(line.getOptionValue("settings")));
         if (settings.isLeft()) {
             complain(settings.getLeft());
             System.exit(EXIT_USAGE);
@@ -50,7 +52,7 @@
         run(settings.get());
     }
 
-    private static void run(DaemonSettings settings) throws InterruptedException {
+    private static void run(HostSettings settings) throws InterruptedException {
         Either<Failure, Daemon> daemon = Daemon.start(settings);
         if (daemon.isLeft()) {
             complain(List.of(daemon.getLeft()));
--- a/src/main/java/org/arbutusfield/daemon/Daemon.java
+++ b/src/main/java/org/arbutusfield/daemon/Daemon.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.vavr.control.Either;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -20,6 +19,7 @@
 import org.arbutusfield.model.Configuration;
 import org.arbutusfield.note.ConfigurationRepository;
 import org.arbutusfield.proxy.EntryServer;
+import org.arbutusfield.settings.HostSettings;
 import org.arbutusfield.store.HttpStore;
 import org.arbutusfield.timer.SystemTimer;
 
@@ -30,7 +30,7 @@
     private static final Duration CONFIGURATION_POLL = Duration.ofMillis(500);
     private static final int ADMIN_BODY_BYTES = 1 << 20;
 
-    private final DaemonSettings settings;
+    private final HostSettings settings;
     private final SystemTimer timer = SystemTimer.start();
     private final EventLoopGroup group = new NioEventLoopGroup();
     private final AtomicReference<Configuration> running = new AtomicReference<>(Configuration.empty());
@@ -39,12 +39,12 @@
     private EntryServer entry;
     private HttpListener admin;
 
-    private Daemon(DaemonSettings settings) {
+    private Daemon(HostSettings settings) {
         this.settings = settings;
     }
 
     /** Starts a host: configuration, callers' port, admin port. */
-    public static Either<Failure, Daemon> start(DaemonSettings settings) {
+    public static Either<Failure, Daemon> start(HostSettings settings) {
         Daemon daemon = new Daemon(settings);
         Either<Failure, Daemon> started =
                 daemon.followConfiguration().flatMap(Daemon::openCallerPort).flatMap(Daemon::openAdminPort);
@@ -88,9 +88,7 @@
 
     private Either<Failure, Daemon> followConfiguration() {
         HttpStore store = HttpStore.create(
-                HttpCaller.create(group, CONNECT_TIMEOUT),
-                new InetSocketAddress(settings.storeAddress(), settings.storePort()),
-                Duration.ofMillis(settings.storeTimeoutMillis()));
+                HttpCaller.create(group, CONNECT_TIMEOUT), settings.storeAddress(), settings.storeTimeout());
         ConfigurationRepository repository = ConfigurationRepository.of(store);
         timer.every(CONFIGURATION_POLL, () -> repository.latest().thenAccept(r -> r.peek(this::install)));
         return Either.right(this);
@@ -104,11 +102,7 @@
     }
 
     private Either<Failure, Daemon> openCallerPort() {
-        return EntryServer.bind(
-                        group,
-                        new InetSocketAddress(settings.address(), settings.callerPort()),
-                        settings.region(),
-                        running::get)
+        return EntryServer.bind(group, settings.callerAddress(), settings.region(), running::get)
                 .map(server -> {
                     entry = server;
                     return this;
@@ -116,8 +110,7 @@
     }
 
     private Either<Failure, Daemon> openAdminPort() {
-        InetSocketAddress address = new InetSocketAddress(settings.adminAddress(), settings.adminPort());
-        return HttpListener.bind(group, address, ADMIN_BODY_BYTES, this::answerAdmin)
+        return HttpListener.bind(group, settings.adminAddress(), ADMIN_BODY_BYTES, this::answerAdmin)
                 .map(listener -> {
                     admin = listener;
                     return this;
@@ -146,8 +139,8 @@
 
     private String status() {
         return String.format(
-                "{\"host\":\"%s\",\"revision\":%d,\"inFlight\":%d}",
-                settings.name(), running.get().revision(), entry.inFlight());
+                "{\"host\":\"%s\",\"state\":\"%s\",\"revision\":%d,\"inFlight\":%d}",
+                settings.name(), leaving ? "leaving" : "serving", running.get().revision(), entry.inFlight());
     }
 
     private static void pause() {
