Shift caps: base shares, lent permits and the gate for moved requests

Cause: a cap holds for the sum over all hosts, under joins, deaths, pauses, lost messages, two lease holders, a store outage and a note that lowers it; a counter that hosts read now and then cannot keep it.

Giving the remainder of the division to the surplus: the split is then not monotone and mixed old and new caps can exceed both.

--- /dev/null
+++ b/src/main/java/org/arbutusfield/lab/shift/CapExperiment.java
@@ -0,0 +1,56 @@
+package org.arbutusfield.lab.shift;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Compares shares and lent permits with a central counter: sum of moved requests over all hosts against the cap.
+ *
+ * <p>Prints a Markdown table; demand is above the cap, so that the used share shows what a method wastes.
+ */
+public final class CapExperiment {
+    private static final int SECONDS = 240;
+    private static final long[] SEEDS = {1, 2, 3, 4, 5};
+
+    private CapExperiment() {}
+
+    /** Runs all schedules; takes no arguments. */
+    public static void main(String[] arguments) {
+        System.out.println("| faults | method | worst interval / cap | mean use of the cap |");
+        System.out.println("|---|---|---:|---:|");
+        schedules().forEach((name, faults) -> {
+            for (CapRun.Method method : CapRun.Method.values()) {
+                System.out.println(row(name, faults, method));
+            }
+        });
+    }
+
+    private static Map<String, CapRun.Faults> schedules() {
+        int ticks = SECONDS * 100;
+        Map<String, CapRun.Faults> schedules = new LinkedHashMap<>();
+        schedules.put("none", CapRun.Faults.none(SECONDS));
+        schedules.put("none, a quarter of the hosts gets 4 x demand", faults(0, 0, 0, 0, 4));
+        schedules.put("a death every 3 s", faults(0.3, 0, 0, 0, 1));
+        schedules.put("a pause of up to 20 s every 3 s", faults(0, 0.3, 0, 0, 1));
+        schedules.put("5 % of messages lost, doubled, late", faults(0, 0, 0.05, 0, 1));
+        schedules.put("store away for the middle third", faults(0, 0, 0, ticks / 3, 1));
+        schedules.put("all of it, cap changes every 40 s", CapRun.Faults.all(SECONDS));
+        return schedules;
+    }
+
+    private static CapRun.Faults faults(double deaths, double pauses, double lost, int storeFrom, double skew) {
+        int ticks = SECONDS * 100;
+        return new CapRun.Faults(ticks, deaths, pauses, lost, storeFrom, 2 * storeFrom, false, skew);
+    }
+
+    private static String row(String name, CapRun.Faults faults, CapRun.Method method) {
+        double worst = 0;
+        double used = 0;
+        for (long seed : SEEDS) {
+            CapRun.Result result = CapRun.run(seed, faults, method);
+            worst = Math.max(worst, result.worstRatio());
+            used += result.used() / SEEDS.length;
+        }
+        return String.format("| %s | %s | %.3f | %.3f |", name, method, worst, used);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/lab/shift/CapRun.java
@@ -0,0 +1,281 @@
+package org.arbutusfield.lab.shift;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.arbutusfield.model.Configuration;
+import org.arbutusfield.model.MoveRule;
+import org.arbutusfield.model.Region;
+import org.arbutusfield.model.ShiftCap;
+import org.arbutusfield.shift.PermitLender;
+import org.arbutusfield.timer.VirtualTimer;
+
+/**
+ * One seeded run in virtual time of all hosts that move traffic under one cap, with faults.
+ *
+ * <p>Hosts die and are replaced, pause and wake; messages are late, lost and doubled; several hosts take themselves for
+ * the lender; the store is away for a while; the cap falls and rises again. The run records every moved request.
+ */
+public final class CapRun {
+    static final String SERVICE = "quotedesk";
+    static final String FROM = "gulf";
+    static final String TO = "delta";
+    static final int CEILING = 20;
+    static final Duration TICK = Duration.ofMillis(10);
+    static final Duration INTERVAL = Duration.ofSeconds(10);
+    static final Duration LEASE = Duration.ofSeconds(3);
+    private static final long HIGH_CAP = 1_200;
+    private static final long LOW_CAP = 500;
+    private static final double DEMAND_PER_TICK = 0.2;
+
+    final VirtualTimer timer = VirtualTimer.create();
+    final Random random;
+    final Faults faults;
+    final Method method;
+    final CentralCounter central = new CentralCounter();
+    private final List<CapHost> hosts = new ArrayList<>();
+    private final int[] moved;
+    private final long[] limit;
+    private final int[] pausedTicks = new int[CEILING];
+    private long wanted;
+    private long incarnations;
+    private long revision = 1;
+    private long cap = HIGH_CAP;
+    private long allAppliedTick;
+    private String leaseHolder = "";
+    private long leaseToken;
+    private long leaseUntilNanos;
+
+    private CapRun(long seed, Faults faults, Method method) {
+        this.random = new Random(seed);
+        this.faults = faults;
+        this.method = method;
+        this.moved = new int[faults.ticks()];
+        this.limit = new long[faults.ticks()];
+        for (int i = 0; i < CEILING; i++) {
+            hosts.add(CapHost.start(this, "h" + i, ++incarnations));
+        }
+    }
+
+    /** How the cap is kept. */
+    public enum Method {
+        /** Base shares and lent permits. */
+        SHARES,
+        /** One counter in the store that hosts read and write once a second. */
+        CENTRAL_COUNTER
+    }
+
+    /**
+     * What goes wrong in a run.
+     *
+     * @param ticks length of the run, in ticks of 10 ms
+     * @param deathsPerSecond mean deaths of hosts, each replaced at once
+     * @param pausesPerSecond mean pauses of hosts of up to 20 s
+     * @param lostShare share of messages that are lost; as many are doubled, and as many late by seconds
+     * @param storeDownFromTick first tick without the store
+     * @param storeDownToTick first tick with the store again
+     * @param capChanges whether notes lower and raise the cap
+     * @param skew demand of the first quarter of the hosts relative to the others
+     */
+    public record Faults(
+            int ticks,
+            double deathsPerSecond,
+            double pausesPerSecond,
+            double lostShare,
+            int storeDownFromTick,
+            int storeDownToTick,
+            boolean capChanges,
+            double skew) {
+
+        /** No faults for a number of seconds. */
+        public static Faults none(int seconds) {
+            return new Faults(seconds * 100, 0, 0, 0, 0, 0, false, 1);
+        }
+
+        /** Everything at once for a number of seconds, the store away in the middle third. */
+        public static Faults all(int seconds) {
+            int ticks = seconds * 100;
+            return new Faults(ticks, 0.3, 0.3, 0.05, ticks / 3, 2 * ticks / 3, true, 4);
+        }
+    }
+
+    /**
+     * What a run shows.
+     *
+     * @param worstRatio largest sum of moved requests over any interval, relative to the cap in force for it
+     * @param used mean of moved requests per interval, relative to the cap
+     * @param moved requests moved
+     * @param wanted requests that asked to be moved
+     */
+    public record Result(double worstRatio, double used, long moved, long wanted) {}
+
+    /** Runs a schedule. */
+    public static Result run(long seed, Faults faults, Method method) {
+        CapRun run = new CapRun(seed, faults, method);
+        for (int tick = 0; tick < faults.ticks(); tick++) {
+            run.tick(tick);
+        }
+        return run.result();
+    }
+
+    private void tick(int tick) {
+        timer.advance(TICK);
+        if (faults.capChanges() && tick > 0 && tick % 4_000 == 0) {
+            changeCap();
+        }
+        for (int i = 0; i < CEILING; i++) {
+            if (happens(faults.deathsPerSecond() / CEILING)) {
+                hosts.set(i, CapHost.start(this, "h" + i, ++incarnations));
+                pausedTicks[i] = 0;
+            }
+            if (happens(faults.pausesPerSecond() / CEILING)) {
+                pausedTicks[i] = random.nextInt(2_000);
+            }
+            CapHost host = hosts.get(i);
+            host.paused = pausedTicks[i] > 0;
+            if (pausedTicks[i]-- > 0) {
+                continue;
+            }
+            moved[tick] += serve(host, i, tick);
+        }
+        trackLimit(tick);
+    }
+
+    private int serve(CapHost host, int index, int tick) {
+        host.work(tick);
+        double mean = DEMAND_PER_TICK * (index < CEILING / 4 ? faults.skew() : 1);
+        int requests = (int) mean + (random.nextDouble() < mean - (int) mean ? 1 : 0);
+        wanted += requests;
+        return host.move(requests);
+    }
+
+    /** An interval is held to the larger cap until every running host has the smaller one in force. */
+    private void trackLimit(int tick) {
+        boolean allApplied = hosts.stream().allMatch(host -> host.paused || host.revision == revision);
+        if (allApplied) {
+            allAppliedTick = tick;
+        }
+        limit[tick] = allAppliedTick == tick ? cap : HIGH_CAP;
+    }
+
+    private void changeCap() {
+        cap = cap == HIGH_CAP ? LOW_CAP : HIGH_CAP;
+        revision++;
+        hosts.forEach(host -> deliver(host, () -> host.apply(configuration(), revision)));
+    }
+
+    Configuration configuration() {
+        return Configuration.of(
+                revision,
+                "n" + revision,
+                List.of(
+                        new Region(FROM, CEILING / 2),
+                        new Region(TO, CEILING / 2),
+                        new MoveRule(SERVICE, FROM, TO, 1),
+                        new ShiftCap(SERVICE, FROM, TO, 1, (int) INTERVAL.toSeconds(), cap)));
+    }
+
+    long cap() {
+        return cap;
+    }
+
+    long revision() {
+        return revision;
+    }
+
+    boolean storeDown() {
+        long tick = timer.nowNanos() / TICK.toNanos();
+        return tick >= faults.storeDownFromTick() && tick < faults.storeDownToTick();
+    }
+
+    /** The store's side of a lease call; 0 when another holds the lease. */
+    long acquire(String holder) {
+        long now = timer.nowNanos();
+        boolean free = now >= leaseUntilNanos;
+        if (!free && !leaseHolder.equals(holder)) {
+            return 0;
+        }
+        if (!leaseHolder.equals(holder)) {
+            leaseToken++;
+        }
+        leaseHolder = holder;
+        leaseUntilNanos = now + LEASE.toNanos();
+        return leaseToken;
+    }
+
+    /** Hosts that somebody with a lagging host list may take for the lender. */
+    CapHost someLender() {
+        List<CapHost> lenders =
+                hosts.stream().filter(host -> host.lender != null).toList();
+        return lenders.isEmpty() ? hosts.get(0) : lenders.get(random.nextInt(lenders.size()));
+    }
+
+    /** Delivers a message: soon, or lost, late or twice; a paused process takes it in when it wakes. */
+    void deliver(CapHost to, Runnable message) {
+        if (random.nextDouble() < faults.lostShare()) {
+            timer.after(Duration.ofSeconds(1), () -> arrive(to, message));
+            return;
+        }
+        timer.after(delay(), () -> arrive(to, message));
+    }
+
+    /** Delivers a message that may also be lost. */
+    void deliverUnreliably(CapHost to, Runnable message) {
+        if (random.nextDouble() < faults.lostShare()) {
+            return;
+        }
+        if (random.nextDouble() < faults.lostShare()) {
+            timer.after(Duration.ofMillis(random.nextInt(15_000)), () -> arrive(to, message));
+        }
+        deliver(to, message);
+    }
+
+    private void arrive(CapHost to, Runnable message) {
+        if (to.paused) {
+            timer.after(TICK, () -> arrive(to, message));
+            return;
+        }
+        message.run();
+    }
+
+    private Duration delay() {
+        return Duration.ofMillis(1 + random.nextInt(30));
+    }
+
+    private boolean happens(double perSecond) {
+        return random.nextDouble() < perSecond * TICK.toMillis() / 1_000;
+    }
+
+    private Result result() {
+        int span = (int) (INTERVAL.toNanos() / TICK.toNanos());
+        double worst = 0;
+        long sum = 0;
+        for (int tick = 0; tick < moved.length; tick++) {
+            sum += moved[tick];
+            if (tick >= span) {
+                sum -= moved[tick - span];
+                worst = Math.max(worst, (double) sum / largestLimit(tick - span + 1, tick));
+            }
+        }
+        long total = 0;
+        double allowed = 0;
+        for (int tick = 0; tick < moved.length; tick++) {
+            total += moved[tick];
+            allowed += (double) limit[tick] / span;
+        }
+        return new Result(worst, total / allowed, total, wanted);
+    }
+
+    private long largestLimit(int firstTick, int lastTick) {
+        long largest = 0;
+        for (int tick = firstTick; tick <= lastTick; tick++) {
+            largest = Math.max(largest, limit[tick]);
+        }
+        return largest;
+    }
+
+    static PermitLender.Hold hold(long token, long askedNanos) {
+        return new PermitLender.Hold(token, askedNanos, LEASE.toNanos());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/lab/shift/CentralCounter.java
@@ -0,0 +1,16 @@
+package org.arbutusfield.lab.shift;
+
+import org.arbutusfield.shift.SlidingCounter;
+
+/** The plain alternative to shares: one count in the store, which hosts add to and read now and then. */
+final class CentralCounter {
+    private final SlidingCounter moved = SlidingCounter.over(CapRun.INTERVAL.toNanos(), 0);
+
+    void add(long count, long nowNanos) {
+        moved.add(count, nowNanos);
+    }
+
+    long total(long nowNanos) {
+        return moved.outerSum(nowNanos);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/shift/ShareMeter.java
@@ -0,0 +1,60 @@
+package org.arbutusfield.shift;
+
+/**
+ * Keeps moved requests to a share of the requests seen by this host.
+ *
+ * <p>Each request seen earns the share as credit and each moved one costs 1. Credit never exceeds 1, so that in any
+ * span of time, however short, at most share x seen + 1 requests are moved. On top of it the sliding interval up to
+ * each moved request holds share x seen exactly. Sums over hosts keep both bounds. Not thread-safe.
+ */
+public final class ShareMeter {
+    private static final long ONE = 1_000_000;
+
+    private final long share;
+    private final SlidingCounter seen;
+    private final SlidingCounter moved;
+    private long credit;
+
+    private ShareMeter(long share, long intervalNanos, long nowNanos) {
+        this.share = share;
+        this.seen = SlidingCounter.over(intervalNanos, nowNanos);
+        this.moved = SlidingCounter.over(intervalNanos, nowNanos);
+    }
+
+    /**
+     * A meter without credit.
+     *
+     * @param maxShare share of requests that may be moved, 0 to 1
+     * @param intervalNanos sliding interval, in nanoseconds
+     * @param nowNanos monotonic time
+     */
+    public static ShareMeter of(double maxShare, long intervalNanos, long nowNanos) {
+        return new ShareMeter((long) Math.floor(maxShare * ONE), intervalNanos, nowNanos);
+    }
+
+    /** Counts a request that may be moved. */
+    public void see(long nowNanos) {
+        seen.add(1, nowNanos);
+        credit = Math.min(ONE, credit + share);
+    }
+
+    /** True when one more request may be moved. */
+    public boolean permits(long nowNanos) {
+        if (credit < ONE) {
+            return false;
+        }
+        return share >= ONE || (moved.outerSum(nowNanos) + 1) * ONE <= seen.innerSum(nowNanos) * share;
+    }
+
+    /** Counts a moved request. */
+    public void use(long nowNanos) {
+        moved.add(1, nowNanos);
+        credit -= ONE;
+    }
+
+    /** Takes back a moved request that was not run after all. */
+    public void giveBack(long usedNanos, long nowNanos) {
+        moved.subtract(1, usedNanos, nowNanos);
+        credit = Math.min(ONE, credit + ONE);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/shift/SlidingCounter.java
@@ -0,0 +1,86 @@
+package org.arbutusfield.shift;
+
+import java.util.Arrays;
+
+/**
+ * Counts events over a sliding interval in buckets of a twentieth of the interval.
+ *
+ * <p>The outer sum covers at least the interval up to now, the inner sum at most the interval: a limit kept on the
+ * outer sum therefore holds for every interval of that length, wherever it begins, and a quota earned by the inner sum
+ * was earned within the interval. Not thread-safe; time must not decrease.
+ */
+public final class SlidingCounter {
+    private static final int BUCKETS = 20;
+    private static final int RING = BUCKETS + 1;
+
+    private final long bucketNanos;
+    private final long[] ring = new long[RING];
+    private long newest;
+    private long total;
+
+    private SlidingCounter(long bucketNanos, long newest) {
+        this.bucketNanos = bucketNanos;
+        this.newest = newest;
+    }
+
+    /** A counter at zero over intervals of the given length, in nanoseconds. */
+    public static SlidingCounter over(long intervalNanos, long nowNanos) {
+        long bucketNanos = Math.max(1, (intervalNanos + BUCKETS - 1) / BUCKETS);
+        return new SlidingCounter(bucketNanos, Math.floorDiv(nowNanos, bucketNanos));
+    }
+
+    /** Counts events that happen now. */
+    public void add(long count, long nowNanos) {
+        advance(nowNanos);
+        ring[index(newest)] += count;
+        total += count;
+    }
+
+    /**
+     * Takes back events counted earlier. Does nothing once they have left the interval.
+     *
+     * @param count how many
+     * @param thenNanos when they were counted
+     * @param nowNanos monotonic time
+     */
+    public void subtract(long count, long thenNanos, long nowNanos) {
+        advance(nowNanos);
+        long bucket = Math.floorDiv(thenNanos, bucketNanos);
+        if (newest - bucket >= RING) {
+            return;
+        }
+        long taken = Math.min(count, ring[index(bucket)]);
+        ring[index(bucket)] -= taken;
+        total -= taken;
+    }
+
+    /** Events of a span that contains the whole interval up to now. */
+    public long outerSum(long nowNanos) {
+        advance(nowNanos);
+        return total;
+    }
+
+    /** Events of a span that lies within the interval up to now. */
+    public long innerSum(long nowNanos) {
+        advance(nowNanos);
+        return total - ring[index(newest + 1)];
+    }
+
+    private void advance(long nowNanos) {
+        long bucket = Math.floorDiv(nowNanos, bucketNanos);
+        if (bucket - newest >= RING) {
+            Arrays.fill(ring, 0);
+            total = 0;
+            newest = bucket;
+        }
+        while (newest < bucket) {
+            newest++;
+            total -= ring[index(newest)];
+            ring[index(newest)] = 0;
+        }
+    }
+
+    private static int index(long bucket) {
+        return (int) Math.floorMod(bucket, (long) RING);
+    }
+}
