--- a/src/main/java/org/arbutusfield/admission/HeldSlots.java
+++ b/src/main/java/org/arbutusfield/admission/HeldSlots.java
@@ -9,7 +9,7 @@
  * @param hostIncarnation incarnation of the host
  * @param slots the slots in use, granted by whichever broker
  */
-public record HeldSlots(String host, long hostIncarnation, List<Held> slots) {
+public record HeldSlots(String host, long hostIncarnation, List<Held> slots) implements BrokerMessage {
 
     /** Copies the list so that the report stays immutable. */
     public HeldSlots {
--- a/src/main/java/org/arbutusfield/admission/RetryDelay.java
+++ b/src/main/java/org/arbutusfield/admission/RetryDelay.java
@@ -4,8 +4,6 @@
 
 /** How long a refused caller is told to wait: one to two times the backlog, spread by the request's id. */
 final class RetryDelay {
-    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-    private static final long FNV_PRIME = 0x100000001b3L;
     private static final int MANTISSA_BITS = 53;
 
     private RetryDelay() {}
@@ -24,13 +22,6 @@
 
     /** A number in [0, 1) that depends only on the text. */
     private static double fraction(String text) {
-        long hash = FNV_OFFSET;
-        for (int i = 0; i < text.length(); i++) {
-            hash = (hash ^ text.charAt(i)) * FNV_PRIME;
-        }
-        hash ^= hash >>> 32;
-        hash *= FNV_PRIME;
-        hash ^= hash >>> 29;
-        return (hash >>> (Long.SIZE - MANTISSA_BITS)) / (double) (1L << MANTISSA_BITS);
+        return (Rendezvous.hash(text) >>> (Long.SIZE - MANTISSA_BITS)) / (double) (1L << MANTISSA_BITS);
     }
 }
--- a/src/main/java/org/arbutusfield/admission/ServerState.java
+++ b/src/main/java/org/arbutusfield/admission/ServerState.java
@@ -44,9 +44,13 @@
         return withdrawn;
     }
 
+    boolean drained() {
+        return withdrawn || server.drained();
+    }
+
     /** Slots that may be used now, whether or not they are. */
     int capacity(long nowNanos) {
-        if (withdrawn || server.drained()) {
+        if (drained()) {
             return 0;
         }
         return Math.max(0, Math.min(server.slots(), limit) - loweredAt(nowNanos));
--- a/src/main/java/org/arbutusfield/admission/SlotRelease.java
+++ b/src/main/java/org/arbutusfield/admission/SlotRelease.java
@@ -7,7 +7,7 @@
  * @param outcome how the request ended on the server
  * @param serviceNanos time from sending the request to the end of its answer, in nanoseconds
  */
-public record SlotRelease(SlotToken token, Outcome outcome, long serviceNanos) {
+public record SlotRelease(SlotToken token, Outcome outcome, long serviceNanos) implements BrokerMessage {
 
     /** How a request ended on its server. */
     public enum Outcome {
--- a/src/main/java/org/arbutusfield/admission/SlotRequest.java
+++ b/src/main/java/org/arbutusfield/admission/SlotRequest.java
@@ -20,4 +20,5 @@
         String service,
         String requestClass,
         Priority priority,
-        long remainingNanos) {}
+        long remainingNanos)
+        implements BrokerMessage {}
--- /dev/null
+++ b/src/test/java/org/arbutusfield/admission/BrokerAudit.java
@@ -0,0 +1,64 @@
+package org.arbutusfield.admission;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** An independent count of one broker's grants from the messages that it received and sent. */
+final class BrokerAudit {
+    private final int slots;
+    private final List<String> violations;
+    private final Map<SlotToken, SlotGrant> live = new HashMap<>();
+    private final Map<SlotToken, Long> expiries = new HashMap<>();
+    private final Map<String, SlotToken> granted = new HashMap<>();
+    private final Set<String> drained = new HashSet<>();
+    private final Set<String> refused = new HashSet<>();
+
+    BrokerAudit(int slots, List<String> violations) {
+        this.slots = slots;
+        this.violations = violations;
+    }
+
+    void configured(List<SlotServer> servers) {
+        drained.clear();
+        servers.stream().filter(SlotServer::drained).forEach(server -> drained.add(server.upstream()));
+    }
+
+    void received(BrokerMessage message) {
+        if (message instanceof SlotRelease release) {
+            live.remove(release.token());
+        } else if (message instanceof SlotCancel cancel && granted.containsKey(cancel.requestId())) {
+            live.remove(granted.get(cancel.requestId()));
+        }
+    }
+
+    void decided(SlotDecision decision, long now) {
+        String id = decision.requestId();
+        if (decision instanceof SlotRefusal) {
+            refused.add(id);
+        }
+        if (decision instanceof SlotGrant grant && granted.putIfAbsent(id, grant.token()) == null) {
+            live.put(grant.token(), grant);
+            expiries.put(grant.token(), now + grant.validNanos());
+            live.keySet().removeIf(token -> expiries.get(token) <= now);
+            check(grant, now);
+        }
+        if (refused.contains(id) && granted.containsKey(id)) {
+            violations.add(id + " both granted and refused");
+        }
+    }
+
+    private void check(SlotGrant grant, long now) {
+        long count = live.values().stream()
+                .filter(g -> g.upstream().equals(grant.upstream()))
+                .count();
+        if (count > slots) {
+            violations.add(count + " live grants of " + grant.upstream() + " at " + now);
+        }
+        if (drained.contains(grant.upstream())) {
+            violations.add("grant to drained " + grant.upstream());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/arbutusfield/admission/FaultyCluster.java
@@ -0,0 +1,237 @@
+package org.arbutusfield.admission;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.arbutusfield.admission.SlotRelease.Outcome;
+import org.arbutusfield.timer.VirtualTimer;
+
+/** Hosts, brokers and servers joined by messages that are lost, repeated and reordered; checks while it runs. */
+final class FaultyCluster {
+    static final long MS = 1_000_000;
+    private static final int SLOTS = 2;
+    private static final BrokerSettings SETTINGS = BrokerSettings.defaults();
+
+    final VirtualTimer timer = VirtualTimer.create();
+    final SplittableRandom random;
+    final double loss;
+    final Map<String, Host> hosts = new TreeMap<>();
+    final List<String> violations = new ArrayList<>();
+    final Map<String, String> finals = new HashMap<>();
+    final Set<String> asked = new HashSet<>();
+    private final Map<String, Integer> running = new HashMap<>();
+    private List<SlotServer> servers = servers("");
+    private long nextIncarnation = 1;
+    int sheds;
+    int completed;
+
+    FaultyCluster(long seed, int count, double loss) {
+        this.random = new SplittableRandom(seed);
+        this.loss = loss;
+        for (int i = 0; i < count; i++) {
+            start("h" + i);
+        }
+        hosts.values().forEach(host -> host.see(hosts.keySet()));
+    }
+
+    static List<SlotServer> servers(String drained) {
+        return List.of("s1", "s2", "s3").stream()
+                .map(name -> new SlotServer(name, "a", SLOTS, name.equals(drained)))
+                .toList();
+    }
+
+    void start(String name) {
+        Host host = new Host(name, nextIncarnation++);
+        Host earlier = hosts.put(name, host);
+        if (earlier != null) {
+            earlier.dead = true;
+        }
+        host.act(host.client.configure(servers, timer.nowNanos()));
+        host.loop();
+    }
+
+    void kill(String name) {
+        Host killed = hosts.remove(name);
+        killed.dead = true;
+        eachLater(host -> host.see(hosts.keySet()));
+        eachLater(host -> host.brokers().forEach(b -> host.deliver(() -> b.hostLost(name, killed.incarnation, now()))));
+    }
+
+    void restart(String name) {
+        start(name);
+        eachLater(host -> host.see(hosts.keySet()));
+    }
+
+    void drain(String upstream) {
+        servers = servers(upstream);
+        eachLater(host -> {
+            host.act(host.client.configure(servers, now()));
+            host.brokers().forEach(host::configure);
+        });
+    }
+
+    void ask(String name, String id, Priority priority, long remainingMillis) {
+        Host host = hosts.get(name);
+        asked.add(id);
+        var request = new SlotRequest(id, name, host.incarnation, "a", "q", "c", priority, remainingMillis * MS);
+        host.act(host.client.ask(request, now()));
+    }
+
+    long now() {
+        return timer.nowNanos();
+    }
+
+    private void eachLater(Consumer<Host> change) {
+        for (Host host : List.copyOf(hosts.values())) {
+            later(host, change);
+        }
+    }
+
+    private void later(Host host, Consumer<Host> change) {
+        timer.after(Duration.ofMillis(1 + random.nextInt(400)), () -> {
+            if (host.paused) {
+                later(host, change);
+            } else if (!host.dead) {
+                change.accept(host);
+            }
+        });
+    }
+
+    private void send(Runnable delivery) {
+        int copies = random.nextDouble() < loss ? 0 : random.nextDouble() < loss ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            timer.after(Duration.ofNanos(random.nextLong(MS / 2, (loss > 0 ? 20 : 1) * MS)), delivery);
+        }
+    }
+
+    final class Host {
+        final String name;
+        final long incarnation;
+        final SlotClient client;
+        private final Set<String> live = new TreeSet<>();
+        private SlotBroker broker;
+        private BrokerAudit audit;
+        boolean dead;
+        boolean paused;
+
+        private Host(String name, long incarnation) {
+            this.name = name;
+            this.incarnation = incarnation;
+            this.client = SlotClient.create(ClientSettings.defaults(), name, incarnation, "q", now());
+        }
+
+        List<SlotBroker> brokers() {
+            return broker == null ? List.of() : List.of(broker);
+        }
+
+        void see(Set<String> view) {
+            live.clear();
+            live.addAll(view);
+            act(client.membership(view, now()));
+        }
+
+        private void loop() {
+            timer.after(Duration.ofMillis(5), () -> {
+                if (dead) {
+                    return;
+                }
+                if (!paused) {
+                    act(client.tick(now()));
+                    brokers().forEach(b -> deliver(() -> b.tick(now())));
+                    if (broker != null && now() / MS % 25 < 5) {
+                        hosts.values().forEach(h -> send(() -> h.act(h.client.heard(name, incarnation, now()))));
+                    }
+                }
+                loop();
+            });
+        }
+
+        private void receive(BrokerMessage message) {
+            if (dead || paused) {
+                return;
+            }
+            if (broker == null) {
+                broker = SlotBroker.create(SETTINGS, name, incarnation, live, now());
+                audit = new BrokerAudit(SLOTS, violations);
+                configure(broker);
+            }
+            audit.received(message);
+            if (message instanceof SlotRequest request) {
+                deliver(() -> broker.request(request, now()));
+            } else if (message instanceof SlotRelease release) {
+                deliver(() -> broker.release(release, now()));
+            } else if (message instanceof SlotCancel cancel) {
+                deliver(() -> broker.cancel(cancel.requestId(), now()));
+            } else if (message instanceof HeldSlots report) {
+                deliver(() -> broker.report(report, now()));
+            }
+        }
+
+        void configure(SlotBroker at) {
+            audit.configured(servers);
+            deliver(() -> at.configure(servers, now()));
+        }
+
+        private void deliver(Supplier<List<SlotDecision>> call) {
+            if (dead || paused) {
+                return;
+            }
+            for (SlotDecision decision : call.get()) {
+                audit.decided(decision, now());
+                send(() -> {
+                    Host to = hosts.get(decision.host());
+                    if (to != null && !to.paused) {
+                        to.act(to.client.answered(name, decision, now()));
+                    }
+                });
+            }
+        }
+
+        void act(List<ClientAction> actions) {
+            for (ClientAction action : actions) {
+                if (action instanceof ClientAction.Send send) {
+                    send(() -> {
+                        if (hosts.containsKey(send.to())) {
+                            hosts.get(send.to()).receive(send.message());
+                        }
+                    });
+                } else if (action instanceof ClientAction.Start start) {
+                    finish(start.requestId(), "started");
+                    run(start);
+                } else if (action instanceof ClientAction.Refuse refuse) {
+                    finish(refuse.requestId(), "refused");
+                }
+            }
+        }
+
+        private void finish(String requestId, String answer) {
+            String earlier = finals.put(requestId, answer);
+            if (earlier != null) {
+                violations.add(requestId + " " + earlier + " then " + answer + " at " + now() / MS);
+            }
+        }
+
+        private void run(ClientAction.Start start) {
+            boolean shed = running.merge(start.upstream(), 1, Integer::sum) > SLOTS;
+            long service = shed ? MS : random.nextLong(10, 60) * MS;
+            timer.after(Duration.ofNanos(service), () -> {
+                running.merge(start.upstream(), -1, Integer::sum);
+                sheds += shed ? 1 : 0;
+                completed += shed ? 0 : 1;
+                if (!dead) {
+                    Outcome outcome = shed ? Outcome.SHED : Outcome.COMPLETED;
+                    act(client.finished(start.requestId(), outcome, service, now()));
+                }
+            });
+        }
+    }
+}
