Membership, domain leader and spread of the configuration between hosts

Cause: hosts knew nothing of each other, and each would have had to watch the store to learn of a revision, so that its load grew with the fleet. Ruled out: full-mesh heartbeats and a watch per host (cost grows with hosts); random partial views (some hosts are watched by nobody); removing members the list lacks (the list lags); trusting a lease when it was granted instead of when it is used. Change: pure MembershipView over rings of successors with a total order of statements; MembershipService around it; RunningRevision that never goes back; DomainLeader with the lease checked at the moment of use; ConfigurationSpread with reads from peers as deltas, checked by digest; ControlPlane that starts them all on one host. Stand-ins in virtual time.

--- /dev/null
+++ b/src/main/java/org/arbutusfield/lab/control/MemoryStore.java
@@ -0,0 +1,188 @@
+package org.arbutusfield.lab.control;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.Digests;
+import org.arbutusfield.spread.RootPointer;
+import org.arbutusfield.spread.Snapshot;
+import org.arbutusfield.store.Lease;
+import org.arbutusfield.timer.TimerService;
+
+/** The content of a stand-in store with switches for its faults. Each host reaches it through a {@link StoreClient}. */
+public final class MemoryStore {
+    private final TimerService timer;
+    private final List<Snapshot> accepted = new ArrayList<>();
+    private final Map<String, HeldLease> leases = new HashMap<>();
+    private final List<Watcher> watchers = new ArrayList<>();
+    private Optional<Snapshot> current = Optional.empty();
+    private long nextToken = 1;
+    private long reads;
+    private long writes;
+    private boolean down;
+    private boolean losesAnswers;
+    private Duration delay = Duration.ofMillis(2);
+
+    private MemoryStore(TimerService timer) {
+        this.timer = timer;
+    }
+
+    /** An empty store. */
+    public static MemoryStore create(TimerService timer) {
+        return new MemoryStore(timer);
+    }
+
+    /** Refuses every call while down. */
+    public synchronized void down(boolean value) {
+        down = value;
+    }
+
+    /** Carries calls out but loses their answers. */
+    public synchronized void losesAnswers(boolean value) {
+        losesAnswers = value;
+    }
+
+    /** Sets the time that each call takes. */
+    public synchronized void delay(Duration value) {
+        delay = value;
+    }
+
+    /** Accepts a content as the next revision, as a note does by its compare-and-swap. */
+    public Snapshot accept(byte[] content) {
+        Snapshot next;
+        synchronized (this) {
+            long revision = current.map(snapshot -> snapshot.root().revision()).orElse(0L) + 1;
+            next = Snapshot.of(new RootPointer(revision, Digests.sha256(content)), content);
+            accepted.add(next);
+            set(next);
+        }
+        return next;
+    }
+
+    /** Goes back to an earlier accepted revision, as a store restored from a copy does. */
+    public synchronized void restoreTo(long revision) {
+        accepted.stream()
+                .filter(snapshot -> snapshot.root().revision() == revision)
+                .findFirst()
+                .ifPresent(this::set);
+        leases.clear();
+    }
+
+    /** Every snapshot that was ever accepted. */
+    public synchronized List<Snapshot> accepted() {
+        return List.copyOf(accepted);
+    }
+
+    /** What the store has now. */
+    public synchronized Optional<Snapshot> current() {
+        return current;
+    }
+
+    /** Reads so far; a waiting watch counts as one. */
+    public synchronized long reads() {
+        return reads;
+    }
+
+    /** Writes and lease calls so far. */
+    public synchronized long writes() {
+        return writes;
+    }
+
+    /** A host's way to this store; answers come on the host's timer. */
+    public StoreClient client(TimerService hostTimer) {
+        return new StoreClient(this, hostTimer);
+    }
+
+    <T> CompletableFuture<Either<Failure, T>> call(
+            TimerService hostTimer, boolean write, Supplier<Either<Failure, T>> effect) {
+        CompletableFuture<Either<Failure, T>> answer = new CompletableFuture<>();
+        synchronized (this) {
+            reads += write ? 0 : 1;
+            writes += write ? 1 : 0;
+            boolean lost = losesAnswers;
+            Either<Failure, T> outcome = down ? unavailable() : effect.get();
+            Either<Failure, T> seen = lost ? Either.left(Failure.of(ErrorCode.STORE_TIMEOUT)) : outcome;
+            hostTimer.after(delay, () -> answer.complete(seen));
+        }
+        return answer;
+    }
+
+    CompletableFuture<Either<Failure, Optional<RootPointer>>> watch(
+            TimerService hostTimer, Optional<RootPointer> known, Duration wait) {
+        CompletableFuture<Either<Failure, Optional<RootPointer>>> answer = new CompletableFuture<>();
+        synchronized (this) {
+            reads++;
+            Optional<RootPointer> now = current.map(Snapshot::root);
+            if (down || !now.equals(known)) {
+                Either<Failure, Optional<RootPointer>> outcome = down ? unavailable() : Either.right(now);
+                hostTimer.after(delay, () -> answer.complete(outcome));
+                return answer;
+            }
+            watchers.add(new Watcher(hostTimer, answer));
+        }
+        hostTimer.after(wait, () -> answer.complete(root()));
+        return answer;
+    }
+
+    Either<Failure, Lease> lease(String key, String holder, Duration length) {
+        long now = timer.nowNanos();
+        HeldLease held = leases.get(key);
+        boolean free = held == null || held.endNanos() - now <= 0;
+        if (!free && !held.lease().holder().equals(holder)) {
+            return Either.left(Failure.of(ErrorCode.LEASE_HELD, key));
+        }
+        boolean same = held != null && held.lease().holder().equals(holder);
+        long token = same ? held.lease().token() : nextToken++;
+        Lease lease = new Lease(key, holder, token, length);
+        leases.put(key, new HeldLease(lease, now + length.toNanos()));
+        return Either.right(lease);
+    }
+
+    Either<Failure, Boolean> release(String key, String holder) {
+        HeldLease held = leases.get(key);
+        boolean mine = held != null && held.lease().holder().equals(holder);
+        if (mine) {
+            leases.remove(key);
+        }
+        return Either.right(mine);
+    }
+
+    Either<Failure, RootPointer> repair(Snapshot running) {
+        boolean behind = current.map(snapshot -> snapshot.root().revision()).orElse(0L)
+                < running.root().revision();
+        if (behind) {
+            set(running);
+        }
+        return Either.right(current.orElse(running).root());
+    }
+
+    private Either<Failure, Optional<RootPointer>> root() {
+        synchronized (this) {
+            return down ? unavailable() : Either.right(current.map(Snapshot::root));
+        }
+    }
+
+    private void set(Snapshot snapshot) {
+        current = Optional.of(snapshot);
+        for (Watcher watcher : watchers) {
+            watcher.timer.after(delay, () -> watcher.answer.complete(root()));
+        }
+        watchers.clear();
+    }
+
+    private static <T> Either<Failure, T> unavailable() {
+        return Either.left(Failure.of(ErrorCode.STORE_UNAVAILABLE));
+    }
+
+    private record HeldLease(Lease lease, long endNanos) {}
+
+    private record Watcher(TimerService timer, CompletableFuture<Either<Failure, Optional<RootPointer>>> answer) {}
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/lab/control/StoreClient.java
@@ -0,0 +1,78 @@
+package org.arbutusfield.lab.control;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.spread.ConfigurationSource;
+import org.arbutusfield.spread.RootPointer;
+import org.arbutusfield.spread.Snapshot;
+import org.arbutusfield.store.Lease;
+import org.arbutusfield.store.Store;
+import org.arbutusfield.store.Versioned;
+import org.arbutusfield.timer.TimerService;
+
+/** One host's way to a {@link MemoryStore}: leases as a {@link Store}, configurations as a source. */
+public final class StoreClient implements Store, ConfigurationSource {
+    private final MemoryStore store;
+    private final TimerService timer;
+
+    StoreClient(MemoryStore store, TimerService timer) {
+        this.store = store;
+        this.timer = timer;
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Optional<RootPointer>>> latest() {
+        return store.call(timer, false, () -> Either.right(store.current().map(Snapshot::root)));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Optional<RootPointer>>> watch(Optional<RootPointer> known, Duration wait) {
+        return store.watch(timer, known, wait);
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Snapshot>> load(RootPointer root) {
+        return store.call(
+                timer,
+                false,
+                () -> store.accepted().stream()
+                        .filter(snapshot -> snapshot.root().equals(root))
+                        .findFirst()
+                        .<Either<Failure, Snapshot>>map(Either::right)
+                        .orElse(Either.left(Failure.of(ErrorCode.STORE_CORRUPT, "revision " + root.revision()))));
+    }
+
+    /** Puts a running configuration back in place of an older one. */
+    public CompletableFuture<Either<Failure, RootPointer>> restore(Snapshot running, long token) {
+        return store.call(timer, true, () -> store.repair(running));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Lease>> acquireLease(String key, String holder, Duration length) {
+        return store.call(timer, true, () -> store.lease(key, holder, length));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Boolean>> releaseLease(String key, String holder) {
+        return store.call(timer, true, () -> store.release(key, holder));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Optional<Versioned>>> read(String key) {
+        return store.call(timer, false, () -> Either.right(Optional.empty()));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Long>> compareAndSwap(String key, long expectedVersion, byte[] value) {
+        return store.call(timer, true, () -> Either.left(Failure.of(ErrorCode.STORE_CONFLICT, key)));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Optional<Versioned>>> watch(String key, long afterVersion, Duration wait) {
+        return store.call(timer, false, () -> Either.right(Optional.empty()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/lab/control/VirtualHost.java
@@ -0,0 +1,109 @@
+package org.arbutusfield.lab.control;
+
+import java.time.Duration;
+import java.util.List;
+import org.arbutusfield.member.HostList;
+import org.arbutusfield.member.Member;
+import org.arbutusfield.member.MemberState;
+import org.arbutusfield.member.MembershipLimits;
+import org.arbutusfield.member.MembershipService;
+import org.arbutusfield.member.MembershipSettings;
+import org.arbutusfield.spread.ConfigurationSpread;
+import org.arbutusfield.spread.DomainLeader;
+import org.arbutusfield.spread.LeaderSettings;
+import org.arbutusfield.spread.RunningRevision;
+import org.arbutusfield.spread.Snapshot;
+import org.arbutusfield.spread.SnapshotCheck;
+import org.arbutusfield.timer.VirtualTimer;
+import org.arbutusfield.wire.ControlHandlers;
+import org.arbutusfield.wire.PeerAddress;
+
+/** One host's membership, lease and spread on a {@link VirtualNetwork}: the product's services without sockets. */
+public final class VirtualHost {
+    private static final int CANDIDATES = 2;
+    private static final int CALLER_PORT = 8080;
+
+    private final Member self;
+    private final HostClock clock;
+    private final ControlHandlers handlers = ControlHandlers.create();
+    private final RunningRevision running = RunningRevision.create(SnapshotCheck.sha256());
+    private final DomainLeader leader;
+    private final MembershipService membership;
+    private final ConfigurationSpread spread;
+
+    private VirtualHost(
+            Member self, List<PeerAddress> seeds, VirtualTimer timer, VirtualNetwork network, MemoryStore store) {
+        this.self = self;
+        this.clock = HostClock.create(timer);
+        StoreClient client = store.client(clock);
+        this.leader = DomainLeader.start(
+                client,
+                self.failureDomain(),
+                self.name() + "/" + self.incarnation(),
+                LeaderSettings.standard(),
+                clock,
+                this::candidate);
+        network.attach(self.controlAddress(), this);
+        this.membership = MembershipService.start(
+                new MembershipSettings(self, seeds, MembershipLimits.standard(), Duration.ofSeconds(5)),
+                network.transport(this),
+                handlers,
+                HostList.none(),
+                clock,
+                running::announcement,
+                leader::leads);
+        this.spread = ConfigurationSpread.start(
+                running, client, client::restore, leader, membership, network.transport(this), handlers, clock);
+    }
+
+    /** Starts a host. */
+    public static VirtualHost start(
+            Member self, List<PeerAddress> seeds, VirtualTimer timer, VirtualNetwork network, MemoryStore store) {
+        return new VirtualHost(self, seeds, timer, network, store);
+    }
+
+    /** A member for the n-th host of a failure domain. */
+    public static Member member(String region, String failureDomain, int number, long incarnation) {
+        String name = failureDomain + "-" + number;
+        return new Member(
+                name, region, failureDomain, name, CALLER_PORT, CALLER_PORT + 1, incarnation, MemberState.ALIVE);
+    }
+
+    /** This host as a member. */
+    public Member self() {
+        return self;
+    }
+
+    /** Its timer; pause or kill it there. */
+    public HostClock clock() {
+        return clock;
+    }
+
+    /** What is in force on it. */
+    public RunningRevision running() {
+        return running;
+    }
+
+    /** Its membership. */
+    public MembershipService membership() {
+        return membership;
+    }
+
+    /** Its lease. */
+    public DomainLeader leader() {
+        return leader;
+    }
+
+    /** Offers a configuration that the store accepted. */
+    public void offer(Snapshot accepted) {
+        spread.offer(accepted);
+    }
+
+    ControlHandlers handlers() {
+        return handlers;
+    }
+
+    private boolean candidate() {
+        return membership != null && membership.view().rankInDomain() < CANDIDATES;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/lab/control/VirtualNetwork.java
@@ -0,0 +1,81 @@
+package org.arbutusfield.lab.control;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiPredicate;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.timer.VirtualTimer;
+import org.arbutusfield.wire.ControlTransport;
+import org.arbutusfield.wire.PeerAddress;
+import org.arbutusfield.wire.gen.ControlMessage;
+
+/** Carries messages between hosts in virtual time, with delay, loss and cut links. */
+public final class VirtualNetwork {
+    private static final Duration DELAY = Duration.ofMillis(5);
+
+    private final VirtualTimer timer;
+    private final SplittableRandom random;
+    private final Map<PeerAddress, VirtualHost> hosts = new HashMap<>();
+    private BiPredicate<VirtualHost, VirtualHost> cut = (from, to) -> false;
+    private double loss;
+
+    private VirtualNetwork(VirtualTimer timer, long seed) {
+        this.timer = timer;
+        this.random = new SplittableRandom(seed);
+    }
+
+    /** A network that loses nothing. */
+    public static VirtualNetwork create(VirtualTimer timer, long seed) {
+        return new VirtualNetwork(timer, seed);
+    }
+
+    /** Sets which links carry nothing. */
+    public void cut(BiPredicate<VirtualHost, VirtualHost> links) {
+        cut = links;
+    }
+
+    /** Sets the share of messages that are lost. */
+    public void loss(double share) {
+        loss = share;
+    }
+
+    /** Makes a host reachable, in place of an earlier one at its address. */
+    void attach(PeerAddress address, VirtualHost host) {
+        hosts.put(address, host);
+    }
+
+    /** How a host calls others. */
+    ControlTransport transport(VirtualHost from) {
+        return (peer, message, timeout) -> {
+            CompletableFuture<Either<Failure, ControlMessage>> answer = new CompletableFuture<>();
+            VirtualHost to = hosts.get(peer);
+            from.clock().after(timeout, () -> answer.complete(Either.left(Failure.of(ErrorCode.PEER_TIMEOUT))));
+            if (to == null || lost(from, to)) {
+                return answer;
+            }
+            timer.after(DELAY, () -> to.clock().run(() -> deliver(from, to, message, answer)));
+            return answer;
+        };
+    }
+
+    private void deliver(
+            VirtualHost from,
+            VirtualHost to,
+            ControlMessage message,
+            CompletableFuture<Either<Failure, ControlMessage>> answer) {
+        to.handlers().answer(message.deepCopy()).thenAccept(response -> {
+            if (!lost(to, from)) {
+                timer.after(DELAY, () -> from.clock().run(() -> answer.complete(response)));
+            }
+        });
+    }
+
+    private boolean lost(VirtualHost from, VirtualHost to) {
+        return cut.test(from, to) || (loss > 0 && random.nextDouble() < loss);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/member/HostList.java
@@ -0,0 +1,21 @@
+package org.arbutusfield.member;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.arbutusfield.error.Failure;
+
+/** The platform's list of live and leaving hosts. It lags. */
+@FunctionalInterface
+public interface HostList {
+    /**
+     * Reads the list. Members are {@code ALIVE} or {@code LEAVING} and carry the incarnation that the platform saw. The
+     * future never completes exceptionally.
+     */
+    CompletableFuture<Either<Failure, List<Member>>> current();
+
+    /** A list without hosts, for where the platform offers none. */
+    static HostList none() {
+        return () -> CompletableFuture.completedFuture(Either.right(List.of()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/spread/PlatformServices.java
@@ -0,0 +1,16 @@
+package org.arbutusfield.spread;
+
+import org.arbutusfield.member.HostList;
+import org.arbutusfield.store.Store;
+
+/**
+ * What the platform gives a host's control plane, and how its content is read.
+ *
+ * @param store keeps the leases
+ * @param source the store's configurations
+ * @param repair mends a store that is behind what is in force
+ * @param hostList the lagging list of hosts
+ * @param check whether a received configuration is genuine and usable
+ */
+public record PlatformServices(
+        Store store, ConfigurationSource source, StoreRepair repair, HostList hostList, SnapshotCheck check) {}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/spread/PullPlan.java
@@ -0,0 +1,93 @@
+package org.arbutusfield.spread;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.arbutusfield.member.Member;
+
+/**
+ * Whom to read the next revision from, as a pure state machine.
+ *
+ * <p>Problem: news of a revision comes from several peers at once, any of which may die, be slow or fall silent while
+ * it is being read. Idea: one read at a time, of the newest revision heard of, from one of the last few peers that
+ * announced it; a failed or overdue read moves on to the next of them.
+ *
+ * <p>Invariants: no read is started for a revision that isn't newer than the installed one; at most one read runs,
+ * except that an overdue one is left to itself; at most {@code MAX_HOLDERS} peers are remembered.
+ */
+public final class PullPlan {
+    /** How long a read may take before another is started. */
+    public static final Duration READ_TIMEOUT = Duration.ofSeconds(5);
+
+    private static final int MAX_HOLDERS = 4;
+    private static final PullPlan IDLE = new PullPlan(0, List.of(), Optional.empty(), 0);
+
+    private final long revision;
+    private final List<Holder> holders;
+    private final Optional<Holder> reading;
+    private final long readSinceNanos;
+
+    private PullPlan(long revision, List<Holder> holders, Optional<Holder> reading, long readSinceNanos) {
+        this.revision = revision;
+        this.holders = List.copyOf(holders);
+        this.reading = reading;
+        this.readSinceNanos = readSinceNanos;
+    }
+
+    /** A plan with nothing to read. */
+    public static PullPlan idle() {
+        return IDLE;
+    }
+
+    /** Takes in a peer's announcement. */
+    public PullPlan announced(Member peer, RootPointer root, long installedRevision) {
+        if (root.revision() <= installedRevision || root.revision() < revision) {
+            return this;
+        }
+        List<Holder> next = new ArrayList<>();
+        if (root.revision() == revision) {
+            next.addAll(holders);
+        }
+        next.removeIf(holder -> holder.peer().name().equals(peer.name()));
+        if (next.size() < MAX_HOLDERS) {
+            next.add(new Holder(peer, root));
+        }
+        return new PullPlan(root.revision(), next, reading, readSinceNanos);
+    }
+
+    /** Takes in the end of a read; a failed holder is dropped until it announces again. */
+    public PullPlan finished(Holder holder, boolean succeeded) {
+        List<Holder> next = new ArrayList<>(holders);
+        if (!succeeded) {
+            next.remove(holder);
+        }
+        boolean current = reading.filter(holder::equals).isPresent();
+        return new PullPlan(revision, next, current ? Optional.empty() : reading, readSinceNanos);
+    }
+
+    /** The holder to read from now, if a read should start. */
+    public Optional<Holder> next(long installedRevision, long nowNanos) {
+        boolean busy = reading.isPresent() && nowNanos - readSinceNanos < READ_TIMEOUT.toNanos();
+        if (busy || holders.isEmpty() || revision <= installedRevision) {
+            return Optional.empty();
+        }
+        if (reading.isEmpty()) {
+            return Optional.of(holders.get(0));
+        }
+        return holders.stream().filter(holder -> !reading.get().equals(holder)).findFirst();
+    }
+
+    /** The plan once a read from the holder has started. */
+    public PullPlan started(Holder holder, long nowNanos) {
+        return new PullPlan(revision, holders, Optional.of(holder), nowNanos);
+    }
+
+    /**
+     * A peer that has a revision.
+     *
+     * @param peer the peer
+     * @param root what it announced
+     */
+    public record Holder(Member peer, RootPointer root) {}
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/spread/RunningRevision.java
@@ -0,0 +1,105 @@
+package org.arbutusfield.spread;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.member.Announcement;
+
+/**
+ * The configuration in force on this host. Moves to a newer revision as a whole and never to an older one.
+ *
+ * <p>Subscribers are called in the order of the revisions, each once per revision, before {@link #install} returns.
+ * They must not block and must not install.
+ */
+public final class RunningRevision {
+    private static final Logger LOG = LogManager.getLogger(RunningRevision.class);
+
+    private final SnapshotCheck check;
+    private final List<Consumer<Snapshot>> subscribers = new ArrayList<>();
+    private final Object installing = new Object();
+    private volatile Optional<Snapshot> current = Optional.empty();
+
+    private RunningRevision(SnapshotCheck check) {
+        this.check = check;
+    }
+
+    /** A host without a configuration. */
+    public static RunningRevision create(SnapshotCheck check) {
+        return new RunningRevision(check);
+    }
+
+    /** What is in force; empty before the first. */
+    public Optional<Snapshot> current() {
+        return current;
+    }
+
+    /** What this host announces to others. */
+    public Announcement announcement() {
+        return current.map(snapshot -> snapshot.root().announcement()).orElse(Announcement.NONE);
+    }
+
+    /** Calls the subscriber with what is in force, if anything, and from now on with each newer snapshot. */
+    public void subscribe(Consumer<Snapshot> subscriber) {
+        synchronized (installing) {
+            subscribers.add(subscriber);
+            current.ifPresent(subscriber);
+        }
+    }
+
+    /**
+     * Puts a snapshot in force.
+     *
+     * @return true if it is newly in force, false if it was already; {@code REVISION_OLDER}, {@code REVISION_CONFLICT}
+     *     or the check's failure otherwise
+     */
+    public Either<Failure, Boolean> install(Snapshot snapshot, Origin origin) {
+        synchronized (installing) {
+            Either<Failure, Boolean> admitted = admit(snapshot.root(), origin);
+            if (admitted.isLeft() || !admitted.get()) {
+                return admitted;
+            }
+            Either<Failure, Snapshot> checked = check.check(snapshot);
+            if (checked.isLeft()) {
+                return Either.left(checked.getLeft());
+            }
+            current = Optional.of(snapshot);
+            LOG.info(
+                    "event=revision_installed revision={} digest={} origin={}",
+                    snapshot.root().revision(),
+                    snapshot.root().digest(),
+                    origin);
+            subscribers.forEach(subscriber -> subscriber.accept(snapshot));
+            return Either.right(true);
+        }
+    }
+
+    private Either<Failure, Boolean> admit(RootPointer offered, Origin origin) {
+        RootPointer running = current.map(Snapshot::root).orElse(null);
+        if (running == null || offered.revision() > running.revision()) {
+            return Either.right(true);
+        }
+        if (offered.revision() < running.revision()) {
+            return Either.left(Failure.of(ErrorCode.REVISION_OLDER, "revision " + offered.revision()));
+        }
+        if (offered.digest().equals(running.digest())) {
+            return Either.right(false);
+        }
+        LOG.error(
+                "event=revision_conflict code={} revision={} running={} offered={} origin={}",
+                ErrorCode.REVISION_CONFLICT,
+                offered.revision(),
+                running.digest(),
+                offered.digest(),
+                origin);
+        if (origin == Origin.STORE) {
+            return Either.right(true);
+        }
+        return Either.left(Failure.of(ErrorCode.REVISION_CONFLICT, "revision " + offered.revision()));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/arbutusfield/spread/SpreadTest.java
@@ -0,0 +1,108 @@
+package org.arbutusfield.spread;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.arbutusfield.lab.control.VirtualHost;
+import org.arbutusfield.misc.Digests;
+import org.junit.jupiter.api.Test;
+
+class SpreadTest {
+    private static final int HOSTS = 18;
+    private static final Duration TARGET = Duration.ofSeconds(3);
+
+    @Test
+    void aRevisionInTheStoreIsInForceOnAllHostsWithinTheTarget() {
+        VirtualFleet fleet = started(1);
+        assertThat(fleet.settles(fleet.store.accept(content(1)).root(), TARGET)).isTrue();
+        assertThat(fleet.settles(fleet.store.accept(content(2)).root(), TARGET)).isTrue();
+    }
+
+    @Test
+    void anAcceptedNoteSpreadsWithTheStoreDown() {
+        VirtualFleet fleet = started(2);
+        Snapshot accepted = fleet.store.accept(content(1));
+        fleet.store.down(true);
+        fleet.host(11).offer(accepted);
+        assertThat(fleet.settles(accepted.root(), TARGET)).isTrue();
+    }
+
+    @Test
+    void aHostThatStartsWhileTheStoreIsDownGetsTheRunningStateFromAPeer() {
+        VirtualFleet fleet = started(3);
+        Snapshot accepted = fleet.store.accept(content(1));
+        assertThat(fleet.settles(accepted.root(), TARGET)).isTrue();
+        fleet.store.down(true);
+        fleet.start(5);
+        assertThat(fleet.settles(accepted.root(), TARGET)).isTrue();
+    }
+
+    @Test
+    void aStoreRestoredToAnOlderStateIsMendedAndNobodyGoesBack() {
+        VirtualFleet fleet = started(4);
+        fleet.store.accept(content(1));
+        Snapshot newest = fleet.store.accept(content(2));
+        assertThat(fleet.settles(newest.root(), TARGET)).isTrue();
+        fleet.store.restoreTo(1);
+        fleet.run(Duration.ofSeconds(60));
+        assertThat(fleet.settles(newest.root(), Duration.ZERO)).isTrue();
+        assertThat(fleet.store.current().map(Snapshot::root)).contains(newest.root());
+        Snapshot next = fleet.store.accept(content(3));
+        assertThat(next.root().revision()).isEqualTo(newest.root().revision() + 1);
+        assertThat(fleet.settles(next.root(), TARGET)).isTrue();
+    }
+
+    @Test
+    void whereOneRevisionHasTwoContentsTheStoresWins() {
+        VirtualFleet fleet = started(5);
+        byte[] other = content(9);
+        Snapshot forked = Snapshot.of(new RootPointer(1, Digests.sha256(other)), other);
+        fleet.host(2).offer(forked);
+        Snapshot accepted = fleet.store.accept(content(1));
+        assertThat(fleet.settles(accepted.root(), Duration.ofSeconds(30))).isTrue();
+    }
+
+    @Test
+    void aPausedHostWakesWithAnOldStateAndCatchesUpWithoutPullingOthersBack() {
+        VirtualFleet fleet = started(6);
+        assertThat(fleet.settles(fleet.store.accept(content(1)).root(), TARGET)).isTrue();
+        VirtualHost paused = fleet.host(0);
+        paused.clock().pause(Duration.ofMinutes(5));
+        fleet.store.accept(content(2));
+        fleet.run(Duration.ofMinutes(2));
+        Snapshot newest = fleet.store.accept(content(3));
+        fleet.run(Duration.ofMinutes(3));
+        assertThat(fleet.settles(newest.root(), TARGET)).isTrue();
+        assertThat(fleet.history)
+                .filteredOn(i -> i.root().revision() == 3)
+                .filteredOn(i -> !i.process().startsWith(paused.self().name()))
+                .hasSize(HOSTS - 1);
+    }
+
+    @Test
+    void theStoresCallsGrowWithFailureDomainsAndNotWithHosts() {
+        long few = callsInTenMinutes(12);
+        long many = callsInTenMinutes(48);
+        assertThat(many).isLessThan(few * 5 / 4);
+    }
+
+    private static long callsInTenMinutes(int hosts) {
+        VirtualFleet fleet = new VirtualFleet(8, hosts);
+        fleet.run(Duration.ofSeconds(30));
+        long before = fleet.store.reads() + fleet.store.writes();
+        fleet.run(Duration.ofMinutes(10));
+        return fleet.store.reads() + fleet.store.writes() - before;
+    }
+
+    private static VirtualFleet started(long seed) {
+        VirtualFleet fleet = new VirtualFleet(seed, HOSTS);
+        fleet.run(Duration.ofSeconds(20));
+        return fleet;
+    }
+
+    private static byte[] content(int number) {
+        byte[] content = new byte[10_000];
+        content[number * 100] = (byte) number;
+        return content;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/arbutusfield/spread/VirtualFleet.java
@@ -0,0 +1,95 @@
+package org.arbutusfield.spread;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.arbutusfield.lab.control.MemoryStore;
+import org.arbutusfield.lab.control.VirtualHost;
+import org.arbutusfield.lab.control.VirtualNetwork;
+import org.arbutusfield.member.Member;
+import org.arbutusfield.member.MemberState;
+import org.arbutusfield.timer.VirtualTimer;
+import org.arbutusfield.wire.PeerAddress;
+
+/** Hosts in six failure domains of three regions in virtual time, with a history of what each had in force. */
+final class VirtualFleet {
+    private static final List<String> DOMAINS =
+            List.of("gulf-a", "gulf-b", "piedmont-a", "piedmont-b", "delta-a", "delta-b");
+
+    final VirtualTimer timer = VirtualTimer.create();
+    final VirtualNetwork network;
+    final MemoryStore store;
+    final Map<String, VirtualHost> hosts = new TreeMap<>();
+    final List<Installation> history = new ArrayList<>();
+    private final List<PeerAddress> seeds;
+    private long nextIncarnation = 1;
+
+    VirtualFleet(long seed, int count) {
+        network = VirtualNetwork.create(timer, seed);
+        store = MemoryStore.create(timer);
+        seeds = List.of(memberAt(0, 0).controlAddress(), memberAt(4, 0).controlAddress());
+        for (int i = 0; i < count; i++) {
+            start(i);
+        }
+    }
+
+    /** Starts the i-th host, or a new process in its place. */
+    VirtualHost start(int index) {
+        Member self = memberAt(index, nextIncarnation++);
+        VirtualHost host = VirtualHost.start(self, seeds, timer, network, store);
+        hosts.put(self.name(), host);
+        host.running()
+                .subscribe(snapshot -> history.add(
+                        new Installation(self.name() + "/" + self.incarnation(), snapshot.root(), timer.nowNanos())));
+        return host;
+    }
+
+    VirtualHost host(int index) {
+        return hosts.get(memberAt(index, 0).name());
+    }
+
+    void run(Duration time) {
+        timer.advance(time);
+    }
+
+    /** Runs until all live hosts have a revision in force, at most for the given time; true if they have. */
+    boolean settles(RootPointer root, Duration atMost) {
+        long endNanos = timer.nowNanos() + atMost.toNanos();
+        while (timer.nowNanos() < endNanos) {
+            if (allRun(root)) {
+                return true;
+            }
+            run(Duration.ofMillis(50));
+        }
+        return allRun(root);
+    }
+
+    private boolean allRun(RootPointer root) {
+        return hosts.values().stream()
+                .filter(host -> host.clock().alive())
+                .allMatch(host -> host.running().announcement().equals(root.announcement()));
+    }
+
+    /** How many live hosts hold the named member in this state. */
+    long holding(String name, MemberState state) {
+        return hosts.values().stream()
+                .filter(host -> host.clock().alive() && !host.self().name().equals(name))
+                .filter(host -> host.membership()
+                        .view()
+                        .find(name)
+                        .map(Member::state)
+                        .filter(state::equals)
+                        .isPresent())
+                .count();
+    }
+
+    private static Member memberAt(int index, long incarnation) {
+        String domain = DOMAINS.get(index % DOMAINS.size());
+        return VirtualHost.member(
+                domain.substring(0, domain.indexOf('-')), domain, index / DOMAINS.size(), incarnation);
+    }
+
+    record Installation(String process, RootPointer root, long atNanos) {}
+}
