Store: stand-in with switches, memory store, one contract table for both

Cause: the store stand-in had no faults to switch on, and nothing checked the adapter's contract. Change: MemoryStore holds the content, switches (down, slow, late, lost before and after, silent watch, lapsed lease, older image), rate limits and counters; StoreStandIn serves it over HTTP. A table of 16 cases runs against both. It found one fault in the adapter: a space in a key was sent as a plus sign, which a path does not decode; now %20. Answers other than 429 and 503 from the 5xx range now mean an unknown effect, since something between may have passed the call on.

--- /dev/null
+++ b/src/main/java/org/arbutusfield/lab/StoreFault.java
@@ -0,0 +1,56 @@
+package org.arbutusfield.lab;
+
+import java.time.Duration;
+
+/**
+ * What a store stand-in does to one call.
+ *
+ * @param effect whether the call takes effect and whether it is answered
+ * @param requestDelay time before the call takes effect
+ * @param answerDelay time from the effect to the answer
+ */
+public record StoreFault(Effect effect, Duration requestDelay, Duration answerDelay) {
+    private static final StoreFault NONE = new StoreFault(Effect.ANSWERED, Duration.ZERO, Duration.ZERO);
+
+    /** What becomes of a call. */
+    public enum Effect {
+        /** It takes effect and is answered. */
+        ANSWERED,
+        /** It is refused at once and has no effect. */
+        REFUSED,
+        /** It has no effect and is never answered. */
+        LOST_BEFORE,
+        /** It takes effect and is never answered. */
+        LOST_AFTER
+    }
+
+    /** The call is served at once. */
+    public static StoreFault none() {
+        return NONE;
+    }
+
+    /** The store is down: the call is refused. */
+    public static StoreFault down() {
+        return new StoreFault(Effect.REFUSED, Duration.ZERO, Duration.ZERO);
+    }
+
+    /** The call is lost on its way to the store; a watch so treated is silent. */
+    public static StoreFault lostBefore() {
+        return new StoreFault(Effect.LOST_BEFORE, Duration.ZERO, Duration.ZERO);
+    }
+
+    /** The call takes effect and its answer is lost. */
+    public static StoreFault lostAfter() {
+        return new StoreFault(Effect.LOST_AFTER, Duration.ZERO, Duration.ZERO);
+    }
+
+    /** The store is slow: half of the delay passes before the effect, half after it. */
+    public static StoreFault slow(Duration delay) {
+        return new StoreFault(Effect.ANSWERED, delay.dividedBy(2), delay.dividedBy(2));
+    }
+
+    /** The call takes effect late, perhaps after its caller gave up. */
+    public static StoreFault late(Duration requestDelay) {
+        return new StoreFault(Effect.ANSWERED, requestDelay, Duration.ZERO);
+    }
+}
--- a/src/main/java/org/arbutusfield/lab/StoreStandIn.java
+++ b/src/main/java/org/arbutusfield/lab/StoreStandIn.java
@@ -4,41 +4,46 @@
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.http.Body;
 import org.arbutusfield.http.Header;
 import org.arbutusfield.http.HttpAnswer;
 import org.arbutusfield.http.HttpCall;
 import org.arbutusfield.http.HttpListener;
+import org.arbutusfield.store.Versioned;
 import org.arbutusfield.timer.TimerService;
 
-/** An in-memory key-value store that speaks the store protocol, for tests and demonstrations. */
+/**
+ * A {@link MemoryStore} that speaks the protocol of docs/protocols/store.md, for tests and demonstrations.
+ *
+ * <p>Scripts set its faults by {@code POST
+ * /v1/lab/faults?kind=none|down|slow|lostBefore|lostAfter|watchSilent&millis=N} and read its counters by {@code GET
+ * /v1/lab/counts}; both stay reachable while the store is down.
+ */
 public final class StoreStandIn implements AutoCloseable {
     private static final int MAX_BODY_BYTES = 2 << 20;
+    private static final Duration UNANSWERED = Duration.ofDays(1);
 
-    private final TimerService timer;
-    private final Map<String, Entry> entries = new HashMap<>();
-    private final Map<String, Holder> holders = new HashMap<>();
-    private final List<Waiter> waiters = new ArrayList<>();
+    private final MemoryStore store;
     private HttpListener listener;
 
-    private StoreStandIn(TimerService timer) {
-        this.timer = timer;
+    private StoreStandIn(MemoryStore store) {
+        this.store = store;
     }
 
     /** Starts a store on the address. */
     public static Either<Failure, StoreStandIn> bind(
             EventLoopGroup group, InetSocketAddress address, TimerService timer) {
-        StoreStandIn store = new StoreStandIn(timer);
-        return HttpListener.bind(group, address, MAX_BODY_BYTES, store::handle).map(bound -> {
-            store.listener = bound;
-            return store;
-        });
+        StoreStandIn standIn = new StoreStandIn(MemoryStore.create(timer, UNANSWERED));
+        return HttpListener.bind(group, address, MAX_BODY_BYTES, standIn::handle)
+                .map(bound -> {
+                    standIn.listener = bound;
+                    return standIn;
+                });
     }
 
     /** The address that was bound. */
@@ -46,77 +51,91 @@
         return listener.address();
     }
 
+    /** The content with its switches and counters. */
+    public MemoryStore content() {
+        return store;
+    }
+
     @Override
     public void close() {
         listener.close();
     }
 
-    private synchronized CompletableFuture<HttpAnswer> handle(HttpCall call) {
+    private CompletableFuture<HttpAnswer> handle(HttpCall call) {
         String[] parts = call.path().split("/", 4);
-        if (parts.length == 4 && parts[2].equals("values")) {
-            return call.method().equals("PUT") ? done(write(parts[3], call)) : read(parts[3], call);
-        }
-        if (parts.length == 4 && parts[2].equals("leases")) {
-            return done(call.method().equals("POST") ? acquire(parts[3], call) : release(parts[3], call));
+        if (parts.length < 4) {
+            return refused(ErrorCode.PATH_UNKNOWN, call.path());
         }
-        return done(HttpAnswer.problem(Failure.of(ErrorCode.PATH_UNKNOWN, call.path())));
+        return switch (parts[2]) {
+            case "values" -> value(parts[3], call);
+            case "leases" -> lease(parts[3], call);
+            case "lab" -> lab(parts[3], call);
+            default -> refused(ErrorCode.PATH_UNKNOWN, call.path());
+        };
     }
 
-    private CompletableFuture<HttpAnswer> read(String key, HttpCall call) {
-        long after = number(call, "after", -1);
-        Entry entry = entries.get(key);
-        if (entry != null && entry.version > after) {
-            return done(entry.answer());
+    private CompletableFuture<HttpAnswer> value(String key, HttpCall call) {
+        if (call.method().equals("PUT")) {
+            return store.compareAndSwap(
+                            key, number(call, "expected", -1), call.body().bytes())
+                    .thenApply(r -> r.fold(StoreStandIn::refusal, v -> versioned(v, Body.empty())));
         }
+        long after = number(call, "after", -1);
         if (after < 0) {
-            return done(HttpAnswer.text(404, ""));
+            return store.read(key).thenApply(r -> r.fold(StoreStandIn::refusal, v -> found(v, 404)));
         }
-        Waiter waiter = new Waiter(key, after, new CompletableFuture<>());
-        waiters.add(waiter);
-        timer.after(Duration.ofMillis(number(call, "waitMillis", 0)), () -> giveUp(waiter));
-        return waiter.answer;
+        return store.watch(key, after, Duration.ofMillis(number(call, "waitMillis", 0)))
+                .thenApply(r -> r.fold(StoreStandIn::refusal, v -> found(v, 204)));
     }
 
-    private synchronized void giveUp(Waiter waiter) {
-        waiters.remove(waiter);
-        waiter.answer.complete(HttpAnswer.text(204, ""));
+    private CompletableFuture<HttpAnswer> lease(String key, HttpCall call) {
+        String holder = call.parameter("holder").orElse("");
+        if (call.method().equals("POST")) {
+            return store.acquireLease(key, holder, Duration.ofMillis(number(call, "lengthMillis", 0)))
+                    .thenApply(r ->
+                            r.fold(StoreStandIn::refusal, l -> HttpAnswer.json(200, "{\"token\":" + l.token() + "}")));
+        }
+        return store.releaseLease(key, holder)
+                .thenApply(r -> r.fold(StoreStandIn::refusal, held -> HttpAnswer.json(held ? 200 : 409, "{}")));
     }
 
-    private HttpAnswer write(String key, HttpCall call) {
-        Entry entry = entries.get(key);
-        long version = entry == null ? 0 : entry.version;
-        if (number(call, "expected", -1) != version) {
-            return HttpAnswer.text(409, "");
+    private CompletableFuture<HttpAnswer> lab(String path, HttpCall call) {
+        if (path.equals("counts")) {
+            return CompletableFuture.completedFuture(
+                    HttpAnswer.text(200, store.counts().toString()));
+        }
+        Duration delay = Duration.ofMillis(number(call, "millis", 0));
+        Optional<StoreFaults> faults = faults(call.parameter("kind").orElse(""), delay);
+        if (!path.equals("faults") || faults.isEmpty()) {
+            return refused(ErrorCode.PATH_UNKNOWN, call.target());
         }
-        Entry next = new Entry(version + 1, call);
-        entries.put(key, next);
-        List<Waiter> woken = waiters.stream().filter(w -> w.key.equals(key)).toList();
-        waiters.removeAll(woken);
-        woken.forEach(w -> w.answer.complete(next.answer()));
-        return next.answer();
+        store.faults(faults.get());
+        return CompletableFuture.completedFuture(HttpAnswer.text(200, ""));
     }
 
-    private HttpAnswer acquire(String key, HttpCall call) {
-        String name = call.parameter("holder").orElse("");
-        Holder holder = holders.get(key);
-        long now = timer.nowNanos();
-        boolean free = holder == null || holder.endNanos <= now;
-        if (!free && !holder.name.equals(name)) {
-            return HttpAnswer.text(409, "");
-        }
-        long length = Duration.ofMillis(number(call, "lengthMillis", 0)).toNanos();
-        long token = holder == null ? 1 : free ? holder.token + 1 : holder.token;
-        holders.put(key, new Holder(name, token, now + length));
-        return HttpAnswer.json(200, "{\"token\":" + token + "}");
+    private static Optional<StoreFaults> faults(String kind, Duration delay) {
+        return switch (kind) {
+            case "none" -> Optional.of(StoreFaults.none());
+            case "down" -> Optional.of(StoreFaults.always(StoreFault.down()));
+            case "slow" -> Optional.of(StoreFaults.always(StoreFault.slow(delay)));
+            case "lostBefore" -> Optional.of(StoreFaults.on(StoreCall.Kind.WRITE, StoreFault.lostBefore()));
+            case "lostAfter" -> Optional.of(StoreFaults.on(StoreCall.Kind.WRITE, StoreFault.lostAfter()));
+            case "watchSilent" -> Optional.of(StoreFaults.on(StoreCall.Kind.WATCH, StoreFault.lostBefore()));
+            default -> Optional.empty();
+        };
     }
 
-    private HttpAnswer release(String key, HttpCall call) {
-        Holder holder = holders.get(key);
-        if (holder == null || !call.parameter("holder").equals(java.util.Optional.of(holder.name))) {
-            return HttpAnswer.text(409, "");
-        }
-        holders.put(key, new Holder(holder.name, holder.token, timer.nowNanos()));
-        return HttpAnswer.json(200, "{}");
+    private static HttpAnswer refusal(Failure failure) {
+        return HttpAnswer.problem(failure);
+    }
+
+    private static HttpAnswer found(Optional<Versioned> value, int absentStatus) {
+        return value.map(v -> versioned(v.version(), Body.of(v.value())))
+                .orElseGet(() -> HttpAnswer.text(absentStatus, ""));
+    }
+
+    private static HttpAnswer versioned(long version, Body body) {
+        return new HttpAnswer(200, List.of(Header.of("x-version", Long.toString(version))), body);
     }
 
     private static long number(HttpCall call, String parameter, long otherwise) {
@@ -126,17 +145,7 @@
                 .orElse(otherwise);
     }
 
-    private static CompletableFuture<HttpAnswer> done(HttpAnswer answer) {
-        return CompletableFuture.completedFuture(answer);
+    private static CompletableFuture<HttpAnswer> refused(ErrorCode code, String subject) {
+        return CompletableFuture.completedFuture(HttpAnswer.problem(Failure.of(code, subject)));
     }
-
-    private record Entry(long version, HttpCall write) {
-        private HttpAnswer answer() {
-            return new HttpAnswer(200, List.of(Header.of("x-version", Long.toString(version))), write.body());
-        }
-    }
-
-    private record Holder(String name, long token, long endNanos) {}
-
-    private record Waiter(String key, long after, CompletableFuture<HttpAnswer> answer) {}
 }
--- a/src/main/java/org/arbutusfield/store/HttpStore.java
+++ b/src/main/java/org/arbutusfield/store/HttpStore.java
@@ -16,10 +16,13 @@
 import org.arbutusfield.http.HttpCall;
 import org.arbutusfield.http.HttpCaller;
 
-/** The store adapter for the HTTP protocol described in docs/PROTOCOLS.md. */
+/** The store adapter for the HTTP protocol described in docs/protocols/store.md. */
 public final class HttpStore implements Store {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String VERSION_HEADER = "x-version";
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int INTERNAL_ERROR = 500;
+    private static final int SERVICE_UNAVAILABLE = 503;
 
     private final HttpCaller caller;
     private final InetSocketAddress address;
@@ -89,9 +92,12 @@
     }
 
     private static Either<Failure, HttpAnswer> available(HttpAnswer answer) {
-        if (answer.status() >= 500) {
+        if (answer.status() == SERVICE_UNAVAILABLE || answer.status() == TOO_MANY_REQUESTS) {
             return Either.left(Failure.of(ErrorCode.STORE_UNAVAILABLE, "", "status " + answer.status()));
         }
+        if (answer.status() >= INTERNAL_ERROR) {
+            return Either.left(Failure.of(ErrorCode.STORE_PROTOCOL, "", "status " + answer.status()));
+        }
         return Either.right(answer);
     }
 
@@ -142,6 +148,6 @@
     }
 
     private static String encode(String text) {
-        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+        return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
     }
 }
--- /dev/null
+++ b/src/test/java/org/arbutusfield/store/StoreBench.java
@@ -0,0 +1,57 @@
+package org.arbutusfield.store;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.vavr.control.Either;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.http.HttpCaller;
+import org.arbutusfield.lab.MemoryStore;
+import org.arbutusfield.lab.StoreStandIn;
+import org.arbutusfield.timer.SystemTimer;
+import org.arbutusfield.timer.VirtualTimer;
+
+/** A store under test, its switches, and a way to wait for its answers. */
+record StoreBench(Store store, MemoryStore content, BooleanSupplier step, Runnable closer) implements AutoCloseable {
+    private static final Duration TIMEOUT = Duration.ofMillis(400);
+    private static final Duration WARM_UP = Duration.ofSeconds(10);
+
+    static StoreBench inMemory() {
+        VirtualTimer timer = VirtualTimer.create();
+        MemoryStore store = MemoryStore.create(timer, TIMEOUT);
+        return new StoreBench(store, store, timer::step, () -> {});
+    }
+
+    static StoreBench overHttp() {
+        SystemTimer timer = SystemTimer.start();
+        NioEventLoopGroup group = new NioEventLoopGroup(2);
+        StoreStandIn standIn = StoreStandIn.bind(
+                        group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), timer)
+                .get();
+        HttpCaller caller = HttpCaller.create(group, WARM_UP);
+        HttpStore.create(caller, standIn.address(), WARM_UP).read("warm-up").join();
+        HttpStore store = HttpStore.create(caller, standIn.address(), TIMEOUT);
+        return new StoreBench(store, standIn.content(), () -> false, () -> {
+            standIn.close();
+            timer.close();
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        });
+    }
+
+    <T> Either<Failure, T> await(CompletableFuture<Either<Failure, T>> answer) {
+        boolean waiting = true;
+        while (waiting && !answer.isDone()) {
+            waiting = step.getAsBoolean();
+        }
+        return answer.orTimeout(10, TimeUnit.SECONDS).join();
+    }
+
+    @Override
+    public void close() {
+        closer.run();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/arbutusfield/store/StoreContractTest.java
@@ -0,0 +1,150 @@
+package org.arbutusfield.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.lab.StoreCall;
+import org.arbutusfield.lab.StoreFault;
+import org.arbutusfield.lab.StoreFaults;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class StoreContractTest {
+    private static final String KEY = "arbutusfield/a key/ü";
+    private static final byte[] ONE = {1};
+    private static final byte[] TWO = {2, 0, -1};
+    private static final Duration WAIT = Duration.ofMillis(50);
+    private static final Duration LENGTH = Duration.ofMinutes(1);
+
+    private static final Map<String, Supplier<StoreBench>> STORES =
+            Map.of("in memory", StoreBench::inMemory, "over http", StoreBench::overHttp);
+
+    private static final Map<String, Consumer<StoreBench>> CASES = Map.ofEntries(
+            Map.entry(
+                    "absent key reads as empty",
+                    b -> assertThat(b.await(b.store().read(KEY))).isEqualTo(Either.right(Optional.empty()))),
+            Map.entry("versions start at 1 and grow by writes", b -> {
+                assertThat(write(b, 0, ONE)).isEqualTo(Either.right(1L));
+                assertThat(write(b, 1, TWO)).isEqualTo(Either.right(2L));
+                assertThat(read(b)).contains(Versioned.of(2, TWO));
+            }),
+            Map.entry("a stale version conflicts and changes nothing", b -> {
+                write(b, 0, ONE);
+                assertThat(code(write(b, 0, TWO))).isEqualTo(ErrorCode.STORE_CONFLICT);
+                assertThat(code(write(b, 2, TWO))).isEqualTo(ErrorCode.STORE_CONFLICT);
+                assertThat(read(b)).contains(Versioned.of(1, ONE));
+            }),
+            Map.entry("largest value fits, one byte more does not", b -> {
+                assertThat(write(b, 0, new byte[Store.MAX_VALUE_BYTES])).isEqualTo(Either.right(1L));
+                assertThat(code(write(b, 1, new byte[Store.MAX_VALUE_BYTES + 1])))
+                        .isEqualTo(ErrorCode.STORE_VALUE_TOO_LARGE);
+            }),
+            Map.entry("a watch wakes on a write", b -> {
+                CompletableFuture<Either<Failure, Optional<Versioned>>> watch =
+                        b.store().watch(KEY, 0, LENGTH);
+                write(b, 0, ONE);
+                assertThat(b.await(watch)).isEqualTo(Either.right(Optional.of(Versioned.of(1, ONE))));
+            }),
+            Map.entry("a watch ends empty when its wait is over", b -> {
+                write(b, 0, ONE);
+                assertThat(b.await(b.store().watch(KEY, 1, WAIT))).isEqualTo(Either.right(Optional.empty()));
+                assertThat(b.await(b.store().watch(KEY, 0, WAIT)).get()).isPresent();
+            }),
+            Map.entry("a silent watch times out", b -> {
+                b.content().faults(StoreFaults.on(StoreCall.Kind.WATCH, StoreFault.lostBefore()));
+                assertThat(code(b.await(b.store().watch(KEY, 0, WAIT)))).isEqualTo(ErrorCode.STORE_TIMEOUT);
+            }),
+            Map.entry("down: refused without effect", b -> {
+                b.content().faults(StoreFaults.always(StoreFault.down()));
+                assertThat(code(write(b, 0, ONE))).isEqualTo(ErrorCode.STORE_UNAVAILABLE);
+                assertThat(code(b.await(b.store().read(KEY)))).isEqualTo(ErrorCode.STORE_UNAVAILABLE);
+                assertThat(b.content().peek(KEY)).isEmpty();
+            }),
+            Map.entry("answer lost after the write: unknown, and it holds", b -> {
+                b.content().faults(StoreFaults.on(StoreCall.Kind.WRITE, StoreFault.lostAfter()));
+                Failure failure = write(b, 0, ONE).getLeft();
+                assertThat(failure.code()).isEqualTo(ErrorCode.STORE_TIMEOUT);
+                assertThat(failure.notRun()).isFalse();
+                assertThat(read(b)).contains(Versioned.of(1, ONE));
+            }),
+            Map.entry("call lost before the write: unknown, no effect", b -> {
+                b.content().faults(StoreFaults.on(StoreCall.Kind.WRITE, StoreFault.lostBefore()));
+                assertThat(code(write(b, 0, ONE))).isEqualTo(ErrorCode.STORE_TIMEOUT);
+                assertThat(read(b)).isEmpty();
+            }),
+            Map.entry("slow: answered late", b -> {
+                b.content().faults(StoreFaults.always(StoreFault.slow(WAIT)));
+                assertThat(write(b, 0, ONE)).isEqualTo(Either.right(1L));
+            }),
+            Map.entry("a lease has one holder, who may renew it", b -> {
+                assertThat(lease(b, "a").get().token()).isEqualTo(1);
+                assertThat(code(lease(b, "b"))).isEqualTo(ErrorCode.LEASE_HELD);
+                assertThat(lease(b, "a").get().token()).isEqualTo(1);
+            }),
+            Map.entry("a lapsed lease goes to another with a larger token", b -> {
+                lease(b, "a");
+                b.content().lapseLease(KEY);
+                assertThat(lease(b, "b").get().token()).isEqualTo(2);
+                assertThat(code(lease(b, "a"))).isEqualTo(ErrorCode.LEASE_HELD);
+            }),
+            Map.entry("only its holder releases a lease", b -> {
+                lease(b, "a");
+                assertThat(b.await(b.store().releaseLease(KEY, "b"))).isEqualTo(Either.right(false));
+                assertThat(b.await(b.store().releaseLease(KEY, "a"))).isEqualTo(Either.right(true));
+                assertThat(lease(b, "b").get().token()).isEqualTo(2);
+            }),
+            Map.entry("above its rates: refused without effect", b -> {
+                b.content().limitRates(1, 1);
+                assertThat(write(b, 0, ONE).isRight()).isTrue();
+                assertThat(code(write(b, 1, TWO))).isEqualTo(ErrorCode.STORE_UNAVAILABLE);
+                assertThat(b.content().peek(KEY)).contains(Versioned.of(1, ONE));
+                assertThat(b.content().count(StoreCall.Kind.WRITE)).isEqualTo(2);
+            }),
+            Map.entry("restored to an older state", b -> {
+                write(b, 0, ONE);
+                Map<String, Versioned> image = b.content().image();
+                write(b, 1, TWO);
+                b.content().restore(image);
+                assertThat(read(b)).contains(Versioned.of(1, ONE));
+            }));
+
+    static Stream<Arguments> contract() {
+        return STORES.keySet().stream()
+                .sorted()
+                .flatMap(store -> CASES.keySet().stream().sorted().map(c -> Arguments.of(store, c)));
+    }
+
+    @ParameterizedTest(name = "{0}: {1}")
+    @MethodSource("contract")
+    void holds(String store, String name) {
+        try (StoreBench bench = STORES.get(store).get()) {
+            CASES.get(name).accept(bench);
+        }
+    }
+
+    private static Either<Failure, Long> write(StoreBench bench, long expected, byte[] value) {
+        return bench.await(bench.store().compareAndSwap(KEY, expected, value));
+    }
+
+    private static Optional<Versioned> read(StoreBench bench) {
+        return bench.await(bench.store().read(KEY)).get();
+    }
+
+    private static Either<Failure, Lease> lease(StoreBench bench, String holder) {
+        return bench.await(bench.store().acquireLease(KEY, holder, LENGTH));
+    }
+
+    private static ErrorCode code(Either<Failure, ?> answer) {
+        return answer.getLeft().code();
+    }
+}
