--- /dev/null
+++ b/src/main/java/org/arbutusfield/proxy/Placed.java
@@ -0,0 +1,36 @@
+package org.arbutusfield.proxy;
+
+import java.net.InetSocketAddress;
+import org.arbutusfield.model.Upstream;
+
+/** Where a request goes next. */
+public sealed interface Placed permits Placed.AtUpstream, Placed.AtHost {
+
+    /** The name that goes into {@link RequestFacts#tried()} when this try fails. */
+    String name();
+
+    /** The right that the request holds there. */
+    Permit permit();
+
+    /**
+     * An upstream.
+     *
+     * @param upstream the upstream
+     * @param permit the right that the request holds there
+     */
+    record AtUpstream(Upstream upstream, Permit permit) implements Placed {
+        @Override
+        public String name() {
+            return upstream.name();
+        }
+    }
+
+    /**
+     * An entry host of another region, which admits the request by its own figures or refuses it.
+     *
+     * @param name the host's name
+     * @param address the host's caller port
+     * @param permit the right that the request holds there
+     */
+    record AtHost(String name, InetSocketAddress address, Permit permit) implements Placed {}
+}
