--- /dev/null
+++ b/src/main/java/org/arbutusfield/dispatch/LookupDesk.java
@@ -0,0 +1,140 @@
+package org.arbutusfield.dispatch;
+
+import java.net.Inet4Address;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.http.Body;
+import org.arbutusfield.http.Header;
+import org.arbutusfield.http.HttpAnswer;
+import org.arbutusfield.http.HttpCall;
+import org.arbutusfield.lookup.BlockTable;
+import org.arbutusfield.lookup.EntryHost;
+import org.arbutusfield.lookup.LookupCache;
+import org.arbutusfield.lookup.LookupPolicy;
+import org.arbutusfield.lookup.LookupView;
+import org.arbutusfield.member.Member;
+import org.arbutusfield.member.MemberState;
+import org.arbutusfield.member.MembershipView;
+import org.arbutusfield.member.Rumour;
+import org.arbutusfield.model.Configuration;
+import org.arbutusfield.proxy.LocalHandler;
+import org.arbutusfield.timer.TimerService;
+
+/** Answers {@code GET /-/lookup/SERVICE} from memory: which entry hosts a caller should use. */
+public final class LookupDesk implements LocalHandler {
+    private static final String PREFIX = "/-/lookup/";
+    private static final double EQUAL_WEIGHT = 1.0;
+
+    private final HostIdentity self;
+    private final TimerService timer;
+    private final Object lock = new Object();
+    private final AtomicReference<LookupCache> cache = new AtomicReference<>();
+    private Configuration configuration = Configuration.empty();
+    private BlockTable blocks = BlockTable.empty();
+    private List<EntryHost> hosts = List.of();
+    private long version;
+
+    private LookupDesk(HostIdentity self, TimerService timer) {
+        this.self = self;
+        this.timer = timer;
+    }
+
+    /** A desk that has no configuration yet and refuses until it has. */
+    public static LookupDesk create(HostIdentity self, TimerService timer) {
+        return new LookupDesk(self, timer);
+    }
+
+    /** Installs the configuration in force with its table of client blocks. */
+    public void configure(Configuration next, BlockTable table) {
+        synchronized (lock) {
+            configuration = next;
+            blocks = table;
+            renew();
+        }
+    }
+
+    /** Installs the known hosts. Call it regularly too: an old view shortens the time that answers may be cached. */
+    public void membership(MembershipView view) {
+        synchronized (lock) {
+            List<EntryHost> known = new ArrayList<>();
+            for (Rumour rumour : view.table().rumours()) {
+                if (rumour.state() != MemberState.DEAD) {
+                    known.add(host(rumour));
+                }
+            }
+            hosts = List.copyOf(known);
+            renew();
+        }
+    }
+
+    @Override
+    public CompletableFuture<HttpAnswer> handle(HttpCall call, InetSocketAddress caller) {
+        return CompletableFuture.completedFuture(answer(call, caller));
+    }
+
+    private HttpAnswer answer(HttpCall call, InetSocketAddress caller) {
+        if (!call.path().startsWith(PREFIX)) {
+            return HttpAnswer.problem(Failure.of(ErrorCode.PATH_UNKNOWN, call.path()));
+        }
+        if (!call.method().equals("GET")) {
+            return HttpAnswer.problem(Failure.of(ErrorCode.METHOD_NOT_ALLOWED, call.method()));
+        }
+        LookupCache current = cache.get();
+        if (current == null) {
+            return HttpAnswer.problem(Failure.of(ErrorCode.NO_CONFIGURATION));
+        }
+        String service = call.path().substring(PREFIX.length());
+        long now = timer.nowNanos();
+        return current.answer(service, ipv4(caller.getAddress()), now)
+                .fold(HttpAnswer::problem, body -> found(body, current.view(), now));
+    }
+
+    private static HttpAnswer found(byte[] body, LookupView view, long now) {
+        int maxAge = LookupPolicy.stale(view, now) ? LookupPolicy.SHORT_MAX_AGE_SECONDS : LookupPolicy.MAX_AGE_SECONDS;
+        List<Header> headers = List.of(
+                Header.of("content-type", "application/json"),
+                Header.of("cache-control", "private, max-age=" + maxAge));
+        return new HttpAnswer(200, headers, Body.of(body));
+    }
+
+    private void renew() {
+        if (configuration.revision() == 0) {
+            return;
+        }
+        version++;
+        LookupView.Version number = new LookupView.Version(version, timer.nowNanos());
+        cache.set(
+                LookupCache.over(LookupView.of(number, configuration, hosts, blocks, self.failureDomain(), List.of())));
+    }
+
+    private static EntryHost host(Rumour rumour) {
+        Member member = rumour.member();
+        EntryHost.State state =
+                switch (rumour.state()) {
+                    case ALIVE -> EntryHost.State.SERVING;
+                    case LEAVING -> EntryHost.State.LEAVING;
+                    default -> EntryHost.State.SUSPECT;
+                };
+        return new EntryHost(
+                member.name(),
+                member.region(),
+                member.failureDomain(),
+                member.callerHost(),
+                member.callerPort(),
+                state,
+                EQUAL_WEIGHT);
+    }
+
+    private static int ipv4(InetAddress address) {
+        return address instanceof Inet4Address
+                ? ByteBuffer.wrap(address.getAddress()).getInt()
+                : 0;
+    }
+}
--- a/src/main/java/org/arbutusfield/wire/gen/ControlMessage.java
+++ b/src/main/java/org/arbutusfield/wire/gen/ControlMessage.java
@@ -21,6 +21,7 @@
   private static final org.apache.thrift.protocol.TField SLOT_RELEASE_FIELD_DESC = new org.apache.thrift.protocol.TField("slotRelease", org.apache.thrift.protocol.TType.STRUCT, (short)23);
   private static final org.apache.thrift.protocol.TField SLOT_CANCEL_FIELD_DESC = new org.apache.thrift.protocol.TField("slotCancel", org.apache.thrift.protocol.TType.STRUCT, (short)24);
   private static final org.apache.thrift.protocol.TField HELD_SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("heldSlots", org.apache.thrift.protocol.TType.STRUCT, (short)25);
+  private static final org.apache.thrift.protocol.TField BROKER_HEARTBEAT_FIELD_DESC = new org.apache.thrift.protocol.TField("brokerHeartbeat", org.apache.thrift.protocol.TType.STRUCT, (short)26);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -35,7 +36,8 @@
     SLOT_REFUSAL((short)22, "slotRefusal"),
     SLOT_RELEASE((short)23, "slotRelease"),
     SLOT_CANCEL((short)24, "slotCancel"),
-    HELD_SLOTS((short)25, "heldSlots");
+    HELD_SLOTS((short)25, "heldSlots"),
+    BROKER_HEARTBEAT((short)26, "brokerHeartbeat");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -75,6 +77,8 @@
           return SLOT_CANCEL;
         case 25: // HELD_SLOTS
           return HELD_SLOTS;
+        case 26: // BROKER_HEARTBEAT
+          return BROKER_HEARTBEAT;
         default:
           return null;
       }
@@ -144,6 +148,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SlotCancel.class)));
     tmpMap.put(_Fields.HELD_SLOTS, new org.apache.thrift.meta_data.FieldMetaData("heldSlots", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, HeldSlots.class)));
+    tmpMap.put(_Fields.BROKER_HEARTBEAT, new org.apache.thrift.meta_data.FieldMetaData("brokerHeartbeat", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, BrokerHeartbeat.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ControlMessage.class, metaDataMap);
   }
@@ -236,6 +242,12 @@
     return x;
   }
 
+  public static ControlMessage brokerHeartbeat(BrokerHeartbeat value) {
+    ControlMessage x = new ControlMessage();
+    x.setBrokerHeartbeat(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -300,6 +312,11 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type HeldSlots for field 'heldSlots', but got " + value.getClass().getSimpleName());
+      case BROKER_HEARTBEAT:
+        if (value instanceof BrokerHeartbeat) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type BrokerHeartbeat for field 'brokerHeartbeat', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -430,6 +447,16 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case BROKER_HEARTBEAT:
+          if (field.type == BROKER_HEARTBEAT_FIELD_DESC.type) {
+            BrokerHeartbeat brokerHeartbeat;
+            brokerHeartbeat = new BrokerHeartbeat();
+            brokerHeartbeat.read(iprot);
+            return brokerHeartbeat;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -490,6 +517,10 @@
         HeldSlots heldSlots = (HeldSlots)value_;
         heldSlots.write(oprot);
         return;
+      case BROKER_HEARTBEAT:
+        BrokerHeartbeat brokerHeartbeat = (BrokerHeartbeat)value_;
+        brokerHeartbeat.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -560,6 +591,11 @@
           heldSlots = new HeldSlots();
           heldSlots.read(iprot);
           return heldSlots;
+        case BROKER_HEARTBEAT:
+          BrokerHeartbeat brokerHeartbeat;
+          brokerHeartbeat = new BrokerHeartbeat();
+          brokerHeartbeat.read(iprot);
+          return brokerHeartbeat;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -619,6 +655,10 @@
         HeldSlots heldSlots = (HeldSlots)value_;
         heldSlots.write(oprot);
         return;
+      case BROKER_HEARTBEAT:
+        BrokerHeartbeat brokerHeartbeat = (BrokerHeartbeat)value_;
+        brokerHeartbeat.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -651,6 +691,8 @@
         return SLOT_CANCEL_FIELD_DESC;
       case HELD_SLOTS:
         return HELD_SLOTS_FIELD_DESC;
+      case BROKER_HEARTBEAT:
+        return BROKER_HEARTBEAT_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -829,6 +871,19 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.HELD_SLOTS");
   }
 
+  public BrokerHeartbeat getBrokerHeartbeat() {
+    if (getSetField() == _Fields.BROKER_HEARTBEAT) {
+      return (BrokerHeartbeat)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'brokerHeartbeat' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setBrokerHeartbeat(BrokerHeartbeat value) {
+    setField_ = _Fields.BROKER_HEARTBEAT;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.BROKER_HEARTBEAT");
+  }
+
   public boolean isSetRefusal() {
     return setField_ == _Fields.REFUSAL;
   }
@@ -889,6 +944,11 @@
   }
 
 
+  public boolean isSetBrokerHeartbeat() {
+    return setField_ == _Fields.BROKER_HEARTBEAT;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof ControlMessage) {
       return equals((ControlMessage)other);
--- a/src/main/java/org/arbutusfield/wire/gen/HeldSlot.java
+++ b/src/main/java/org/arbutusfield/wire/gen/HeldSlot.java
@@ -10,22 +10,28 @@
 public class HeldSlot implements org.apache.thrift.TBase<HeldSlot, HeldSlot._Fields>, java.io.Serializable, Cloneable, Comparable<HeldSlot> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("HeldSlot");
 
-  private static final org.apache.thrift.protocol.TField TOKEN_FIELD_DESC = new org.apache.thrift.protocol.TField("token", org.apache.thrift.protocol.TType.I64, (short)1);
-  private static final org.apache.thrift.protocol.TField UPSTREAM_FIELD_DESC = new org.apache.thrift.protocol.TField("upstream", org.apache.thrift.protocol.TType.STRING, (short)2);
-  private static final org.apache.thrift.protocol.TField AGE_NANOS_FIELD_DESC = new org.apache.thrift.protocol.TField("ageNanos", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField TOKEN_FIELD_DESC = new org.apache.thrift.protocol.TField("token", org.apache.thrift.protocol.TType.STRUCT, (short)1);
+  private static final org.apache.thrift.protocol.TField REQUEST_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("requestId", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField REQUEST_CLASS_FIELD_DESC = new org.apache.thrift.protocol.TField("requestClass", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField UPSTREAM_FIELD_DESC = new org.apache.thrift.protocol.TField("upstream", org.apache.thrift.protocol.TType.STRING, (short)4);
+  private static final org.apache.thrift.protocol.TField REMAINING_NANOS_FIELD_DESC = new org.apache.thrift.protocol.TField("remainingNanos", org.apache.thrift.protocol.TType.I64, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new HeldSlotStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new HeldSlotTupleSchemeFactory();
 
-  private long token; // required
+  private @org.apache.thrift.annotation.Nullable SlotToken token; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String requestId; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String requestClass; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String upstream; // required
-  private long ageNanos; // required
+  private long remainingNanos; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     TOKEN((short)1, "token"),
-    UPSTREAM((short)2, "upstream"),
-    AGE_NANOS((short)3, "ageNanos");
+    REQUEST_ID((short)2, "requestId"),
+    REQUEST_CLASS((short)3, "requestClass"),
+    UPSTREAM((short)4, "upstream"),
+    REMAINING_NANOS((short)5, "remainingNanos");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -43,10 +49,14 @@
       switch(fieldId) {
         case 1: // TOKEN
           return TOKEN;
-        case 2: // UPSTREAM
+        case 2: // REQUEST_ID
+          return REQUEST_ID;
+        case 3: // REQUEST_CLASS
+          return REQUEST_CLASS;
+        case 4: // UPSTREAM
           return UPSTREAM;
-        case 3: // AGE_NANOS
-          return AGE_NANOS;
+        case 5: // REMAINING_NANOS
+          return REMAINING_NANOS;
         default:
           return null;
       }
@@ -90,17 +100,20 @@
   }
 
   // isset id assignments
-  private static final int __TOKEN_ISSET_ID = 0;
-  private static final int __AGENANOS_ISSET_ID = 1;
+  private static final int __REMAININGNANOS_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
     tmpMap.put(_Fields.TOKEN, new org.apache.thrift.meta_data.FieldMetaData("token", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SlotToken.class)));
+    tmpMap.put(_Fields.REQUEST_ID, new org.apache.thrift.meta_data.FieldMetaData("requestId", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.REQUEST_CLASS, new org.apache.thrift.meta_data.FieldMetaData("requestClass", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.UPSTREAM, new org.apache.thrift.meta_data.FieldMetaData("upstream", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.AGE_NANOS, new org.apache.thrift.meta_data.FieldMetaData("ageNanos", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+    tmpMap.put(_Fields.REMAINING_NANOS, new org.apache.thrift.meta_data.FieldMetaData("remainingNanos", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(HeldSlot.class, metaDataMap);
@@ -110,16 +123,19 @@
   }
 
   public HeldSlot(
-    long token,
+    SlotToken token,
+    java.lang.String requestId,
+    java.lang.String requestClass,
     java.lang.String upstream,
-    long ageNanos)
+    long remainingNanos)
   {
     this();
     this.token = token;
-    setTokenIsSet(true);
+    this.requestId = requestId;
+    this.requestClass = requestClass;
     this.upstream = upstream;
-    this.ageNanos = ageNanos;
-    setAgeNanosIsSet(true);
+    this.remainingNanos = remainingNanos;
+    setRemainingNanosIsSet(true);
   }
 
   /**
@@ -127,11 +143,19 @@
    */
   public HeldSlot(HeldSlot other) {
     __isset_bitfield = other.__isset_bitfield;
-    this.token = other.token;
+    if (other.isSetToken()) {
+      this.token = new SlotToken(other.token);
+    }
+    if (other.isSetRequestId()) {
+      this.requestId = other.requestId;
+    }
+    if (other.isSetRequestClass()) {
+      this.requestClass = other.requestClass;
+    }
     if (other.isSetUpstream()) {
       this.upstream = other.upstream;
     }
-    this.ageNanos = other.ageNanos;
+    this.remainingNanos = other.remainingNanos;
   }
 
   @Override
@@ -141,34 +165,87 @@
 
   @Override
   public void clear() {
-    setTokenIsSet(false);
-    this.token = 0;
+    this.token = null;
+    this.requestId = null;
+    this.requestClass = null;
     this.upstream = null;
-    setAgeNanosIsSet(false);
-    this.ageNanos = 0;
+    setRemainingNanosIsSet(false);
+    this.remainingNanos = 0;
   }
 
-  public long getToken() {
+  @org.apache.thrift.annotation.Nullable
+  public SlotToken getToken() {
     return this.token;
   }
 
-  public HeldSlot setToken(long token) {
+  public HeldSlot setToken(@org.apache.thrift.annotation.Nullable SlotToken token) {
     this.token = token;
-    setTokenIsSet(true);
     return this;
   }
 
   public void unsetToken() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TOKEN_ISSET_ID);
+    this.token = null;
   }
 
   /** Returns true if field token is set (has been assigned a value) and false otherwise */
   public boolean isSetToken() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TOKEN_ISSET_ID);
+    return this.token != null;
   }
 
   public void setTokenIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOKEN_ISSET_ID, value);
+    if (!value) {
+      this.token = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getRequestId() {
+    return this.requestId;
+  }
+
+  public HeldSlot setRequestId(@org.apache.thrift.annotation.Nullable java.lang.String requestId) {
+    this.requestId = requestId;
+    return this;
+  }
+
+  public void unsetRequestId() {
+    this.requestId = null;
+  }
+
+  /** Returns true if field requestId is set (has been assigned a value) and false otherwise */
+  public boolean isSetRequestId() {
+    return this.requestId != null;
+  }
+
+  public void setRequestIdIsSet(boolean value) {
+    if (!value) {
+      this.requestId = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getRequestClass() {
+    return this.requestClass;
+  }
+
+  public HeldSlot setRequestClass(@org.apache.thrift.annotation.Nullable java.lang.String requestClass) {
+    this.requestClass = requestClass;
+    return this;
+  }
+
+  public void unsetRequestClass() {
+    this.requestClass = null;
+  }
+
+  /** Returns true if field requestClass is set (has been assigned a value) and false otherwise */
+  public boolean isSetRequestClass() {
+    return this.requestClass != null;
+  }
+
+  public void setRequestClassIsSet(boolean value) {
+    if (!value) {
+      this.requestClass = null;
+    }
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -196,27 +273,27 @@
     }
   }
 
-  public long getAgeNanos() {
-    return this.ageNanos;
+  public long getRemainingNanos() {
+    return this.remainingNanos;
   }
 
-  public HeldSlot setAgeNanos(long ageNanos) {
-    this.ageNanos = ageNanos;
-    setAgeNanosIsSet(true);
+  public HeldSlot setRemainingNanos(long remainingNanos) {
+    this.remainingNanos = remainingNanos;
+    setRemainingNanosIsSet(true);
     return this;
   }
 
-  public void unsetAgeNanos() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __AGENANOS_ISSET_ID);
+  public void unsetRemainingNanos() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REMAININGNANOS_ISSET_ID);
   }
 
-  /** Returns true if field ageNanos is set (has been assigned a value) and false otherwise */
-  public boolean isSetAgeNanos() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __AGENANOS_ISSET_ID);
+  /** Returns true if field remainingNanos is set (has been assigned a value) and false otherwise */
+  public boolean isSetRemainingNanos() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REMAININGNANOS_ISSET_ID);
   }
 
-  public void setAgeNanosIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __AGENANOS_ISSET_ID, value);
+  public void setRemainingNanosIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REMAININGNANOS_ISSET_ID, value);
   }
 
   @Override
@@ -226,7 +303,23 @@
       if (value == null) {
         unsetToken();
       } else {
-        setToken((java.lang.Long)value);
+        setToken((SlotToken)value);
+      }
+      break;
+
+    case REQUEST_ID:
+      if (value == null) {
+        unsetRequestId();
+      } else {
+        setRequestId((java.lang.String)value);
+      }
+      break;
+
+    case REQUEST_CLASS:
+      if (value == null) {
+        unsetRequestClass();
+      } else {
+        setRequestClass((java.lang.String)value);
       }
       break;
 
@@ -238,11 +331,11 @@
       }
       break;
 
-    case AGE_NANOS:
+    case REMAINING_NANOS:
       if (value == null) {
-        unsetAgeNanos();
+        unsetRemainingNanos();
       } else {
-        setAgeNanos((java.lang.Long)value);
+        setRemainingNanos((java.lang.Long)value);
       }
       break;
 
@@ -256,11 +349,17 @@
     case TOKEN:
       return getToken();
 
+    case REQUEST_ID:
+      return getRequestId();
+
+    case REQUEST_CLASS:
+      return getRequestClass();
+
     case UPSTREAM:
       return getUpstream();
 
-    case AGE_NANOS:
-      return getAgeNanos();
+    case REMAINING_NANOS:
+      return getRemainingNanos();
 
     }
     throw new java.lang.IllegalStateException();
@@ -276,10 +375,14 @@
     switch (field) {
     case TOKEN:
       return isSetToken();
+    case REQUEST_ID:
+      return isSetRequestId();
+    case REQUEST_CLASS:
+      return isSetRequestClass();
     case UPSTREAM:
       return isSetUpstream();
-    case AGE_NANOS:
-      return isSetAgeNanos();
+    case REMAINING_NANOS:
+      return isSetRemainingNanos();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -297,12 +400,30 @@
     if (this == that)
       return true;
 
-    boolean this_present_token = true;
-    boolean that_present_token = true;
+    boolean this_present_token = true && this.isSetToken();
+    boolean that_present_token = true && that.isSetToken();
     if (this_present_token || that_present_token) {
       if (!(this_present_token && that_present_token))
         return false;
-      if (this.token != that.token)
+      if (!this.token.equals(that.token))
+        return false;
+    }
+
+    boolean this_present_requestId = true && this.isSetRequestId();
+    boolean that_present_requestId = true && that.isSetRequestId();
+    if (this_present_requestId || that_present_requestId) {
+      if (!(this_present_requestId && that_present_requestId))
+        return false;
+      if (!this.requestId.equals(that.requestId))
+        return false;
+    }
+
+    boolean this_present_requestClass = true && this.isSetRequestClass();
+    boolean that_present_requestClass = true && that.isSetRequestClass();
+    if (this_present_requestClass || that_present_requestClass) {
+      if (!(this_present_requestClass && that_present_requestClass))
+        return false;
+      if (!this.requestClass.equals(that.requestClass))
         return false;
     }
 
@@ -315,12 +436,12 @@
         return false;
     }
 
-    boolean this_present_ageNanos = true;
-    boolean that_present_ageNanos = true;
-    if (this_present_ageNanos || that_present_ageNanos) {
-      if (!(this_present_ageNanos && that_present_ageNanos))
+    boolean this_present_remainingNanos = true;
+    boolean that_present_remainingNanos = true;
+    if (this_present_remainingNanos || that_present_remainingNanos) {
+      if (!(this_present_remainingNanos && that_present_remainingNanos))
         return false;
-      if (this.ageNanos != that.ageNanos)
+      if (this.remainingNanos != that.remainingNanos)
         return false;
     }
 
@@ -331,13 +452,23 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(token);
+    hashCode = hashCode * 8191 + ((isSetToken()) ? 131071 : 524287);
+    if (isSetToken())
+      hashCode = hashCode * 8191 + token.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetRequestId()) ? 131071 : 524287);
+    if (isSetRequestId())
+      hashCode = hashCode * 8191 + requestId.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetRequestClass()) ? 131071 : 524287);
+    if (isSetRequestClass())
+      hashCode = hashCode * 8191 + requestClass.hashCode();
 
     hashCode = hashCode * 8191 + ((isSetUpstream()) ? 131071 : 524287);
     if (isSetUpstream())
       hashCode = hashCode * 8191 + upstream.hashCode();
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ageNanos);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(remainingNanos);
 
     return hashCode;
   }
@@ -360,6 +491,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetRequestId(), other.isSetRequestId());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRequestId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.requestId, other.requestId);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetRequestClass(), other.isSetRequestClass());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRequestClass()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.requestClass, other.requestClass);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     lastComparison = java.lang.Boolean.compare(isSetUpstream(), other.isSetUpstream());
     if (lastComparison != 0) {
       return lastComparison;
@@ -370,12 +521,12 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetAgeNanos(), other.isSetAgeNanos());
+    lastComparison = java.lang.Boolean.compare(isSetRemainingNanos(), other.isSetRemainingNanos());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetAgeNanos()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ageNanos, other.ageNanos);
+    if (isSetRemainingNanos()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.remainingNanos, other.remainingNanos);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -405,7 +556,27 @@
     boolean first = true;
 
     sb.append("token:");
-    sb.append(this.token);
+    if (this.token == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.token);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("requestId:");
+    if (this.requestId == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.requestId);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("requestClass:");
+    if (this.requestClass == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.requestClass);
+    }
     first = false;
     if (!first) sb.append(", ");
     sb.append("upstream:");
@@ -416,8 +587,8 @@
     }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("ageNanos:");
-    sb.append(this.ageNanos);
+    sb.append("remainingNanos:");
+    sb.append(this.remainingNanos);
     first = false;
     sb.append(")");
     return sb.toString();
@@ -426,6 +597,9 @@
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
     // check for sub-struct validity
+    if (token != null) {
+      token.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -467,14 +641,31 @@
         }
         switch (schemeField.id) {
           case 1: // TOKEN
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.token = iprot.readI64();
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.token = new SlotToken();
+              struct.token.read(iprot);
               struct.setTokenIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // UPSTREAM
+          case 2: // REQUEST_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.requestId = iprot.readString();
+              struct.setRequestIdIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 3: // REQUEST_CLASS
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.requestClass = iprot.readString();
+              struct.setRequestClassIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 4: // UPSTREAM
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
               struct.upstream = iprot.readString();
               struct.setUpstreamIsSet(true);
@@ -482,10 +673,10 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // AGE_NANOS
+          case 5: // REMAINING_NANOS
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.ageNanos = iprot.readI64();
-              struct.setAgeNanosIsSet(true);
+              struct.remainingNanos = iprot.readI64();
+              struct.setRemainingNanosIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -506,16 +697,28 @@
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      oprot.writeFieldBegin(TOKEN_FIELD_DESC);
-      oprot.writeI64(struct.token);
-      oprot.writeFieldEnd();
+      if (struct.token != null) {
+        oprot.writeFieldBegin(TOKEN_FIELD_DESC);
+        struct.token.write(oprot);
+        oprot.writeFieldEnd();
+      }
+      if (struct.requestId != null) {
+        oprot.writeFieldBegin(REQUEST_ID_FIELD_DESC);
+        oprot.writeString(struct.requestId);
+        oprot.writeFieldEnd();
+      }
+      if (struct.requestClass != null) {
+        oprot.writeFieldBegin(REQUEST_CLASS_FIELD_DESC);
+        oprot.writeString(struct.requestClass);
+        oprot.writeFieldEnd();
+      }
       if (struct.upstream != null) {
         oprot.writeFieldBegin(UPSTREAM_FIELD_DESC);
         oprot.writeString(struct.upstream);
         oprot.writeFieldEnd();
       }
-      oprot.writeFieldBegin(AGE_NANOS_FIELD_DESC);
-      oprot.writeI64(struct.ageNanos);
+      oprot.writeFieldBegin(REMAINING_NANOS_FIELD_DESC);
+      oprot.writeI64(struct.remainingNanos);
       oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
@@ -539,39 +742,60 @@
       if (struct.isSetToken()) {
         optionals.set(0);
       }
-      if (struct.isSetUpstream()) {
+      if (struct.isSetRequestId()) {
         optionals.set(1);
       }
-      if (struct.isSetAgeNanos()) {
+      if (struct.isSetRequestClass()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetUpstream()) {
+        optionals.set(3);
+      }
+      if (struct.isSetRemainingNanos()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetToken()) {
-        oprot.writeI64(struct.token);
+        struct.token.write(oprot);
+      }
+      if (struct.isSetRequestId()) {
+        oprot.writeString(struct.requestId);
+      }
+      if (struct.isSetRequestClass()) {
+        oprot.writeString(struct.requestClass);
       }
       if (struct.isSetUpstream()) {
         oprot.writeString(struct.upstream);
       }
-      if (struct.isSetAgeNanos()) {
-        oprot.writeI64(struct.ageNanos);
+      if (struct.isSetRemainingNanos()) {
+        oprot.writeI64(struct.remainingNanos);
       }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, HeldSlot struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
-        struct.token = iprot.readI64();
+        struct.token = new SlotToken();
+        struct.token.read(iprot);
         struct.setTokenIsSet(true);
       }
       if (incoming.get(1)) {
+        struct.requestId = iprot.readString();
+        struct.setRequestIdIsSet(true);
+      }
+      if (incoming.get(2)) {
+        struct.requestClass = iprot.readString();
+        struct.setRequestClassIsSet(true);
+      }
+      if (incoming.get(3)) {
         struct.upstream = iprot.readString();
         struct.setUpstreamIsSet(true);
       }
-      if (incoming.get(2)) {
-        struct.ageNanos = iprot.readI64();
-        struct.setAgeNanosIsSet(true);
+      if (incoming.get(4)) {
+        struct.remainingNanos = iprot.readI64();
+        struct.setRemainingNanosIsSet(true);
       }
     }
   }
--- a/src/main/java/org/arbutusfield/wire/gen/HeldSlots.java
+++ b/src/main/java/org/arbutusfield/wire/gen/HeldSlots.java
@@ -10,22 +10,25 @@
 public class HeldSlots implements org.apache.thrift.TBase<HeldSlots, HeldSlots._Fields>, java.io.Serializable, Cloneable, Comparable<HeldSlots> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("HeldSlots");
 
-  private static final org.apache.thrift.protocol.TField HOST_FIELD_DESC = new org.apache.thrift.protocol.TField("host", org.apache.thrift.protocol.TType.STRING, (short)1);
-  private static final org.apache.thrift.protocol.TField HOST_INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("hostIncarnation", org.apache.thrift.protocol.TType.I64, (short)2);
-  private static final org.apache.thrift.protocol.TField HELD_FIELD_DESC = new org.apache.thrift.protocol.TField("held", org.apache.thrift.protocol.TType.LIST, (short)3);
+  private static final org.apache.thrift.protocol.TField GROUP_FIELD_DESC = new org.apache.thrift.protocol.TField("group", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField HOST_FIELD_DESC = new org.apache.thrift.protocol.TField("host", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField HOST_INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("hostIncarnation", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField HELD_FIELD_DESC = new org.apache.thrift.protocol.TField("held", org.apache.thrift.protocol.TType.LIST, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new HeldSlotsStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new HeldSlotsTupleSchemeFactory();
 
+  private @org.apache.thrift.annotation.Nullable java.lang.String group; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String host; // required
   private long hostIncarnation; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<HeldSlot> held; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    HOST((short)1, "host"),
-    HOST_INCARNATION((short)2, "hostIncarnation"),
-    HELD((short)3, "held");
+    GROUP((short)1, "group"),
+    HOST((short)2, "host"),
+    HOST_INCARNATION((short)3, "hostIncarnation"),
+    HELD((short)4, "held");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -41,11 +44,13 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // HOST
+        case 1: // GROUP
+          return GROUP;
+        case 2: // HOST
           return HOST;
-        case 2: // HOST_INCARNATION
+        case 3: // HOST_INCARNATION
           return HOST_INCARNATION;
-        case 3: // HELD
+        case 4: // HELD
           return HELD;
         default:
           return null;
@@ -95,6 +100,8 @@
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.GROUP, new org.apache.thrift.meta_data.FieldMetaData("group", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.HOST, new org.apache.thrift.meta_data.FieldMetaData("host", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.HOST_INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("hostIncarnation", org.apache.thrift.TFieldRequirementType.DEFAULT, 
@@ -110,11 +117,13 @@
   }
 
   public HeldSlots(
+    java.lang.String group,
     java.lang.String host,
     long hostIncarnation,
     java.util.List<HeldSlot> held)
   {
     this();
+    this.group = group;
     this.host = host;
     this.hostIncarnation = hostIncarnation;
     setHostIncarnationIsSet(true);
@@ -126,6 +135,9 @@
    */
   public HeldSlots(HeldSlots other) {
     __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetGroup()) {
+      this.group = other.group;
+    }
     if (other.isSetHost()) {
       this.host = other.host;
     }
@@ -146,12 +158,38 @@
 
   @Override
   public void clear() {
+    this.group = null;
     this.host = null;
     setHostIncarnationIsSet(false);
     this.hostIncarnation = 0;
     this.held = null;
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getGroup() {
+    return this.group;
+  }
+
+  public HeldSlots setGroup(@org.apache.thrift.annotation.Nullable java.lang.String group) {
+    this.group = group;
+    return this;
+  }
+
+  public void unsetGroup() {
+    this.group = null;
+  }
+
+  /** Returns true if field group is set (has been assigned a value) and false otherwise */
+  public boolean isSetGroup() {
+    return this.group != null;
+  }
+
+  public void setGroupIsSet(boolean value) {
+    if (!value) {
+      this.group = null;
+    }
+  }
+
   @org.apache.thrift.annotation.Nullable
   public java.lang.String getHost() {
     return this.host;
@@ -244,6 +282,14 @@
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
+    case GROUP:
+      if (value == null) {
+        unsetGroup();
+      } else {
+        setGroup((java.lang.String)value);
+      }
+      break;
+
     case HOST:
       if (value == null) {
         unsetHost();
@@ -275,6 +321,9 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
+    case GROUP:
+      return getGroup();
+
     case HOST:
       return getHost();
 
@@ -296,6 +345,8 @@
     }
 
     switch (field) {
+    case GROUP:
+      return isSetGroup();
     case HOST:
       return isSetHost();
     case HOST_INCARNATION:
@@ -319,6 +370,15 @@
     if (this == that)
       return true;
 
+    boolean this_present_group = true && this.isSetGroup();
+    boolean that_present_group = true && that.isSetGroup();
+    if (this_present_group || that_present_group) {
+      if (!(this_present_group && that_present_group))
+        return false;
+      if (!this.group.equals(that.group))
+        return false;
+    }
+
     boolean this_present_host = true && this.isSetHost();
     boolean that_present_host = true && that.isSetHost();
     if (this_present_host || that_present_host) {
@@ -353,6 +413,10 @@
   public int hashCode() {
     int hashCode = 1;
 
+    hashCode = hashCode * 8191 + ((isSetGroup()) ? 131071 : 524287);
+    if (isSetGroup())
+      hashCode = hashCode * 8191 + group.hashCode();
+
     hashCode = hashCode * 8191 + ((isSetHost()) ? 131071 : 524287);
     if (isSetHost())
       hashCode = hashCode * 8191 + host.hashCode();
@@ -374,6 +438,16 @@
 
     int lastComparison = 0;
 
+    lastComparison = java.lang.Boolean.compare(isSetGroup(), other.isSetGroup());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetGroup()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.group, other.group);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     lastComparison = java.lang.Boolean.compare(isSetHost(), other.isSetHost());
     if (lastComparison != 0) {
       return lastComparison;
@@ -428,6 +502,14 @@
     java.lang.StringBuilder sb = new java.lang.StringBuilder("HeldSlots(");
     boolean first = true;
 
+    sb.append("group:");
+    if (this.group == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.group);
+    }
+    first = false;
+    if (!first) sb.append(", ");
     sb.append("host:");
     if (this.host == null) {
       sb.append("null");
@@ -494,7 +576,15 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // HOST
+          case 1: // GROUP
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.group = iprot.readString();
+              struct.setGroupIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 2: // HOST
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
               struct.host = iprot.readString();
               struct.setHostIsSet(true);
@@ -502,7 +592,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // HOST_INCARNATION
+          case 3: // HOST_INCARNATION
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
               struct.hostIncarnation = iprot.readI64();
               struct.setHostIncarnationIsSet(true);
@@ -510,7 +600,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // HELD
+          case 4: // HELD
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
                 org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
@@ -545,6 +635,11 @@
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.group != null) {
+        oprot.writeFieldBegin(GROUP_FIELD_DESC);
+        oprot.writeString(struct.group);
+        oprot.writeFieldEnd();
+      }
       if (struct.host != null) {
         oprot.writeFieldBegin(HOST_FIELD_DESC);
         oprot.writeString(struct.host);
@@ -584,16 +679,22 @@
     public void write(org.apache.thrift.protocol.TProtocol prot, HeldSlots struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet optionals = new java.util.BitSet();
-      if (struct.isSetHost()) {
+      if (struct.isSetGroup()) {
         optionals.set(0);
       }
-      if (struct.isSetHostIncarnation()) {
+      if (struct.isSetHost()) {
         optionals.set(1);
       }
-      if (struct.isSetHeld()) {
+      if (struct.isSetHostIncarnation()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetHeld()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetGroup()) {
+        oprot.writeString(struct.group);
+      }
       if (struct.isSetHost()) {
         oprot.writeString(struct.host);
       }
@@ -614,16 +715,20 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, HeldSlots struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
+        struct.group = iprot.readString();
+        struct.setGroupIsSet(true);
+      }
+      if (incoming.get(1)) {
         struct.host = iprot.readString();
         struct.setHostIsSet(true);
       }
-      if (incoming.get(1)) {
+      if (incoming.get(2)) {
         struct.hostIncarnation = iprot.readI64();
         struct.setHostIncarnationIsSet(true);
       }
-      if (incoming.get(2)) {
+      if (incoming.get(3)) {
         {
           org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
           struct.held = new java.util.ArrayList<HeldSlot>(_list29.size);
--- a/src/main/java/org/arbutusfield/wire/gen/SlotCancel.java
+++ b/src/main/java/org/arbutusfield/wire/gen/SlotCancel.java
@@ -10,16 +10,22 @@
 public class SlotCancel implements org.apache.thrift.TBase<SlotCancel, SlotCancel._Fields>, java.io.Serializable, Cloneable, Comparable<SlotCancel> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("SlotCancel");
 
-  private static final org.apache.thrift.protocol.TField REQUEST_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("requestId", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField GROUP_FIELD_DESC = new org.apache.thrift.protocol.TField("group", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField HOST_FIELD_DESC = new org.apache.thrift.protocol.TField("host", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField REQUEST_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("requestId", org.apache.thrift.protocol.TType.STRING, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new SlotCancelStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new SlotCancelTupleSchemeFactory();
 
-  private long requestId; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String group; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String host; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String requestId; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    REQUEST_ID((short)1, "requestId");
+    GROUP((short)1, "group"),
+    HOST((short)2, "host"),
+    REQUEST_ID((short)3, "requestId");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -35,7 +41,11 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // REQUEST_ID
+        case 1: // GROUP
+          return GROUP;
+        case 2: // HOST
+          return HOST;
+        case 3: // REQUEST_ID
           return REQUEST_ID;
         default:
           return null;
@@ -80,13 +90,15 @@
   }
 
   // isset id assignments
-  private static final int __REQUESTID_ISSET_ID = 0;
-  private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.GROUP, new org.apache.thrift.meta_data.FieldMetaData("group", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.HOST, new org.apache.thrift.meta_data.FieldMetaData("host", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.REQUEST_ID, new org.apache.thrift.meta_data.FieldMetaData("requestId", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(SlotCancel.class, metaDataMap);
   }
@@ -95,19 +107,29 @@
   }
 
   public SlotCancel(
-    long requestId)
+    java.lang.String group,
+    java.lang.String host,
+    java.lang.String requestId)
   {
     this();
+    this.group = group;
+    this.host = host;
     this.requestId = requestId;
-    setRequestIdIsSet(true);
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
   public SlotCancel(SlotCancel other) {
-    __isset_bitfield = other.__isset_bitfield;
-    this.requestId = other.requestId;
+    if (other.isSetGroup()) {
+      this.group = other.group;
+    }
+    if (other.isSetHost()) {
+      this.host = other.host;
+    }
+    if (other.isSetRequestId()) {
+      this.requestId = other.requestId;
+    }
   }
 
   @Override
@@ -117,41 +139,110 @@
 
   @Override
   public void clear() {
-    setRequestIdIsSet(false);
-    this.requestId = 0;
+    this.group = null;
+    this.host = null;
+    this.requestId = null;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getGroup() {
+    return this.group;
+  }
+
+  public SlotCancel setGroup(@org.apache.thrift.annotation.Nullable java.lang.String group) {
+    this.group = group;
+    return this;
+  }
+
+  public void unsetGroup() {
+    this.group = null;
+  }
+
+  /** Returns true if field group is set (has been assigned a value) and false otherwise */
+  public boolean isSetGroup() {
+    return this.group != null;
+  }
+
+  public void setGroupIsSet(boolean value) {
+    if (!value) {
+      this.group = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getHost() {
+    return this.host;
+  }
+
+  public SlotCancel setHost(@org.apache.thrift.annotation.Nullable java.lang.String host) {
+    this.host = host;
+    return this;
+  }
+
+  public void unsetHost() {
+    this.host = null;
+  }
+
+  /** Returns true if field host is set (has been assigned a value) and false otherwise */
+  public boolean isSetHost() {
+    return this.host != null;
+  }
+
+  public void setHostIsSet(boolean value) {
+    if (!value) {
+      this.host = null;
+    }
   }
 
-  public long getRequestId() {
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getRequestId() {
     return this.requestId;
   }
 
-  public SlotCancel setRequestId(long requestId) {
+  public SlotCancel setRequestId(@org.apache.thrift.annotation.Nullable java.lang.String requestId) {
     this.requestId = requestId;
-    setRequestIdIsSet(true);
     return this;
   }
 
   public void unsetRequestId() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REQUESTID_ISSET_ID);
+    this.requestId = null;
   }
 
   /** Returns true if field requestId is set (has been assigned a value) and false otherwise */
   public boolean isSetRequestId() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REQUESTID_ISSET_ID);
+    return this.requestId != null;
   }
 
   public void setRequestIdIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REQUESTID_ISSET_ID, value);
+    if (!value) {
+      this.requestId = null;
+    }
   }
 
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
+    case GROUP:
+      if (value == null) {
+        unsetGroup();
+      } else {
+        setGroup((java.lang.String)value);
+      }
+      break;
+
+    case HOST:
+      if (value == null) {
+        unsetHost();
+      } else {
+        setHost((java.lang.String)value);
+      }
+      break;
+
     case REQUEST_ID:
       if (value == null) {
         unsetRequestId();
       } else {
-        setRequestId((java.lang.Long)value);
+        setRequestId((java.lang.String)value);
       }
       break;
 
@@ -162,6 +253,12 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
+    case GROUP:
+      return getGroup();
+
+    case HOST:
+      return getHost();
+
     case REQUEST_ID:
       return getRequestId();
 
@@ -177,6 +274,10 @@
     }
 
     switch (field) {
+    case GROUP:
+      return isSetGroup();
+    case HOST:
+      return isSetHost();
     case REQUEST_ID:
       return isSetRequestId();
     }
@@ -196,12 +297,30 @@
     if (this == that)
       return true;
 
-    boolean this_present_requestId = true;
-    boolean that_present_requestId = true;
+    boolean this_present_group = true && this.isSetGroup();
+    boolean that_present_group = true && that.isSetGroup();
+    if (this_present_group || that_present_group) {
+      if (!(this_present_group && that_present_group))
+        return false;
+      if (!this.group.equals(that.group))
+        return false;
+    }
+
+    boolean this_present_host = true && this.isSetHost();
+    boolean that_present_host = true && that.isSetHost();
+    if (this_present_host || that_present_host) {
+      if (!(this_present_host && that_present_host))
+        return false;
+      if (!this.host.equals(that.host))
+        return false;
+    }
+
+    boolean this_present_requestId = true && this.isSetRequestId();
+    boolean that_present_requestId = true && that.isSetRequestId();
     if (this_present_requestId || that_present_requestId) {
       if (!(this_present_requestId && that_present_requestId))
         return false;
-      if (this.requestId != that.requestId)
+      if (!this.requestId.equals(that.requestId))
         return false;
     }
 
@@ -212,7 +331,17 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(requestId);
+    hashCode = hashCode * 8191 + ((isSetGroup()) ? 131071 : 524287);
+    if (isSetGroup())
+      hashCode = hashCode * 8191 + group.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetHost()) ? 131071 : 524287);
+    if (isSetHost())
+      hashCode = hashCode * 8191 + host.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetRequestId()) ? 131071 : 524287);
+    if (isSetRequestId())
+      hashCode = hashCode * 8191 + requestId.hashCode();
 
     return hashCode;
   }
@@ -225,6 +354,26 @@
 
     int lastComparison = 0;
 
+    lastComparison = java.lang.Boolean.compare(isSetGroup(), other.isSetGroup());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetGroup()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.group, other.group);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetHost(), other.isSetHost());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetHost()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.host, other.host);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     lastComparison = java.lang.Boolean.compare(isSetRequestId(), other.isSetRequestId());
     if (lastComparison != 0) {
       return lastComparison;
@@ -259,8 +408,28 @@
     java.lang.StringBuilder sb = new java.lang.StringBuilder("SlotCancel(");
     boolean first = true;
 
+    sb.append("group:");
+    if (this.group == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.group);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("host:");
+    if (this.host == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.host);
+    }
+    first = false;
+    if (!first) sb.append(", ");
     sb.append("requestId:");
-    sb.append(this.requestId);
+    if (this.requestId == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.requestId);
+    }
     first = false;
     sb.append(")");
     return sb.toString();
@@ -281,8 +450,6 @@
 
   private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
     try {
-      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
-      __isset_bitfield = 0;
       read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
     } catch (org.apache.thrift.TException te) {
       throw new java.io.IOException(te);
@@ -309,9 +476,25 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // REQUEST_ID
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.requestId = iprot.readI64();
+          case 1: // GROUP
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.group = iprot.readString();
+              struct.setGroupIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 2: // HOST
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.host = iprot.readString();
+              struct.setHostIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 3: // REQUEST_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.requestId = iprot.readString();
               struct.setRequestIdIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
@@ -333,9 +516,21 @@
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      oprot.writeFieldBegin(REQUEST_ID_FIELD_DESC);
-      oprot.writeI64(struct.requestId);
-      oprot.writeFieldEnd();
+      if (struct.group != null) {
+        oprot.writeFieldBegin(GROUP_FIELD_DESC);
+        oprot.writeString(struct.group);
+        oprot.writeFieldEnd();
+      }
+      if (struct.host != null) {
+        oprot.writeFieldBegin(HOST_FIELD_DESC);
+        oprot.writeString(struct.host);
+        oprot.writeFieldEnd();
+      }
+      if (struct.requestId != null) {
+        oprot.writeFieldBegin(REQUEST_ID_FIELD_DESC);
+        oprot.writeString(struct.requestId);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -355,21 +550,41 @@
     public void write(org.apache.thrift.protocol.TProtocol prot, SlotCancel struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet optionals = new java.util.BitSet();
-      if (struct.isSetRequestId()) {
+      if (struct.isSetGroup()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetHost()) {
+        optionals.set(1);
+      }
       if (struct.isSetRequestId()) {
-        oprot.writeI64(struct.requestId);
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetGroup()) {
+        oprot.writeString(struct.group);
+      }
+      if (struct.isSetHost()) {
+        oprot.writeString(struct.host);
+      }
+      if (struct.isSetRequestId()) {
+        oprot.writeString(struct.requestId);
       }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, SlotCancel struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
-        struct.requestId = iprot.readI64();
+        struct.group = iprot.readString();
+        struct.setGroupIsSet(true);
+      }
+      if (incoming.get(1)) {
+        struct.host = iprot.readString();
+        struct.setHostIsSet(true);
+      }
+      if (incoming.get(2)) {
+        struct.requestId = iprot.readString();
         struct.setRequestIdIsSet(true);
       }
     }
--- a/src/main/java/org/arbutusfield/wire/gen/SlotGrant.java
+++ b/src/main/java/org/arbutusfield/wire/gen/SlotGrant.java
@@ -10,25 +10,28 @@
 public class SlotGrant implements org.apache.thrift.TBase<SlotGrant, SlotGrant._Fields>, java.io.Serializable, Cloneable, Comparable<SlotGrant> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("SlotGrant");
 
-  private static final org.apache.thrift.protocol.TField REQUEST_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("requestId", org.apache.thrift.protocol.TType.I64, (short)1);
-  private static final org.apache.thrift.protocol.TField UPSTREAM_FIELD_DESC = new org.apache.thrift.protocol.TField("upstream", org.apache.thrift.protocol.TType.STRING, (short)2);
-  private static final org.apache.thrift.protocol.TField TOKEN_FIELD_DESC = new org.apache.thrift.protocol.TField("token", org.apache.thrift.protocol.TType.I64, (short)3);
-  private static final org.apache.thrift.protocol.TField EXPIRES_IN_NANOS_FIELD_DESC = new org.apache.thrift.protocol.TField("expiresInNanos", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField GROUP_FIELD_DESC = new org.apache.thrift.protocol.TField("group", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField REQUEST_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("requestId", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField UPSTREAM_FIELD_DESC = new org.apache.thrift.protocol.TField("upstream", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField TOKEN_FIELD_DESC = new org.apache.thrift.protocol.TField("token", org.apache.thrift.protocol.TType.STRUCT, (short)4);
+  private static final org.apache.thrift.protocol.TField VALID_NANOS_FIELD_DESC = new org.apache.thrift.protocol.TField("validNanos", org.apache.thrift.protocol.TType.I64, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new SlotGrantStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new SlotGrantTupleSchemeFactory();
 
-  private long requestId; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String group; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String requestId; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String upstream; // required
-  private long token; // required
-  private long expiresInNanos; // required
+  private @org.apache.thrift.annotation.Nullable SlotToken token; // required
+  private long validNanos; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    REQUEST_ID((short)1, "requestId"),
-    UPSTREAM((short)2, "upstream"),
-    TOKEN((short)3, "token"),
-    EXPIRES_IN_NANOS((short)4, "expiresInNanos");
+    GROUP((short)1, "group"),
+    REQUEST_ID((short)2, "requestId"),
+    UPSTREAM((short)3, "upstream"),
+    TOKEN((short)4, "token"),
+    VALID_NANOS((short)5, "validNanos");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -44,14 +47,16 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // REQUEST_ID
+        case 1: // GROUP
+          return GROUP;
+        case 2: // REQUEST_ID
           return REQUEST_ID;
-        case 2: // UPSTREAM
+        case 3: // UPSTREAM
           return UPSTREAM;
-        case 3: // TOKEN
+        case 4: // TOKEN
           return TOKEN;
-        case 4: // EXPIRES_IN_NANOS
-          return EXPIRES_IN_NANOS;
+        case 5: // VALID_NANOS
+          return VALID_NANOS;
         default:
           return null;
       }
@@ -95,20 +100,20 @@
   }
 
   // isset id assignments
-  private static final int __REQUESTID_ISSET_ID = 0;
-  private static final int __TOKEN_ISSET_ID = 1;
-  private static final int __EXPIRESINNANOS_ISSET_ID = 2;
+  private static final int __VALIDNANOS_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.GROUP, new org.apache.thrift.meta_data.FieldMetaData("group", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.REQUEST_ID, new org.apache.thrift.meta_data.FieldMetaData("requestId", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.UPSTREAM, new org.apache.thrift.meta_data.FieldMetaData("upstream", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.TOKEN, new org.apache.thrift.meta_data.FieldMetaData("token", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.EXPIRES_IN_NANOS, new org.apache.thrift.meta_data.FieldMetaData("expiresInNanos", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SlotToken.class)));
+    tmpMap.put(_Fields.VALID_NANOS, new org.apache.thrift.meta_data.FieldMetaData("validNanos", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(SlotGrant.class, metaDataMap);
@@ -118,19 +123,19 @@
   }
 
   public SlotGrant(
-    long requestId,
+    java.lang.String group,
+    java.lang.String requestId,
     java.lang.String upstream,
-    long token,
-    long expiresInNanos)
+    SlotToken token,
+    long validNanos)
   {
     this();
+    this.group = group;
     this.requestId = requestId;
-    setRequestIdIsSet(true);
     this.upstream = upstream;
     this.token = token;
-    setTokenIsSet(true);
-    this.expiresInNanos = expiresInNanos;
-    setExpiresInNanosIsSet(true);
+    this.validNanos = validNanos;
+    setValidNanosIsSet(true);
   }
 
   /**
@@ -138,12 +143,19 @@
    */
   public SlotGrant(SlotGrant other) {
     __isset_bitfield = other.__isset_bitfield;
-    this.requestId = other.requestId;
+    if (other.isSetGroup()) {
+      this.group = other.group;
+    }
+    if (other.isSetRequestId()) {
+      this.requestId = other.requestId;
+    }
     if (other.isSetUpstream()) {
       this.upstream = other.upstream;
     }
-    this.token = other.token;
-    this.expiresInNanos = other.expiresInNanos;
+    if (other.isSetToken()) {
+      this.token = new SlotToken(other.token);
+    }
+    this.validNanos = other.validNanos;
   }
 
   @Override
@@ -153,36 +165,62 @@
 
   @Override
   public void clear() {
-    setRequestIdIsSet(false);
-    this.requestId = 0;
+    this.group = null;
+    this.requestId = null;
     this.upstream = null;
-    setTokenIsSet(false);
-    this.token = 0;
-    setExpiresInNanosIsSet(false);
-    this.expiresInNanos = 0;
+    this.token = null;
+    setValidNanosIsSet(false);
+    this.validNanos = 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getGroup() {
+    return this.group;
+  }
+
+  public SlotGrant setGroup(@org.apache.thrift.annotation.Nullable java.lang.String group) {
+    this.group = group;
+    return this;
+  }
+
+  public void unsetGroup() {
+    this.group = null;
+  }
+
+  /** Returns true if field group is set (has been assigned a value) and false otherwise */
+  public boolean isSetGroup() {
+    return this.group != null;
   }
 
-  public long getRequestId() {
+  public void setGroupIsSet(boolean value) {
+    if (!value) {
+      this.group = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getRequestId() {
     return this.requestId;
   }
 
-  public SlotGrant setRequestId(long requestId) {
+  public SlotGrant setRequestId(@org.apache.thrift.annotation.Nullable java.lang.String requestId) {
     this.requestId = requestId;
-    setRequestIdIsSet(true);
     return this;
   }
 
   public void unsetRequestId() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REQUESTID_ISSET_ID);
+    this.requestId = null;
   }
 
   /** Returns true if field requestId is set (has been assigned a value) and false otherwise */
   public boolean isSetRequestId() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REQUESTID_ISSET_ID);
+    return this.requestId != null;
   }
 
   public void setRequestIdIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REQUESTID_ISSET_ID, value);
+    if (!value) {
+      this.requestId = null;
+    }
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -210,60 +248,70 @@
     }
   }
 
-  public long getToken() {
+  @org.apache.thrift.annotation.Nullable
+  public SlotToken getToken() {
     return this.token;
   }
 
-  public SlotGrant setToken(long token) {
+  public SlotGrant setToken(@org.apache.thrift.annotation.Nullable SlotToken token) {
     this.token = token;
-    setTokenIsSet(true);
     return this;
   }
 
   public void unsetToken() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TOKEN_ISSET_ID);
+    this.token = null;
   }
 
   /** Returns true if field token is set (has been assigned a value) and false otherwise */
   public boolean isSetToken() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TOKEN_ISSET_ID);
+    return this.token != null;
   }
 
   public void setTokenIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOKEN_ISSET_ID, value);
+    if (!value) {
+      this.token = null;
+    }
   }
 
-  public long getExpiresInNanos() {
-    return this.expiresInNanos;
+  public long getValidNanos() {
+    return this.validNanos;
   }
 
-  public SlotGrant setExpiresInNanos(long expiresInNanos) {
-    this.expiresInNanos = expiresInNanos;
-    setExpiresInNanosIsSet(true);
+  public SlotGrant setValidNanos(long validNanos) {
+    this.validNanos = validNanos;
+    setValidNanosIsSet(true);
     return this;
   }
 
-  public void unsetExpiresInNanos() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EXPIRESINNANOS_ISSET_ID);
+  public void unsetValidNanos() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VALIDNANOS_ISSET_ID);
   }
 
-  /** Returns true if field expiresInNanos is set (has been assigned a value) and false otherwise */
-  public boolean isSetExpiresInNanos() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EXPIRESINNANOS_ISSET_ID);
+  /** Returns true if field validNanos is set (has been assigned a value) and false otherwise */
+  public boolean isSetValidNanos() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VALIDNANOS_ISSET_ID);
   }
 
-  public void setExpiresInNanosIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EXPIRESINNANOS_ISSET_ID, value);
+  public void setValidNanosIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VALIDNANOS_ISSET_ID, value);
   }
 
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
+    case GROUP:
+      if (value == null) {
+        unsetGroup();
+      } else {
+        setGroup((java.lang.String)value);
+      }
+      break;
+
     case REQUEST_ID:
       if (value == null) {
         unsetRequestId();
       } else {
-        setRequestId((java.lang.Long)value);
+        setRequestId((java.lang.String)value);
       }
       break;
 
@@ -279,15 +327,15 @@
       if (value == null) {
         unsetToken();
       } else {
-        setToken((java.lang.Long)value);
+        setToken((SlotToken)value);
       }
       break;
 
-    case EXPIRES_IN_NANOS:
+    case VALID_NANOS:
       if (value == null) {
-        unsetExpiresInNanos();
+        unsetValidNanos();
       } else {
-        setExpiresInNanos((java.lang.Long)value);
+        setValidNanos((java.lang.Long)value);
       }
       break;
 
@@ -298,6 +346,9 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
+    case GROUP:
+      return getGroup();
+
     case REQUEST_ID:
       return getRequestId();
 
@@ -307,8 +358,8 @@
     case TOKEN:
       return getToken();
 
-    case EXPIRES_IN_NANOS:
-      return getExpiresInNanos();
+    case VALID_NANOS:
+      return getValidNanos();
 
     }
     throw new java.lang.IllegalStateException();
@@ -322,14 +373,16 @@
     }
 
     switch (field) {
+    case GROUP:
+      return isSetGroup();
     case REQUEST_ID:
       return isSetRequestId();
     case UPSTREAM:
       return isSetUpstream();
     case TOKEN:
       return isSetToken();
-    case EXPIRES_IN_NANOS:
-      return isSetExpiresInNanos();
+    case VALID_NANOS:
+      return isSetValidNanos();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -347,12 +400,21 @@
     if (this == that)
       return true;
 
-    boolean this_present_requestId = true;
-    boolean that_present_requestId = true;
+    boolean this_present_group = true && this.isSetGroup();
+    boolean that_present_group = true && that.isSetGroup();
+    if (this_present_group || that_present_group) {
+      if (!(this_present_group && that_present_group))
+        return false;
+      if (!this.group.equals(that.group))
+        return false;
+    }
+
+    boolean this_present_requestId = true && this.isSetRequestId();
+    boolean that_present_requestId = true && that.isSetRequestId();
     if (this_present_requestId || that_present_requestId) {
       if (!(this_present_requestId && that_present_requestId))
         return false;
-      if (this.requestId != that.requestId)
+      if (!this.requestId.equals(that.requestId))
         return false;
     }
 
@@ -365,21 +427,21 @@
         return false;
     }
 
-    boolean this_present_token = true;
-    boolean that_present_token = true;
+    boolean this_present_token = true && this.isSetToken();
+    boolean that_present_token = true && that.isSetToken();
     if (this_present_token || that_present_token) {
       if (!(this_present_token && that_present_token))
         return false;
-      if (this.token != that.token)
+      if (!this.token.equals(that.token))
         return false;
     }
 
-    boolean this_present_expiresInNanos = true;
-    boolean that_present_expiresInNanos = true;
-    if (this_present_expiresInNanos || that_present_expiresInNanos) {
-      if (!(this_present_expiresInNanos && that_present_expiresInNanos))
+    boolean this_present_validNanos = true;
+    boolean that_present_validNanos = true;
+    if (this_present_validNanos || that_present_validNanos) {
+      if (!(this_present_validNanos && that_present_validNanos))
         return false;
-      if (this.expiresInNanos != that.expiresInNanos)
+      if (this.validNanos != that.validNanos)
         return false;
     }
 
@@ -390,15 +452,23 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(requestId);
+    hashCode = hashCode * 8191 + ((isSetGroup()) ? 131071 : 524287);
+    if (isSetGroup())
+      hashCode = hashCode * 8191 + group.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetRequestId()) ? 131071 : 524287);
+    if (isSetRequestId())
+      hashCode = hashCode * 8191 + requestId.hashCode();
 
     hashCode = hashCode * 8191 + ((isSetUpstream()) ? 131071 : 524287);
     if (isSetUpstream())
       hashCode = hashCode * 8191 + upstream.hashCode();
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(token);
+    hashCode = hashCode * 8191 + ((isSetToken()) ? 131071 : 524287);
+    if (isSetToken())
+      hashCode = hashCode * 8191 + token.hashCode();
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(expiresInNanos);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(validNanos);
 
     return hashCode;
   }
@@ -411,6 +481,16 @@
 
     int lastComparison = 0;
 
+    lastComparison = java.lang.Boolean.compare(isSetGroup(), other.isSetGroup());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetGroup()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.group, other.group);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     lastComparison = java.lang.Boolean.compare(isSetRequestId(), other.isSetRequestId());
     if (lastComparison != 0) {
       return lastComparison;
@@ -441,12 +521,12 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetExpiresInNanos(), other.isSetExpiresInNanos());
+    lastComparison = java.lang.Boolean.compare(isSetValidNanos(), other.isSetValidNanos());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetExpiresInNanos()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.expiresInNanos, other.expiresInNanos);
+    if (isSetValidNanos()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.validNanos, other.validNanos);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -475,8 +555,20 @@
     java.lang.StringBuilder sb = new java.lang.StringBuilder("SlotGrant(");
     boolean first = true;
 
+    sb.append("group:");
+    if (this.group == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.group);
+    }
+    first = false;
+    if (!first) sb.append(", ");
     sb.append("requestId:");
-    sb.append(this.requestId);
+    if (this.requestId == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.requestId);
+    }
     first = false;
     if (!first) sb.append(", ");
     sb.append("upstream:");
@@ -488,11 +580,15 @@
     first = false;
     if (!first) sb.append(", ");
     sb.append("token:");
-    sb.append(this.token);
+    if (this.token == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.token);
+    }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("expiresInNanos:");
-    sb.append(this.expiresInNanos);
+    sb.append("validNanos:");
+    sb.append(this.validNanos);
     first = false;
     sb.append(")");
     return sb.toString();
@@ -501,6 +597,9 @@
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
     // check for sub-struct validity
+    if (token != null) {
+      token.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -541,15 +640,23 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // REQUEST_ID
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.requestId = iprot.readI64();
+          case 1: // GROUP
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.group = iprot.readString();
+              struct.setGroupIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 2: // REQUEST_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.requestId = iprot.readString();
               struct.setRequestIdIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // UPSTREAM
+          case 3: // UPSTREAM
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
               struct.upstream = iprot.readString();
               struct.setUpstreamIsSet(true);
@@ -557,18 +664,19 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // TOKEN
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.token = iprot.readI64();
+          case 4: // TOKEN
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.token = new SlotToken();
+              struct.token.read(iprot);
               struct.setTokenIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 4: // EXPIRES_IN_NANOS
+          case 5: // VALID_NANOS
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.expiresInNanos = iprot.readI64();
-              struct.setExpiresInNanosIsSet(true);
+              struct.validNanos = iprot.readI64();
+              struct.setValidNanosIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -589,19 +697,28 @@
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      oprot.writeFieldBegin(REQUEST_ID_FIELD_DESC);
-      oprot.writeI64(struct.requestId);
-      oprot.writeFieldEnd();
+      if (struct.group != null) {
+        oprot.writeFieldBegin(GROUP_FIELD_DESC);
+        oprot.writeString(struct.group);
+        oprot.writeFieldEnd();
+      }
+      if (struct.requestId != null) {
+        oprot.writeFieldBegin(REQUEST_ID_FIELD_DESC);
+        oprot.writeString(struct.requestId);
+        oprot.writeFieldEnd();
+      }
       if (struct.upstream != null) {
         oprot.writeFieldBegin(UPSTREAM_FIELD_DESC);
         oprot.writeString(struct.upstream);
         oprot.writeFieldEnd();
       }
-      oprot.writeFieldBegin(TOKEN_FIELD_DESC);
-      oprot.writeI64(struct.token);
-      oprot.writeFieldEnd();
-      oprot.writeFieldBegin(EXPIRES_IN_NANOS_FIELD_DESC);
-      oprot.writeI64(struct.expiresInNanos);
+      if (struct.token != null) {
+        oprot.writeFieldBegin(TOKEN_FIELD_DESC);
+        struct.token.write(oprot);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(VALID_NANOS_FIELD_DESC);
+      oprot.writeI64(struct.validNanos);
       oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
@@ -622,52 +739,63 @@
     public void write(org.apache.thrift.protocol.TProtocol prot, SlotGrant struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet optionals = new java.util.BitSet();
-      if (struct.isSetRequestId()) {
+      if (struct.isSetGroup()) {
         optionals.set(0);
       }
-      if (struct.isSetUpstream()) {
+      if (struct.isSetRequestId()) {
         optionals.set(1);
       }
-      if (struct.isSetToken()) {
+      if (struct.isSetUpstream()) {
         optionals.set(2);
       }
-      if (struct.isSetExpiresInNanos()) {
+      if (struct.isSetToken()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetValidNanos()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetGroup()) {
+        oprot.writeString(struct.group);
+      }
       if (struct.isSetRequestId()) {
-        oprot.writeI64(struct.requestId);
+        oprot.writeString(struct.requestId);
       }
       if (struct.isSetUpstream()) {
         oprot.writeString(struct.upstream);
       }
       if (struct.isSetToken()) {
-        oprot.writeI64(struct.token);
+        struct.token.write(oprot);
       }
-      if (struct.isSetExpiresInNanos()) {
-        oprot.writeI64(struct.expiresInNanos);
+      if (struct.isSetValidNanos()) {
+        oprot.writeI64(struct.validNanos);
       }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, SlotGrant struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
-        struct.requestId = iprot.readI64();
-        struct.setRequestIdIsSet(true);
+        struct.group = iprot.readString();
+        struct.setGroupIsSet(true);
       }
       if (incoming.get(1)) {
+        struct.requestId = iprot.readString();
+        struct.setRequestIdIsSet(true);
+      }
+      if (incoming.get(2)) {
         struct.upstream = iprot.readString();
         struct.setUpstreamIsSet(true);
       }
-      if (incoming.get(2)) {
-        struct.token = iprot.readI64();
+      if (incoming.get(3)) {
+        struct.token = new SlotToken();
+        struct.token.read(iprot);
         struct.setTokenIsSet(true);
       }
-      if (incoming.get(3)) {
-        struct.expiresInNanos = iprot.readI64();
-        struct.setExpiresInNanosIsSet(true);
+      if (incoming.get(4)) {
+        struct.validNanos = iprot.readI64();
+        struct.setValidNanosIsSet(true);
       }
     }
   }
--- a/src/main/java/org/arbutusfield/wire/gen/SlotRefusal.java
+++ b/src/main/java/org/arbutusfield/wire/gen/SlotRefusal.java
@@ -10,25 +10,31 @@
 public class SlotRefusal implements org.apache.thrift.TBase<SlotRefusal, SlotRefusal._Fields>, java.io.Serializable, Cloneable, Comparable<SlotRefusal> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("SlotRefusal");
 
-  private static final org.apache.thrift.protocol.TField REQUEST_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("requestId", org.apache.thrift.protocol.TType.I64, (short)1);
-  private static final org.apache.thrift.protocol.TField CODE_FIELD_DESC = new org.apache.thrift.protocol.TField("code", org.apache.thrift.protocol.TType.STRING, (short)2);
-  private static final org.apache.thrift.protocol.TField DETAIL_FIELD_DESC = new org.apache.thrift.protocol.TField("detail", org.apache.thrift.protocol.TType.STRING, (short)3);
-  private static final org.apache.thrift.protocol.TField RETRY_AFTER_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("retryAfterMillis", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField GROUP_FIELD_DESC = new org.apache.thrift.protocol.TField("group", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField REQUEST_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("requestId", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField CODE_FIELD_DESC = new org.apache.thrift.protocol.TField("code", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField SUBJECT_FIELD_DESC = new org.apache.thrift.protocol.TField("subject", org.apache.thrift.protocol.TType.STRING, (short)4);
+  private static final org.apache.thrift.protocol.TField DETAIL_FIELD_DESC = new org.apache.thrift.protocol.TField("detail", org.apache.thrift.protocol.TType.STRING, (short)5);
+  private static final org.apache.thrift.protocol.TField RETRY_AFTER_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("retryAfterMillis", org.apache.thrift.protocol.TType.I64, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new SlotRefusalStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new SlotRefusalTupleSchemeFactory();
 
-  private long requestId; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String group; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String requestId; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String code; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String subject; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String detail; // required
   private long retryAfterMillis; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    REQUEST_ID((short)1, "requestId"),
-    CODE((short)2, "code"),
-    DETAIL((short)3, "detail"),
-    RETRY_AFTER_MILLIS((short)4, "retryAfterMillis");
+    GROUP((short)1, "group"),
+    REQUEST_ID((short)2, "requestId"),
+    CODE((short)3, "code"),
+    SUBJECT((short)4, "subject"),
+    DETAIL((short)5, "detail"),
+    RETRY_AFTER_MILLIS((short)6, "retryAfterMillis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -44,13 +50,17 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // REQUEST_ID
+        case 1: // GROUP
+          return GROUP;
+        case 2: // REQUEST_ID
           return REQUEST_ID;
-        case 2: // CODE
+        case 3: // CODE
           return CODE;
-        case 3: // DETAIL
+        case 4: // SUBJECT
+          return SUBJECT;
+        case 5: // DETAIL
           return DETAIL;
-        case 4: // RETRY_AFTER_MILLIS
+        case 6: // RETRY_AFTER_MILLIS
           return RETRY_AFTER_MILLIS;
         default:
           return null;
@@ -95,16 +105,19 @@
   }
 
   // isset id assignments
-  private static final int __REQUESTID_ISSET_ID = 0;
-  private static final int __RETRYAFTERMILLIS_ISSET_ID = 1;
+  private static final int __RETRYAFTERMILLIS_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.GROUP, new org.apache.thrift.meta_data.FieldMetaData("group", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.REQUEST_ID, new org.apache.thrift.meta_data.FieldMetaData("requestId", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.CODE, new org.apache.thrift.meta_data.FieldMetaData("code", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.SUBJECT, new org.apache.thrift.meta_data.FieldMetaData("subject", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.DETAIL, new org.apache.thrift.meta_data.FieldMetaData("detail", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.RETRY_AFTER_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("retryAfterMillis", org.apache.thrift.TFieldRequirementType.DEFAULT, 
@@ -117,15 +130,18 @@
   }
 
   public SlotRefusal(
-    long requestId,
+    java.lang.String group,
+    java.lang.String requestId,
     java.lang.String code,
+    java.lang.String subject,
     java.lang.String detail,
     long retryAfterMillis)
   {
     this();
+    this.group = group;
     this.requestId = requestId;
-    setRequestIdIsSet(true);
     this.code = code;
+    this.subject = subject;
     this.detail = detail;
     this.retryAfterMillis = retryAfterMillis;
     setRetryAfterMillisIsSet(true);
@@ -136,10 +152,18 @@
    */
   public SlotRefusal(SlotRefusal other) {
     __isset_bitfield = other.__isset_bitfield;
-    this.requestId = other.requestId;
+    if (other.isSetGroup()) {
+      this.group = other.group;
+    }
+    if (other.isSetRequestId()) {
+      this.requestId = other.requestId;
+    }
     if (other.isSetCode()) {
       this.code = other.code;
     }
+    if (other.isSetSubject()) {
+      this.subject = other.subject;
+    }
     if (other.isSetDetail()) {
       this.detail = other.detail;
     }
@@ -153,35 +177,63 @@
 
   @Override
   public void clear() {
-    setRequestIdIsSet(false);
-    this.requestId = 0;
+    this.group = null;
+    this.requestId = null;
     this.code = null;
+    this.subject = null;
     this.detail = null;
     setRetryAfterMillisIsSet(false);
     this.retryAfterMillis = 0;
   }
 
-  public long getRequestId() {
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getGroup() {
+    return this.group;
+  }
+
+  public SlotRefusal setGroup(@org.apache.thrift.annotation.Nullable java.lang.String group) {
+    this.group = group;
+    return this;
+  }
+
+  public void unsetGroup() {
+    this.group = null;
+  }
+
+  /** Returns true if field group is set (has been assigned a value) and false otherwise */
+  public boolean isSetGroup() {
+    return this.group != null;
+  }
+
+  public void setGroupIsSet(boolean value) {
+    if (!value) {
+      this.group = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getRequestId() {
     return this.requestId;
   }
 
-  public SlotRefusal setRequestId(long requestId) {
+  public SlotRefusal setRequestId(@org.apache.thrift.annotation.Nullable java.lang.String requestId) {
     this.requestId = requestId;
-    setRequestIdIsSet(true);
     return this;
   }
 
   public void unsetRequestId() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REQUESTID_ISSET_ID);
+    this.requestId = null;
   }
 
   /** Returns true if field requestId is set (has been assigned a value) and false otherwise */
   public boolean isSetRequestId() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REQUESTID_ISSET_ID);
+    return this.requestId != null;
   }
 
   public void setRequestIdIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REQUESTID_ISSET_ID, value);
+    if (!value) {
+      this.requestId = null;
+    }
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -209,6 +261,31 @@
     }
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getSubject() {
+    return this.subject;
+  }
+
+  public SlotRefusal setSubject(@org.apache.thrift.annotation.Nullable java.lang.String subject) {
+    this.subject = subject;
+    return this;
+  }
+
+  public void unsetSubject() {
+    this.subject = null;
+  }
+
+  /** Returns true if field subject is set (has been assigned a value) and false otherwise */
+  public boolean isSetSubject() {
+    return this.subject != null;
+  }
+
+  public void setSubjectIsSet(boolean value) {
+    if (!value) {
+      this.subject = null;
+    }
+  }
+
   @org.apache.thrift.annotation.Nullable
   public java.lang.String getDetail() {
     return this.detail;
@@ -260,11 +337,19 @@
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
+    case GROUP:
+      if (value == null) {
+        unsetGroup();
+      } else {
+        setGroup((java.lang.String)value);
+      }
+      break;
+
     case REQUEST_ID:
       if (value == null) {
         unsetRequestId();
       } else {
-        setRequestId((java.lang.Long)value);
+        setRequestId((java.lang.String)value);
       }
       break;
 
@@ -276,6 +361,14 @@
       }
       break;
 
+    case SUBJECT:
+      if (value == null) {
+        unsetSubject();
+      } else {
+        setSubject((java.lang.String)value);
+      }
+      break;
+
     case DETAIL:
       if (value == null) {
         unsetDetail();
@@ -299,12 +392,18 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
+    case GROUP:
+      return getGroup();
+
     case REQUEST_ID:
       return getRequestId();
 
     case CODE:
       return getCode();
 
+    case SUBJECT:
+      return getSubject();
+
     case DETAIL:
       return getDetail();
 
@@ -323,10 +422,14 @@
     }
 
     switch (field) {
+    case GROUP:
+      return isSetGroup();
     case REQUEST_ID:
       return isSetRequestId();
     case CODE:
       return isSetCode();
+    case SUBJECT:
+      return isSetSubject();
     case DETAIL:
       return isSetDetail();
     case RETRY_AFTER_MILLIS:
@@ -348,12 +451,21 @@
     if (this == that)
       return true;
 
-    boolean this_present_requestId = true;
-    boolean that_present_requestId = true;
+    boolean this_present_group = true && this.isSetGroup();
+    boolean that_present_group = true && that.isSetGroup();
+    if (this_present_group || that_present_group) {
+      if (!(this_present_group && that_present_group))
+        return false;
+      if (!this.group.equals(that.group))
+        return false;
+    }
+
+    boolean this_present_requestId = true && this.isSetRequestId();
+    boolean that_present_requestId = true && that.isSetRequestId();
     if (this_present_requestId || that_present_requestId) {
       if (!(this_present_requestId && that_present_requestId))
         return false;
-      if (this.requestId != that.requestId)
+      if (!this.requestId.equals(that.requestId))
         return false;
     }
 
@@ -366,6 +478,15 @@
         return false;
     }
 
+    boolean this_present_subject = true && this.isSetSubject();
+    boolean that_present_subject = true && that.isSetSubject();
+    if (this_present_subject || that_present_subject) {
+      if (!(this_present_subject && that_present_subject))
+        return false;
+      if (!this.subject.equals(that.subject))
+        return false;
+    }
+
     boolean this_present_detail = true && this.isSetDetail();
     boolean that_present_detail = true && that.isSetDetail();
     if (this_present_detail || that_present_detail) {
@@ -391,12 +512,22 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(requestId);
+    hashCode = hashCode * 8191 + ((isSetGroup()) ? 131071 : 524287);
+    if (isSetGroup())
+      hashCode = hashCode * 8191 + group.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetRequestId()) ? 131071 : 524287);
+    if (isSetRequestId())
+      hashCode = hashCode * 8191 + requestId.hashCode();
 
     hashCode = hashCode * 8191 + ((isSetCode()) ? 131071 : 524287);
     if (isSetCode())
       hashCode = hashCode * 8191 + code.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetSubject()) ? 131071 : 524287);
+    if (isSetSubject())
+      hashCode = hashCode * 8191 + subject.hashCode();
+
     hashCode = hashCode * 8191 + ((isSetDetail()) ? 131071 : 524287);
     if (isSetDetail())
       hashCode = hashCode * 8191 + detail.hashCode();
@@ -414,6 +545,16 @@
 
     int lastComparison = 0;
 
+    lastComparison = java.lang.Boolean.compare(isSetGroup(), other.isSetGroup());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetGroup()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.group, other.group);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     lastComparison = java.lang.Boolean.compare(isSetRequestId(), other.isSetRequestId());
     if (lastComparison != 0) {
       return lastComparison;
@@ -434,6 +575,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSubject(), other.isSetSubject());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSubject()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.subject, other.subject);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     lastComparison = java.lang.Boolean.compare(isSetDetail(), other.isSetDetail());
     if (lastComparison != 0) {
       return lastComparison;
@@ -478,8 +629,20 @@
     java.lang.StringBuilder sb = new java.lang.StringBuilder("SlotRefusal(");
     boolean first = true;
 
+    sb.append("group:");
+    if (this.group == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.group);
+    }
+    first = false;
+    if (!first) sb.append(", ");
     sb.append("requestId:");
-    sb.append(this.requestId);
+    if (this.requestId == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.requestId);
+    }
     first = false;
     if (!first) sb.append(", ");
     sb.append("code:");
@@ -490,6 +653,14 @@
     }
     first = false;
     if (!first) sb.append(", ");
+    sb.append("subject:");
+    if (this.subject == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.subject);
+    }
+    first = false;
+    if (!first) sb.append(", ");
     sb.append("detail:");
     if (this.detail == null) {
       sb.append("null");
@@ -548,15 +719,23 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // REQUEST_ID
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.requestId = iprot.readI64();
+          case 1: // GROUP
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.group = iprot.readString();
+              struct.setGroupIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 2: // REQUEST_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.requestId = iprot.readString();
               struct.setRequestIdIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // CODE
+          case 3: // CODE
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
               struct.code = iprot.readString();
               struct.setCodeIsSet(true);
@@ -564,7 +743,15 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // DETAIL
+          case 4: // SUBJECT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.subject = iprot.readString();
+              struct.setSubjectIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 5: // DETAIL
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
               struct.detail = iprot.readString();
               struct.setDetailIsSet(true);
@@ -572,7 +759,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 4: // RETRY_AFTER_MILLIS
+          case 6: // RETRY_AFTER_MILLIS
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
               struct.retryAfterMillis = iprot.readI64();
               struct.setRetryAfterMillisIsSet(true);
@@ -596,14 +783,26 @@
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      oprot.writeFieldBegin(REQUEST_ID_FIELD_DESC);
-      oprot.writeI64(struct.requestId);
-      oprot.writeFieldEnd();
+      if (struct.group != null) {
+        oprot.writeFieldBegin(GROUP_FIELD_DESC);
+        oprot.writeString(struct.group);
+        oprot.writeFieldEnd();
+      }
+      if (struct.requestId != null) {
+        oprot.writeFieldBegin(REQUEST_ID_FIELD_DESC);
+        oprot.writeString(struct.requestId);
+        oprot.writeFieldEnd();
+      }
       if (struct.code != null) {
         oprot.writeFieldBegin(CODE_FIELD_DESC);
         oprot.writeString(struct.code);
         oprot.writeFieldEnd();
       }
+      if (struct.subject != null) {
+        oprot.writeFieldBegin(SUBJECT_FIELD_DESC);
+        oprot.writeString(struct.subject);
+        oprot.writeFieldEnd();
+      }
       if (struct.detail != null) {
         oprot.writeFieldBegin(DETAIL_FIELD_DESC);
         oprot.writeString(struct.detail);
@@ -631,25 +830,37 @@
     public void write(org.apache.thrift.protocol.TProtocol prot, SlotRefusal struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet optionals = new java.util.BitSet();
-      if (struct.isSetRequestId()) {
+      if (struct.isSetGroup()) {
         optionals.set(0);
       }
-      if (struct.isSetCode()) {
+      if (struct.isSetRequestId()) {
         optionals.set(1);
       }
-      if (struct.isSetDetail()) {
+      if (struct.isSetCode()) {
         optionals.set(2);
       }
-      if (struct.isSetRetryAfterMillis()) {
+      if (struct.isSetSubject()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetDetail()) {
+        optionals.set(4);
+      }
+      if (struct.isSetRetryAfterMillis()) {
+        optionals.set(5);
+      }
+      oprot.writeBitSet(optionals, 6);
+      if (struct.isSetGroup()) {
+        oprot.writeString(struct.group);
+      }
       if (struct.isSetRequestId()) {
-        oprot.writeI64(struct.requestId);
+        oprot.writeString(struct.requestId);
       }
       if (struct.isSetCode()) {
         oprot.writeString(struct.code);
       }
+      if (struct.isSetSubject()) {
+        oprot.writeString(struct.subject);
+      }
       if (struct.isSetDetail()) {
         oprot.writeString(struct.detail);
       }
@@ -661,20 +872,28 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, SlotRefusal struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(6);
       if (incoming.get(0)) {
-        struct.requestId = iprot.readI64();
-        struct.setRequestIdIsSet(true);
+        struct.group = iprot.readString();
+        struct.setGroupIsSet(true);
       }
       if (incoming.get(1)) {
+        struct.requestId = iprot.readString();
+        struct.setRequestIdIsSet(true);
+      }
+      if (incoming.get(2)) {
         struct.code = iprot.readString();
         struct.setCodeIsSet(true);
       }
-      if (incoming.get(2)) {
+      if (incoming.get(3)) {
+        struct.subject = iprot.readString();
+        struct.setSubjectIsSet(true);
+      }
+      if (incoming.get(4)) {
         struct.detail = iprot.readString();
         struct.setDetailIsSet(true);
       }
-      if (incoming.get(3)) {
+      if (incoming.get(5)) {
         struct.retryAfterMillis = iprot.readI64();
         struct.setRetryAfterMillisIsSet(true);
       }
--- a/src/main/java/org/arbutusfield/wire/gen/SlotRelease.java
+++ b/src/main/java/org/arbutusfield/wire/gen/SlotRelease.java
@@ -10,22 +10,28 @@
 public class SlotRelease implements org.apache.thrift.TBase<SlotRelease, SlotRelease._Fields>, java.io.Serializable, Cloneable, Comparable<SlotRelease> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("SlotRelease");
 
-  private static final org.apache.thrift.protocol.TField TOKEN_FIELD_DESC = new org.apache.thrift.protocol.TField("token", org.apache.thrift.protocol.TType.I64, (short)1);
-  private static final org.apache.thrift.protocol.TField OUTCOME_FIELD_DESC = new org.apache.thrift.protocol.TField("outcome", org.apache.thrift.protocol.TType.I32, (short)2);
-  private static final org.apache.thrift.protocol.TField SERVICE_NANOS_FIELD_DESC = new org.apache.thrift.protocol.TField("serviceNanos", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField GROUP_FIELD_DESC = new org.apache.thrift.protocol.TField("group", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField HOST_FIELD_DESC = new org.apache.thrift.protocol.TField("host", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField TOKEN_FIELD_DESC = new org.apache.thrift.protocol.TField("token", org.apache.thrift.protocol.TType.STRUCT, (short)3);
+  private static final org.apache.thrift.protocol.TField OUTCOME_FIELD_DESC = new org.apache.thrift.protocol.TField("outcome", org.apache.thrift.protocol.TType.I32, (short)4);
+  private static final org.apache.thrift.protocol.TField SERVICE_NANOS_FIELD_DESC = new org.apache.thrift.protocol.TField("serviceNanos", org.apache.thrift.protocol.TType.I64, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new SlotReleaseStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new SlotReleaseTupleSchemeFactory();
 
-  private long token; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String group; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String host; // required
+  private @org.apache.thrift.annotation.Nullable SlotToken token; // required
   private int outcome; // required
   private long serviceNanos; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    TOKEN((short)1, "token"),
-    OUTCOME((short)2, "outcome"),
-    SERVICE_NANOS((short)3, "serviceNanos");
+    GROUP((short)1, "group"),
+    HOST((short)2, "host"),
+    TOKEN((short)3, "token"),
+    OUTCOME((short)4, "outcome"),
+    SERVICE_NANOS((short)5, "serviceNanos");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -41,11 +47,15 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // TOKEN
+        case 1: // GROUP
+          return GROUP;
+        case 2: // HOST
+          return HOST;
+        case 3: // TOKEN
           return TOKEN;
-        case 2: // OUTCOME
+        case 4: // OUTCOME
           return OUTCOME;
-        case 3: // SERVICE_NANOS
+        case 5: // SERVICE_NANOS
           return SERVICE_NANOS;
         default:
           return null;
@@ -90,15 +100,18 @@
   }
 
   // isset id assignments
-  private static final int __TOKEN_ISSET_ID = 0;
-  private static final int __OUTCOME_ISSET_ID = 1;
-  private static final int __SERVICENANOS_ISSET_ID = 2;
+  private static final int __OUTCOME_ISSET_ID = 0;
+  private static final int __SERVICENANOS_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.GROUP, new org.apache.thrift.meta_data.FieldMetaData("group", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.HOST, new org.apache.thrift.meta_data.FieldMetaData("host", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.TOKEN, new org.apache.thrift.meta_data.FieldMetaData("token", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SlotToken.class)));
     tmpMap.put(_Fields.OUTCOME, new org.apache.thrift.meta_data.FieldMetaData("outcome", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.SERVICE_NANOS, new org.apache.thrift.meta_data.FieldMetaData("serviceNanos", org.apache.thrift.TFieldRequirementType.DEFAULT, 
@@ -111,13 +124,16 @@
   }
 
   public SlotRelease(
-    long token,
+    java.lang.String group,
+    java.lang.String host,
+    SlotToken token,
     int outcome,
     long serviceNanos)
   {
     this();
+    this.group = group;
+    this.host = host;
     this.token = token;
-    setTokenIsSet(true);
     this.outcome = outcome;
     setOutcomeIsSet(true);
     this.serviceNanos = serviceNanos;
@@ -129,7 +145,15 @@
    */
   public SlotRelease(SlotRelease other) {
     __isset_bitfield = other.__isset_bitfield;
-    this.token = other.token;
+    if (other.isSetGroup()) {
+      this.group = other.group;
+    }
+    if (other.isSetHost()) {
+      this.host = other.host;
+    }
+    if (other.isSetToken()) {
+      this.token = new SlotToken(other.token);
+    }
     this.outcome = other.outcome;
     this.serviceNanos = other.serviceNanos;
   }
@@ -141,35 +165,88 @@
 
   @Override
   public void clear() {
-    setTokenIsSet(false);
-    this.token = 0;
+    this.group = null;
+    this.host = null;
+    this.token = null;
     setOutcomeIsSet(false);
     this.outcome = 0;
     setServiceNanosIsSet(false);
     this.serviceNanos = 0;
   }
 
-  public long getToken() {
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getGroup() {
+    return this.group;
+  }
+
+  public SlotRelease setGroup(@org.apache.thrift.annotation.Nullable java.lang.String group) {
+    this.group = group;
+    return this;
+  }
+
+  public void unsetGroup() {
+    this.group = null;
+  }
+
+  /** Returns true if field group is set (has been assigned a value) and false otherwise */
+  public boolean isSetGroup() {
+    return this.group != null;
+  }
+
+  public void setGroupIsSet(boolean value) {
+    if (!value) {
+      this.group = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getHost() {
+    return this.host;
+  }
+
+  public SlotRelease setHost(@org.apache.thrift.annotation.Nullable java.lang.String host) {
+    this.host = host;
+    return this;
+  }
+
+  public void unsetHost() {
+    this.host = null;
+  }
+
+  /** Returns true if field host is set (has been assigned a value) and false otherwise */
+  public boolean isSetHost() {
+    return this.host != null;
+  }
+
+  public void setHostIsSet(boolean value) {
+    if (!value) {
+      this.host = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public SlotToken getToken() {
     return this.token;
   }
 
-  public SlotRelease setToken(long token) {
+  public SlotRelease setToken(@org.apache.thrift.annotation.Nullable SlotToken token) {
     this.token = token;
-    setTokenIsSet(true);
     return this;
   }
 
   public void unsetToken() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TOKEN_ISSET_ID);
+    this.token = null;
   }
 
   /** Returns true if field token is set (has been assigned a value) and false otherwise */
   public boolean isSetToken() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TOKEN_ISSET_ID);
+    return this.token != null;
   }
 
   public void setTokenIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOKEN_ISSET_ID, value);
+    if (!value) {
+      this.token = null;
+    }
   }
 
   public int getOutcome() {
@@ -221,11 +298,27 @@
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
+    case GROUP:
+      if (value == null) {
+        unsetGroup();
+      } else {
+        setGroup((java.lang.String)value);
+      }
+      break;
+
+    case HOST:
+      if (value == null) {
+        unsetHost();
+      } else {
+        setHost((java.lang.String)value);
+      }
+      break;
+
     case TOKEN:
       if (value == null) {
         unsetToken();
       } else {
-        setToken((java.lang.Long)value);
+        setToken((SlotToken)value);
       }
       break;
 
@@ -252,6 +345,12 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
+    case GROUP:
+      return getGroup();
+
+    case HOST:
+      return getHost();
+
     case TOKEN:
       return getToken();
 
@@ -273,6 +372,10 @@
     }
 
     switch (field) {
+    case GROUP:
+      return isSetGroup();
+    case HOST:
+      return isSetHost();
     case TOKEN:
       return isSetToken();
     case OUTCOME:
@@ -296,12 +399,30 @@
     if (this == that)
       return true;
 
-    boolean this_present_token = true;
-    boolean that_present_token = true;
+    boolean this_present_group = true && this.isSetGroup();
+    boolean that_present_group = true && that.isSetGroup();
+    if (this_present_group || that_present_group) {
+      if (!(this_present_group && that_present_group))
+        return false;
+      if (!this.group.equals(that.group))
+        return false;
+    }
+
+    boolean this_present_host = true && this.isSetHost();
+    boolean that_present_host = true && that.isSetHost();
+    if (this_present_host || that_present_host) {
+      if (!(this_present_host && that_present_host))
+        return false;
+      if (!this.host.equals(that.host))
+        return false;
+    }
+
+    boolean this_present_token = true && this.isSetToken();
+    boolean that_present_token = true && that.isSetToken();
     if (this_present_token || that_present_token) {
       if (!(this_present_token && that_present_token))
         return false;
-      if (this.token != that.token)
+      if (!this.token.equals(that.token))
         return false;
     }
 
@@ -330,7 +451,17 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(token);
+    hashCode = hashCode * 8191 + ((isSetGroup()) ? 131071 : 524287);
+    if (isSetGroup())
+      hashCode = hashCode * 8191 + group.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetHost()) ? 131071 : 524287);
+    if (isSetHost())
+      hashCode = hashCode * 8191 + host.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetToken()) ? 131071 : 524287);
+    if (isSetToken())
+      hashCode = hashCode * 8191 + token.hashCode();
 
     hashCode = hashCode * 8191 + outcome;
 
@@ -347,6 +478,26 @@
 
     int lastComparison = 0;
 
+    lastComparison = java.lang.Boolean.compare(isSetGroup(), other.isSetGroup());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetGroup()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.group, other.group);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetHost(), other.isSetHost());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetHost()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.host, other.host);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     lastComparison = java.lang.Boolean.compare(isSetToken(), other.isSetToken());
     if (lastComparison != 0) {
       return lastComparison;
@@ -401,8 +552,28 @@
     java.lang.StringBuilder sb = new java.lang.StringBuilder("SlotRelease(");
     boolean first = true;
 
+    sb.append("group:");
+    if (this.group == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.group);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("host:");
+    if (this.host == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.host);
+    }
+    first = false;
+    if (!first) sb.append(", ");
     sb.append("token:");
-    sb.append(this.token);
+    if (this.token == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.token);
+    }
     first = false;
     if (!first) sb.append(", ");
     sb.append("outcome:");
@@ -419,6 +590,9 @@
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
     // check for sub-struct validity
+    if (token != null) {
+      token.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -459,15 +633,32 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // TOKEN
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.token = iprot.readI64();
+          case 1: // GROUP
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.group = iprot.readString();
+              struct.setGroupIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 2: // HOST
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.host = iprot.readString();
+              struct.setHostIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 3: // TOKEN
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.token = new SlotToken();
+              struct.token.read(iprot);
               struct.setTokenIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // OUTCOME
+          case 4: // OUTCOME
             if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
               struct.outcome = iprot.readI32();
               struct.setOutcomeIsSet(true);
@@ -475,7 +666,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // SERVICE_NANOS
+          case 5: // SERVICE_NANOS
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
               struct.serviceNanos = iprot.readI64();
               struct.setServiceNanosIsSet(true);
@@ -499,9 +690,21 @@
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      oprot.writeFieldBegin(TOKEN_FIELD_DESC);
-      oprot.writeI64(struct.token);
-      oprot.writeFieldEnd();
+      if (struct.group != null) {
+        oprot.writeFieldBegin(GROUP_FIELD_DESC);
+        oprot.writeString(struct.group);
+        oprot.writeFieldEnd();
+      }
+      if (struct.host != null) {
+        oprot.writeFieldBegin(HOST_FIELD_DESC);
+        oprot.writeString(struct.host);
+        oprot.writeFieldEnd();
+      }
+      if (struct.token != null) {
+        oprot.writeFieldBegin(TOKEN_FIELD_DESC);
+        struct.token.write(oprot);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldBegin(OUTCOME_FIELD_DESC);
       oprot.writeI32(struct.outcome);
       oprot.writeFieldEnd();
@@ -527,18 +730,30 @@
     public void write(org.apache.thrift.protocol.TProtocol prot, SlotRelease struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet optionals = new java.util.BitSet();
-      if (struct.isSetToken()) {
+      if (struct.isSetGroup()) {
         optionals.set(0);
       }
-      if (struct.isSetOutcome()) {
+      if (struct.isSetHost()) {
         optionals.set(1);
       }
-      if (struct.isSetServiceNanos()) {
+      if (struct.isSetToken()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetOutcome()) {
+        optionals.set(3);
+      }
+      if (struct.isSetServiceNanos()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetGroup()) {
+        oprot.writeString(struct.group);
+      }
+      if (struct.isSetHost()) {
+        oprot.writeString(struct.host);
+      }
       if (struct.isSetToken()) {
-        oprot.writeI64(struct.token);
+        struct.token.write(oprot);
       }
       if (struct.isSetOutcome()) {
         oprot.writeI32(struct.outcome);
@@ -551,16 +766,25 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, SlotRelease struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
-        struct.token = iprot.readI64();
-        struct.setTokenIsSet(true);
+        struct.group = iprot.readString();
+        struct.setGroupIsSet(true);
       }
       if (incoming.get(1)) {
+        struct.host = iprot.readString();
+        struct.setHostIsSet(true);
+      }
+      if (incoming.get(2)) {
+        struct.token = new SlotToken();
+        struct.token.read(iprot);
+        struct.setTokenIsSet(true);
+      }
+      if (incoming.get(3)) {
         struct.outcome = iprot.readI32();
         struct.setOutcomeIsSet(true);
       }
-      if (incoming.get(2)) {
+      if (incoming.get(4)) {
         struct.serviceNanos = iprot.readI64();
         struct.setServiceNanosIsSet(true);
       }
--- a/src/main/java/org/arbutusfield/wire/gen/SlotRequest.java
+++ b/src/main/java/org/arbutusfield/wire/gen/SlotRequest.java
@@ -10,20 +10,24 @@
 public class SlotRequest implements org.apache.thrift.TBase<SlotRequest, SlotRequest._Fields>, java.io.Serializable, Cloneable, Comparable<SlotRequest> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("SlotRequest");
 
-  private static final org.apache.thrift.protocol.TField REQUEST_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("requestId", org.apache.thrift.protocol.TType.I64, (short)1);
-  private static final org.apache.thrift.protocol.TField HOST_FIELD_DESC = new org.apache.thrift.protocol.TField("host", org.apache.thrift.protocol.TType.STRING, (short)2);
-  private static final org.apache.thrift.protocol.TField HOST_INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("hostIncarnation", org.apache.thrift.protocol.TType.I64, (short)3);
-  private static final org.apache.thrift.protocol.TField SERVICE_NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("serviceName", org.apache.thrift.protocol.TType.STRING, (short)4);
-  private static final org.apache.thrift.protocol.TField REQUEST_CLASS_FIELD_DESC = new org.apache.thrift.protocol.TField("requestClass", org.apache.thrift.protocol.TType.STRING, (short)5);
-  private static final org.apache.thrift.protocol.TField PRIORITY_FIELD_DESC = new org.apache.thrift.protocol.TField("priority", org.apache.thrift.protocol.TType.I32, (short)6);
-  private static final org.apache.thrift.protocol.TField REMAINING_NANOS_FIELD_DESC = new org.apache.thrift.protocol.TField("remainingNanos", org.apache.thrift.protocol.TType.I64, (short)7);
+  private static final org.apache.thrift.protocol.TField GROUP_FIELD_DESC = new org.apache.thrift.protocol.TField("group", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField REQUEST_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("requestId", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField HOST_FIELD_DESC = new org.apache.thrift.protocol.TField("host", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField HOST_INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("hostIncarnation", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField FAILURE_DOMAIN_FIELD_DESC = new org.apache.thrift.protocol.TField("failureDomain", org.apache.thrift.protocol.TType.STRING, (short)5);
+  private static final org.apache.thrift.protocol.TField SERVICE_NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("serviceName", org.apache.thrift.protocol.TType.STRING, (short)6);
+  private static final org.apache.thrift.protocol.TField REQUEST_CLASS_FIELD_DESC = new org.apache.thrift.protocol.TField("requestClass", org.apache.thrift.protocol.TType.STRING, (short)7);
+  private static final org.apache.thrift.protocol.TField PRIORITY_FIELD_DESC = new org.apache.thrift.protocol.TField("priority", org.apache.thrift.protocol.TType.I32, (short)8);
+  private static final org.apache.thrift.protocol.TField REMAINING_NANOS_FIELD_DESC = new org.apache.thrift.protocol.TField("remainingNanos", org.apache.thrift.protocol.TType.I64, (short)9);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new SlotRequestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new SlotRequestTupleSchemeFactory();
 
-  private long requestId; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String group; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String requestId; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String host; // required
   private long hostIncarnation; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String failureDomain; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String serviceName; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String requestClass; // required
   private int priority; // required
@@ -31,13 +35,15 @@
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    REQUEST_ID((short)1, "requestId"),
-    HOST((short)2, "host"),
-    HOST_INCARNATION((short)3, "hostIncarnation"),
-    SERVICE_NAME((short)4, "serviceName"),
-    REQUEST_CLASS((short)5, "requestClass"),
-    PRIORITY((short)6, "priority"),
-    REMAINING_NANOS((short)7, "remainingNanos");
+    GROUP((short)1, "group"),
+    REQUEST_ID((short)2, "requestId"),
+    HOST((short)3, "host"),
+    HOST_INCARNATION((short)4, "hostIncarnation"),
+    FAILURE_DOMAIN((short)5, "failureDomain"),
+    SERVICE_NAME((short)6, "serviceName"),
+    REQUEST_CLASS((short)7, "requestClass"),
+    PRIORITY((short)8, "priority"),
+    REMAINING_NANOS((short)9, "remainingNanos");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -53,19 +59,23 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // REQUEST_ID
+        case 1: // GROUP
+          return GROUP;
+        case 2: // REQUEST_ID
           return REQUEST_ID;
-        case 2: // HOST
+        case 3: // HOST
           return HOST;
-        case 3: // HOST_INCARNATION
+        case 4: // HOST_INCARNATION
           return HOST_INCARNATION;
-        case 4: // SERVICE_NAME
+        case 5: // FAILURE_DOMAIN
+          return FAILURE_DOMAIN;
+        case 6: // SERVICE_NAME
           return SERVICE_NAME;
-        case 5: // REQUEST_CLASS
+        case 7: // REQUEST_CLASS
           return REQUEST_CLASS;
-        case 6: // PRIORITY
+        case 8: // PRIORITY
           return PRIORITY;
-        case 7: // REMAINING_NANOS
+        case 9: // REMAINING_NANOS
           return REMAINING_NANOS;
         default:
           return null;
@@ -110,20 +120,23 @@
   }
 
   // isset id assignments
-  private static final int __REQUESTID_ISSET_ID = 0;
-  private static final int __HOSTINCARNATION_ISSET_ID = 1;
-  private static final int __PRIORITY_ISSET_ID = 2;
-  private static final int __REMAININGNANOS_ISSET_ID = 3;
+  private static final int __HOSTINCARNATION_ISSET_ID = 0;
+  private static final int __PRIORITY_ISSET_ID = 1;
+  private static final int __REMAININGNANOS_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.GROUP, new org.apache.thrift.meta_data.FieldMetaData("group", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.REQUEST_ID, new org.apache.thrift.meta_data.FieldMetaData("requestId", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.HOST, new org.apache.thrift.meta_data.FieldMetaData("host", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.HOST_INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("hostIncarnation", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.FAILURE_DOMAIN, new org.apache.thrift.meta_data.FieldMetaData("failureDomain", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.SERVICE_NAME, new org.apache.thrift.meta_data.FieldMetaData("serviceName", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.REQUEST_CLASS, new org.apache.thrift.meta_data.FieldMetaData("requestClass", org.apache.thrift.TFieldRequirementType.DEFAULT, 
@@ -140,20 +153,23 @@
   }
 
   public SlotRequest(
-    long requestId,
+    java.lang.String group,
+    java.lang.String requestId,
     java.lang.String host,
     long hostIncarnation,
+    java.lang.String failureDomain,
     java.lang.String serviceName,
     java.lang.String requestClass,
     int priority,
     long remainingNanos)
   {
     this();
+    this.group = group;
     this.requestId = requestId;
-    setRequestIdIsSet(true);
     this.host = host;
     this.hostIncarnation = hostIncarnation;
     setHostIncarnationIsSet(true);
+    this.failureDomain = failureDomain;
     this.serviceName = serviceName;
     this.requestClass = requestClass;
     this.priority = priority;
@@ -167,11 +183,19 @@
    */
   public SlotRequest(SlotRequest other) {
     __isset_bitfield = other.__isset_bitfield;
-    this.requestId = other.requestId;
+    if (other.isSetGroup()) {
+      this.group = other.group;
+    }
+    if (other.isSetRequestId()) {
+      this.requestId = other.requestId;
+    }
     if (other.isSetHost()) {
       this.host = other.host;
     }
     this.hostIncarnation = other.hostIncarnation;
+    if (other.isSetFailureDomain()) {
+      this.failureDomain = other.failureDomain;
+    }
     if (other.isSetServiceName()) {
       this.serviceName = other.serviceName;
     }
@@ -189,11 +213,12 @@
 
   @Override
   public void clear() {
-    setRequestIdIsSet(false);
-    this.requestId = 0;
+    this.group = null;
+    this.requestId = null;
     this.host = null;
     setHostIncarnationIsSet(false);
     this.hostIncarnation = 0;
+    this.failureDomain = null;
     this.serviceName = null;
     this.requestClass = null;
     setPriorityIsSet(false);
@@ -202,27 +227,54 @@
     this.remainingNanos = 0;
   }
 
-  public long getRequestId() {
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getGroup() {
+    return this.group;
+  }
+
+  public SlotRequest setGroup(@org.apache.thrift.annotation.Nullable java.lang.String group) {
+    this.group = group;
+    return this;
+  }
+
+  public void unsetGroup() {
+    this.group = null;
+  }
+
+  /** Returns true if field group is set (has been assigned a value) and false otherwise */
+  public boolean isSetGroup() {
+    return this.group != null;
+  }
+
+  public void setGroupIsSet(boolean value) {
+    if (!value) {
+      this.group = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getRequestId() {
     return this.requestId;
   }
 
-  public SlotRequest setRequestId(long requestId) {
+  public SlotRequest setRequestId(@org.apache.thrift.annotation.Nullable java.lang.String requestId) {
     this.requestId = requestId;
-    setRequestIdIsSet(true);
     return this;
   }
 
   public void unsetRequestId() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REQUESTID_ISSET_ID);
+    this.requestId = null;
   }
 
   /** Returns true if field requestId is set (has been assigned a value) and false otherwise */
   public boolean isSetRequestId() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REQUESTID_ISSET_ID);
+    return this.requestId != null;
   }
 
   public void setRequestIdIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REQUESTID_ISSET_ID, value);
+    if (!value) {
+      this.requestId = null;
+    }
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -273,6 +325,31 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __HOSTINCARNATION_ISSET_ID, value);
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getFailureDomain() {
+    return this.failureDomain;
+  }
+
+  public SlotRequest setFailureDomain(@org.apache.thrift.annotation.Nullable java.lang.String failureDomain) {
+    this.failureDomain = failureDomain;
+    return this;
+  }
+
+  public void unsetFailureDomain() {
+    this.failureDomain = null;
+  }
+
+  /** Returns true if field failureDomain is set (has been assigned a value) and false otherwise */
+  public boolean isSetFailureDomain() {
+    return this.failureDomain != null;
+  }
+
+  public void setFailureDomainIsSet(boolean value) {
+    if (!value) {
+      this.failureDomain = null;
+    }
+  }
+
   @org.apache.thrift.annotation.Nullable
   public java.lang.String getServiceName() {
     return this.serviceName;
@@ -372,11 +449,19 @@
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
+    case GROUP:
+      if (value == null) {
+        unsetGroup();
+      } else {
+        setGroup((java.lang.String)value);
+      }
+      break;
+
     case REQUEST_ID:
       if (value == null) {
         unsetRequestId();
       } else {
-        setRequestId((java.lang.Long)value);
+        setRequestId((java.lang.String)value);
       }
       break;
 
@@ -396,6 +481,14 @@
       }
       break;
 
+    case FAILURE_DOMAIN:
+      if (value == null) {
+        unsetFailureDomain();
+      } else {
+        setFailureDomain((java.lang.String)value);
+      }
+      break;
+
     case SERVICE_NAME:
       if (value == null) {
         unsetServiceName();
@@ -435,6 +528,9 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
+    case GROUP:
+      return getGroup();
+
     case REQUEST_ID:
       return getRequestId();
 
@@ -444,6 +540,9 @@
     case HOST_INCARNATION:
       return getHostIncarnation();
 
+    case FAILURE_DOMAIN:
+      return getFailureDomain();
+
     case SERVICE_NAME:
       return getServiceName();
 
@@ -468,12 +567,16 @@
     }
 
     switch (field) {
+    case GROUP:
+      return isSetGroup();
     case REQUEST_ID:
       return isSetRequestId();
     case HOST:
       return isSetHost();
     case HOST_INCARNATION:
       return isSetHostIncarnation();
+    case FAILURE_DOMAIN:
+      return isSetFailureDomain();
     case SERVICE_NAME:
       return isSetServiceName();
     case REQUEST_CLASS:
@@ -499,12 +602,21 @@
     if (this == that)
       return true;
 
-    boolean this_present_requestId = true;
-    boolean that_present_requestId = true;
+    boolean this_present_group = true && this.isSetGroup();
+    boolean that_present_group = true && that.isSetGroup();
+    if (this_present_group || that_present_group) {
+      if (!(this_present_group && that_present_group))
+        return false;
+      if (!this.group.equals(that.group))
+        return false;
+    }
+
+    boolean this_present_requestId = true && this.isSetRequestId();
+    boolean that_present_requestId = true && that.isSetRequestId();
     if (this_present_requestId || that_present_requestId) {
       if (!(this_present_requestId && that_present_requestId))
         return false;
-      if (this.requestId != that.requestId)
+      if (!this.requestId.equals(that.requestId))
         return false;
     }
 
@@ -526,6 +638,15 @@
         return false;
     }
 
+    boolean this_present_failureDomain = true && this.isSetFailureDomain();
+    boolean that_present_failureDomain = true && that.isSetFailureDomain();
+    if (this_present_failureDomain || that_present_failureDomain) {
+      if (!(this_present_failureDomain && that_present_failureDomain))
+        return false;
+      if (!this.failureDomain.equals(that.failureDomain))
+        return false;
+    }
+
     boolean this_present_serviceName = true && this.isSetServiceName();
     boolean that_present_serviceName = true && that.isSetServiceName();
     if (this_present_serviceName || that_present_serviceName) {
@@ -569,7 +690,13 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(requestId);
+    hashCode = hashCode * 8191 + ((isSetGroup()) ? 131071 : 524287);
+    if (isSetGroup())
+      hashCode = hashCode * 8191 + group.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetRequestId()) ? 131071 : 524287);
+    if (isSetRequestId())
+      hashCode = hashCode * 8191 + requestId.hashCode();
 
     hashCode = hashCode * 8191 + ((isSetHost()) ? 131071 : 524287);
     if (isSetHost())
@@ -577,6 +704,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(hostIncarnation);
 
+    hashCode = hashCode * 8191 + ((isSetFailureDomain()) ? 131071 : 524287);
+    if (isSetFailureDomain())
+      hashCode = hashCode * 8191 + failureDomain.hashCode();
+
     hashCode = hashCode * 8191 + ((isSetServiceName()) ? 131071 : 524287);
     if (isSetServiceName())
       hashCode = hashCode * 8191 + serviceName.hashCode();
@@ -600,6 +731,16 @@
 
     int lastComparison = 0;
 
+    lastComparison = java.lang.Boolean.compare(isSetGroup(), other.isSetGroup());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetGroup()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.group, other.group);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     lastComparison = java.lang.Boolean.compare(isSetRequestId(), other.isSetRequestId());
     if (lastComparison != 0) {
       return lastComparison;
@@ -630,6 +771,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetFailureDomain(), other.isSetFailureDomain());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetFailureDomain()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.failureDomain, other.failureDomain);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     lastComparison = java.lang.Boolean.compare(isSetServiceName(), other.isSetServiceName());
     if (lastComparison != 0) {
       return lastComparison;
@@ -694,8 +845,20 @@
     java.lang.StringBuilder sb = new java.lang.StringBuilder("SlotRequest(");
     boolean first = true;
 
+    sb.append("group:");
+    if (this.group == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.group);
+    }
+    first = false;
+    if (!first) sb.append(", ");
     sb.append("requestId:");
-    sb.append(this.requestId);
+    if (this.requestId == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.requestId);
+    }
     first = false;
     if (!first) sb.append(", ");
     sb.append("host:");
@@ -710,6 +873,14 @@
     sb.append(this.hostIncarnation);
     first = false;
     if (!first) sb.append(", ");
+    sb.append("failureDomain:");
+    if (this.failureDomain == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.failureDomain);
+    }
+    first = false;
+    if (!first) sb.append(", ");
     sb.append("serviceName:");
     if (this.serviceName == null) {
       sb.append("null");
@@ -780,15 +951,23 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // REQUEST_ID
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.requestId = iprot.readI64();
+          case 1: // GROUP
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.group = iprot.readString();
+              struct.setGroupIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 2: // REQUEST_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.requestId = iprot.readString();
               struct.setRequestIdIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // HOST
+          case 3: // HOST
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
               struct.host = iprot.readString();
               struct.setHostIsSet(true);
@@ -796,7 +975,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // HOST_INCARNATION
+          case 4: // HOST_INCARNATION
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
               struct.hostIncarnation = iprot.readI64();
               struct.setHostIncarnationIsSet(true);
@@ -804,7 +983,15 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 4: // SERVICE_NAME
+          case 5: // FAILURE_DOMAIN
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.failureDomain = iprot.readString();
+              struct.setFailureDomainIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 6: // SERVICE_NAME
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
               struct.serviceName = iprot.readString();
               struct.setServiceNameIsSet(true);
@@ -812,7 +999,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 5: // REQUEST_CLASS
+          case 7: // REQUEST_CLASS
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
               struct.requestClass = iprot.readString();
               struct.setRequestClassIsSet(true);
@@ -820,7 +1007,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 6: // PRIORITY
+          case 8: // PRIORITY
             if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
               struct.priority = iprot.readI32();
               struct.setPriorityIsSet(true);
@@ -828,7 +1015,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 7: // REMAINING_NANOS
+          case 9: // REMAINING_NANOS
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
               struct.remainingNanos = iprot.readI64();
               struct.setRemainingNanosIsSet(true);
@@ -852,9 +1039,16 @@
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      oprot.writeFieldBegin(REQUEST_ID_FIELD_DESC);
-      oprot.writeI64(struct.requestId);
-      oprot.writeFieldEnd();
+      if (struct.group != null) {
+        oprot.writeFieldBegin(GROUP_FIELD_DESC);
+        oprot.writeString(struct.group);
+        oprot.writeFieldEnd();
+      }
+      if (struct.requestId != null) {
+        oprot.writeFieldBegin(REQUEST_ID_FIELD_DESC);
+        oprot.writeString(struct.requestId);
+        oprot.writeFieldEnd();
+      }
       if (struct.host != null) {
         oprot.writeFieldBegin(HOST_FIELD_DESC);
         oprot.writeString(struct.host);
@@ -863,6 +1057,11 @@
       oprot.writeFieldBegin(HOST_INCARNATION_FIELD_DESC);
       oprot.writeI64(struct.hostIncarnation);
       oprot.writeFieldEnd();
+      if (struct.failureDomain != null) {
+        oprot.writeFieldBegin(FAILURE_DOMAIN_FIELD_DESC);
+        oprot.writeString(struct.failureDomain);
+        oprot.writeFieldEnd();
+      }
       if (struct.serviceName != null) {
         oprot.writeFieldBegin(SERVICE_NAME_FIELD_DESC);
         oprot.writeString(struct.serviceName);
@@ -898,30 +1097,39 @@
     public void write(org.apache.thrift.protocol.TProtocol prot, SlotRequest struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet optionals = new java.util.BitSet();
-      if (struct.isSetRequestId()) {
+      if (struct.isSetGroup()) {
         optionals.set(0);
       }
-      if (struct.isSetHost()) {
+      if (struct.isSetRequestId()) {
         optionals.set(1);
       }
-      if (struct.isSetHostIncarnation()) {
+      if (struct.isSetHost()) {
         optionals.set(2);
       }
-      if (struct.isSetServiceName()) {
+      if (struct.isSetHostIncarnation()) {
         optionals.set(3);
       }
-      if (struct.isSetRequestClass()) {
+      if (struct.isSetFailureDomain()) {
         optionals.set(4);
       }
-      if (struct.isSetPriority()) {
+      if (struct.isSetServiceName()) {
         optionals.set(5);
       }
-      if (struct.isSetRemainingNanos()) {
+      if (struct.isSetRequestClass()) {
         optionals.set(6);
       }
-      oprot.writeBitSet(optionals, 7);
+      if (struct.isSetPriority()) {
+        optionals.set(7);
+      }
+      if (struct.isSetRemainingNanos()) {
+        optionals.set(8);
+      }
+      oprot.writeBitSet(optionals, 9);
+      if (struct.isSetGroup()) {
+        oprot.writeString(struct.group);
+      }
       if (struct.isSetRequestId()) {
-        oprot.writeI64(struct.requestId);
+        oprot.writeString(struct.requestId);
       }
       if (struct.isSetHost()) {
         oprot.writeString(struct.host);
@@ -929,6 +1137,9 @@
       if (struct.isSetHostIncarnation()) {
         oprot.writeI64(struct.hostIncarnation);
       }
+      if (struct.isSetFailureDomain()) {
+        oprot.writeString(struct.failureDomain);
+      }
       if (struct.isSetServiceName()) {
         oprot.writeString(struct.serviceName);
       }
@@ -946,32 +1157,40 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, SlotRequest struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(7);
+      java.util.BitSet incoming = iprot.readBitSet(9);
       if (incoming.get(0)) {
-        struct.requestId = iprot.readI64();
-        struct.setRequestIdIsSet(true);
+        struct.group = iprot.readString();
+        struct.setGroupIsSet(true);
       }
       if (incoming.get(1)) {
+        struct.requestId = iprot.readString();
+        struct.setRequestIdIsSet(true);
+      }
+      if (incoming.get(2)) {
         struct.host = iprot.readString();
         struct.setHostIsSet(true);
       }
-      if (incoming.get(2)) {
+      if (incoming.get(3)) {
         struct.hostIncarnation = iprot.readI64();
         struct.setHostIncarnationIsSet(true);
       }
-      if (incoming.get(3)) {
+      if (incoming.get(4)) {
+        struct.failureDomain = iprot.readString();
+        struct.setFailureDomainIsSet(true);
+      }
+      if (incoming.get(5)) {
         struct.serviceName = iprot.readString();
         struct.setServiceNameIsSet(true);
       }
-      if (incoming.get(4)) {
+      if (incoming.get(6)) {
         struct.requestClass = iprot.readString();
         struct.setRequestClassIsSet(true);
       }
-      if (incoming.get(5)) {
+      if (incoming.get(7)) {
         struct.priority = iprot.readI32();
         struct.setPriorityIsSet(true);
       }
-      if (incoming.get(6)) {
+      if (incoming.get(8)) {
         struct.remainingNanos = iprot.readI64();
         struct.setRemainingNanosIsSet(true);
       }
--- a/src/main/thrift/control.thrift
+++ b/src/main/thrift/control.thrift
@@ -65,50 +65,79 @@
   7: binary content
 }
 
+// Names one grant of one broker.
+struct SlotToken {
+  1: string broker
+  2: i64 epoch
+  3: i64 sequence
+}
+
+// Asks the broker of a group of servers for a slot. `group`: service and region. `priority`: 0 goes first.
 struct SlotRequest {
-  1: i64 requestId
-  2: string host
-  3: i64 hostIncarnation
-  4: string serviceName
-  5: string requestClass
-  6: i32 priority
-  7: i64 remainingNanos
+  1: string group
+  2: string requestId
+  3: string host
+  4: i64 hostIncarnation
+  5: string failureDomain
+  6: string serviceName
+  7: string requestClass
+  8: i32 priority
+  9: i64 remainingNanos
 }
 
 struct SlotGrant {
-  1: i64 requestId
-  2: string upstream
-  3: i64 token
-  4: i64 expiresInNanos
+  1: string group
+  2: string requestId
+  3: string upstream
+  4: SlotToken token
+  5: i64 validNanos
 }
 
 struct SlotRefusal {
-  1: i64 requestId
-  2: string code
-  3: string detail
-  4: i64 retryAfterMillis
+  1: string group
+  2: string requestId
+  3: string code
+  4: string subject
+  5: string detail
+  6: i64 retryAfterMillis
 }
 
+// Gives a slot back. `outcome`: 0 completed, 1 shed, 2 failed, 3 cancelled.
 struct SlotRelease {
-  1: i64 token
-  2: i32 outcome
-  3: i64 serviceNanos
+  1: string group
+  2: string host
+  3: SlotToken token
+  4: i32 outcome
+  5: i64 serviceNanos
 }
 
 struct SlotCancel {
-  1: i64 requestId
+  1: string group
+  2: string host
+  3: string requestId
 }
 
 struct HeldSlot {
-  1: i64 token
-  2: string upstream
-  3: i64 ageNanos
+  1: SlotToken token
+  2: string requestId
+  3: string requestClass
+  4: string upstream
+  5: i64 remainingNanos
 }
 
+// All slots that a host holds.
 struct HeldSlots {
-  1: string host
-  2: i64 hostIncarnation
-  3: list<HeldSlot> held
+  1: string group
+  2: string host
+  3: i64 hostIncarnation
+  4: list<HeldSlot> held
+}
+
+// A broker's sign of life to a host that deals with it.
+struct BrokerHeartbeat {
+  1: string group
+  2: string broker
+  3: i64 epoch
 }
 
 union ControlMessage {
@@ -124,6 +153,7 @@
   23: SlotRelease slotRelease
   24: SlotCancel slotCancel
   25: HeldSlots heldSlots
+  26: BrokerHeartbeat brokerHeartbeat
 }
 
 // One frame. `kind`: 0 one-way, 1 request, 2 response.
