--- /dev/null
+++ b/src/test/java/org/arbutusfield/spread/DomainLeaderTest.java
@@ -0,0 +1,116 @@
+package org.arbutusfield.spread;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.SplittableRandom;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.lab.control.HostClock;
+import org.arbutusfield.lab.control.MemoryStore;
+import org.arbutusfield.timer.VirtualTimer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class DomainLeaderTest {
+    private static final LeaderSettings SETTINGS = LeaderSettings.standard();
+
+    private final VirtualTimer timer = VirtualTimer.create();
+    private final MemoryStore store = MemoryStore.create(timer);
+    private HostClock firstClock;
+    private HostClock secondClock;
+    private DomainLeader first;
+    private DomainLeader second;
+
+    @BeforeEach
+    void start() {
+        firstClock = HostClock.create(timer);
+        secondClock = HostClock.create(timer);
+        first = leader("first", firstClock);
+        second = leader("second", secondClock);
+        timer.advance(Duration.ofSeconds(3));
+    }
+
+    @Test
+    void oneOfTwoCandidatesLeads() {
+        assertThat(first.leads()).isTrue();
+        assertThat(second.permit().getLeft().code()).isEqualTo(ErrorCode.LEASE_LAPSED);
+    }
+
+    @Test
+    void aHolderPausedPastItsLeaseKnowsOnWakingBeforeItAsksAnyone() {
+        long token = first.permit().get();
+        firstClock.pause(Duration.ofSeconds(60));
+        timer.advance(Duration.ofSeconds(30));
+        assertThat(first.leads()).isFalse();
+        assertThat(second.permit().get()).isGreaterThan(token);
+        timer.advance(Duration.ofSeconds(40));
+        assertThat(first.leads()).isFalse();
+    }
+
+    @Test
+    void aHolderCutOffFromTheStoreStopsRelyingOnItsLeaseBeforeTheStoreGivesItAway() {
+        store.down(true);
+        timer.advance(SETTINGS.length().minus(SETTINGS.margin()));
+        assertThat(first.leads()).isFalse();
+        store.down(false);
+        timer.advance(Duration.ofSeconds(12));
+        assertThat(first.leads() ^ second.leads()).isTrue();
+    }
+
+    @Test
+    void aLeaseWhoseAnswerWasLostIsTakenUpByAskingAgain() {
+        store.losesAnswers(true);
+        timer.advance(Duration.ofSeconds(30));
+        assertThat(first.leads()).isFalse();
+        store.losesAnswers(false);
+        timer.advance(Duration.ofSeconds(3));
+        assertThat(first.leads() ^ second.leads()).isTrue();
+    }
+
+    @Test
+    void anAnswerThatTookLongerThanTheLeaseGrantsNothing() {
+        first.close();
+        second.close();
+        timer.advance(Duration.ofSeconds(10));
+        store.delay(SETTINGS.length());
+        DomainLeader late = leader("late", HostClock.create(timer));
+        timer.advance(Duration.ofSeconds(12));
+        assertThat(late.leads()).isFalse();
+    }
+
+    @Test
+    void closingGivesTheLeaseToTheNextWithoutWaitingForItsEnd() {
+        first.close();
+        timer.advance(SETTINGS.renewal().plusSeconds(1));
+        assertThat(second.leads()).isTrue();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13, 14, 15})
+    void neverTwoLeadersUnderRandomPausesAndOutages(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        int led = 0;
+        for (int step = 0; step < 4000; step++) {
+            switch (random.nextInt(60)) {
+                case 0 -> firstClock.pause(Duration.ofMillis(random.nextInt(25_000)));
+                case 1 -> secondClock.pause(Duration.ofMillis(random.nextInt(25_000)));
+                case 2 -> store.down(random.nextBoolean());
+                case 3 -> store.losesAnswers(random.nextBoolean());
+                case 4 -> store.delay(Duration.ofMillis(random.nextInt(10_000)));
+                case 5 -> store.delay(Duration.ofMillis(2));
+                default -> timer.advance(Duration.ofMillis(random.nextInt(500)));
+            }
+            assertThat(first.leads() && second.leads())
+                    .as("seed %d step %d", seed, step)
+                    .isFalse();
+            led += first.leads() || second.leads() ? 1 : 0;
+        }
+        assertThat(led).isPositive();
+    }
+
+    private DomainLeader leader(String holder, HostClock clock) {
+        return DomainLeader.start(store.client(clock), "gulf-a", holder, SETTINGS, clock, () -> true);
+    }
+}
