--- /dev/null
+++ b/src/main/java/org/arbutusfield/lab/admission/IdealQueue.java
@@ -0,0 +1,85 @@
+package org.arbutusfield.lab.admission;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.arbutusfield.admission.BrokerSettings;
+import org.arbutusfield.admission.SlotBroker;
+import org.arbutusfield.admission.SlotDecision;
+import org.arbutusfield.admission.SlotGrant;
+import org.arbutusfield.admission.SlotRelease;
+import org.arbutusfield.admission.SlotRequest;
+import org.arbutusfield.admission.SlotServer;
+
+/** Lower bound: the same queue with no messages, no delay within a region and no lag. */
+final class IdealQueue {
+    private final Workload workload;
+    private final Loop loop;
+    private final Tally tally;
+    private final SlotBroker broker;
+    private final Map<String, Job> jobs = new HashMap<>();
+    private final Map<String, SimulatedServer> servers = new HashMap<>();
+
+    private IdealQueue(Workload workload, Loop loop, Tally tally, BrokerSettings settings) {
+        this.workload = workload;
+        this.loop = loop;
+        this.tally = tally;
+        this.broker = SlotBroker.create(settings, "ideal", 1, Set.of(), 0);
+    }
+
+    /** One queue for the given servers; a server's failure domain here is its region. */
+    static IdealQueue of(Workload workload, Loop loop, Tally tally, BrokerSettings settings, int... regions) {
+        IdealQueue queue = new IdealQueue(workload, loop, tally, settings);
+        for (int region : regions) {
+            for (int i = 0; i < workload.serversByRegion().get(region); i++) {
+                String name = "r" + region + "s" + i;
+                queue.servers.put(name, SimulatedServer.of(name, "r" + region, workload.slots(), loop, tally));
+            }
+        }
+        queue.broker.configure(
+                queue.servers.values().stream()
+                        .map(s -> new SlotServer(s.name(), s.failureDomain(), s.slots(), false))
+                        .toList(),
+                0);
+        loop.every(1_000_000, () -> queue.carryOut(queue.broker.tick(loop.nowNanos())));
+        return queue;
+    }
+
+    void arrive(Job job) {
+        jobs.put(job.id(), job);
+        long remaining = job.deadlineNanos() - loop.nowNanos();
+        String region = "r" + job.region();
+        carryOut(broker.request(
+                new SlotRequest(
+                        job.id(), region, 1, region, "service", job.priority().name(), job.priority(), remaining),
+                loop.nowNanos()));
+    }
+
+    private void carryOut(List<SlotDecision> decisions) {
+        for (SlotDecision decision : decisions) {
+            Job job = jobs.remove(decision.requestId());
+            if (decision instanceof SlotGrant grant) {
+                run(job, grant);
+            } else {
+                tally.refused(loop.nowNanos());
+            }
+        }
+    }
+
+    private void run(Job job, SlotGrant grant) {
+        SimulatedServer server = servers.get(grant.upstream());
+        boolean local = server.failureDomain().equals("r" + job.region());
+        long link = local ? 0 : 2 * workload.regionNanos();
+        server.run(job, (outcome, nanos) -> {
+            carryOut(broker.release(new SlotRelease(grant.token(), outcome, nanos), loop.nowNanos()));
+            loop.after(link, () -> {
+                if (outcome == SlotRelease.Outcome.COMPLETED) {
+                    tally.completed(job, loop.nowNanos());
+                } else {
+                    tally.late(loop.nowNanos());
+                }
+            });
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/lab/admission/Scenario.java
@@ -0,0 +1,33 @@
+package org.arbutusfield.lab.admission;
+
+import java.time.Duration;
+import java.util.Locale;
+
+/**
+ * The fault of a run and the lags of its measurements. All times are in nanoseconds.
+ *
+ * @param fault what fails
+ * @param faultNanos when it fails
+ */
+record Scenario(Fault fault, long faultNanos) {
+    static final long PAUSE_NANOS = Duration.ofSeconds(3).toNanos();
+    static final long HEARTBEAT_LOSS_NANOS = Duration.ofMillis(300).toNanos();
+    private static final long REPORT_LAG_NANOS = Duration.ofMillis(100).toNanos();
+    private static final long LONG_REPORT_LAG_NANOS = Duration.ofSeconds(1).toNanos();
+
+    /** What fails in a run. */
+    enum Fault {
+        NONE,
+        DEAD_HOST,
+        PAUSED_BROKER,
+        LAGGING_1S;
+
+        static Fault of(String name) {
+            return valueOf(name.replace('-', '_').toUpperCase(Locale.ROOT));
+        }
+    }
+
+    long reportLagNanos() {
+        return fault == Fault.LAGGING_1S ? LONG_REPORT_LAG_NANOS : REPORT_LAG_NANOS;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/lab/admission/Strategy.java
@@ -0,0 +1,20 @@
+package org.arbutusfield.lab.admission;
+
+/** A way to bring the jobs of one region to its servers. */
+@FunctionalInterface
+interface Strategy {
+
+    /** Handles a job that arrives at a live host. Ends in exactly one call of the tally for the job. */
+    void arrive(Job job, String host);
+
+    /** Notes that a host died. */
+    default void died(String host) {}
+
+    /** Notes that a host stops answering for {@link Scenario#PAUSE_NANOS}. */
+    default void paused(String host) {}
+
+    /** The host on which a fault hits hardest. */
+    default String weakest(Site site) {
+        return site.hosts().get(0);
+    }
+}
