Admission: the broker prefers servers and requests of one failure domain

Cause: 3.9 % of slot time was idle while work waited; a part is the way between host and server, which the queue's order and the choice of the emptiest server ignored. Change: a free server in the asker's failure domain goes first; a server that becomes free takes the first of four waiting requests from its own domain, and the front of the queue is overtaken at most four times.

--- a/src/main/java/org/arbutusfield/admission/SlotBroker.java
+++ b/src/main/java/org/arbutusfield/admission/SlotBroker.java
@@ -48,6 +48,8 @@
  * not thread-safe; its owner calls it under one lock.
  */
 public final class SlotBroker {
+    private static final int NEAR_WEIGHT = 1_000;
+
     private final BrokerSettings settings;
     private final String name;
     private final long epoch;
@@ -273,20 +275,25 @@
             return;
         }
         while (!queue.isEmpty()) {
-            Optional<ServerState> server = emptiest(nowNanos);
+            Optional<ServerState> server = nearest(queue.first().request().failureDomain(), nowNanos);
             if (server.isEmpty()) {
                 return;
             }
-            out.add(grant(queue.take(nowNanos), server.get(), nowNanos));
+            Waiting next = queue.take(server.get().failureDomain(), nowNanos);
+            out.add(grant(next, server.get(), nowNanos));
         }
     }
 
-    private Optional<ServerState> emptiest(long nowNanos) {
+    /** The server with most free slots in the failure domain, or else in any. */
+    private Optional<ServerState> nearest(String failureDomain, long nowNanos) {
         ServerState best = null;
+        int bestScore = 0;
         for (ServerState server : servers.values()) {
             int free = server.free(nowNanos);
-            if (free > 0 && (best == null || free > best.free(nowNanos))) {
+            int score = server.failureDomain().equals(failureDomain) ? free * NEAR_WEIGHT : free;
+            if (score > bestScore) {
                 best = server;
+                bestScore = score;
             }
         }
         return Optional.ofNullable(best);
@@ -344,7 +351,7 @@
                     .withRetryAfter(
                             RetryDelay.of(request.requestId(), settings.recoverNanos(), settings.minRetryNanos())));
         }
-        boolean free = queue.isEmpty() && emptiest(nowNanos).isPresent();
+        boolean free = queue.isEmpty() && nearest("", nowNanos).isPresent();
         if (free) {
             return Optional.empty();
         }
--- a/src/main/java/org/arbutusfield/admission/WaitingQueue.java
+++ b/src/main/java/org/arbutusfield/admission/WaitingQueue.java
@@ -87,16 +87,28 @@
         byLatestStart.add(waiting);
     }
 
-    /** Takes the request to be served next; the queue must not be empty. */
-    Waiting take(long nowNanos) {
+    /** The request whose turn it is; the queue must not be empty. */
+    Waiting first() {
+        return turn().requests.first();
+    }
+
+    /**
+     * Takes a request to be served: the first whose host is in the failure domain, if it is near the front and the
+     * front was not overtaken too often, else the one whose turn it is. The queue must not be empty.
+     */
+    Waiting take(String failureDomain, long nowNanos) {
+        Line line = turn();
         taken++;
-        Line line = taken % lowerClassInterval == 0 ? longestUnserved() : highest();
-        Waiting next = line.requests.first();
+        Waiting next = line.choose(failureDomain);
         line.served(nowNanos);
         remove(next.request().requestId());
         return next;
     }
 
+    private Line turn() {
+        return (taken + 1) % lowerClassInterval == 0 ? longestUnserved() : highest();
+    }
+
     Optional<Waiting> remove(String requestId) {
         Waiting waiting = byRequest.remove(requestId);
         if (waiting == null) {
@@ -160,10 +172,30 @@
 
     private static final class Line {
         private static final double GAIN = 1.0 / 16;
+        private static final int LOOK_AHEAD = 4;
+        private static final int MAX_OVERTAKEN = 4;
 
         private final TreeSet<Waiting> requests = new TreeSet<>(Waiting.BY_RANK);
         private double intervalNanos;
         private long anchorNanos;
+        private int overtaken;
+
+        private Waiting choose(String failureDomain) {
+            if (overtaken < MAX_OVERTAKEN) {
+                int position = 0;
+                for (Waiting waiting : requests) {
+                    if (waiting.request().failureDomain().equals(failureDomain)) {
+                        overtaken = position == 0 ? 0 : overtaken + 1;
+                        return waiting;
+                    }
+                    if (++position >= LOOK_AHEAD) {
+                        break;
+                    }
+                }
+            }
+            overtaken = 0;
+            return requests.first();
+        }
 
         private void served(long nowNanos) {
             intervalNanos += GAIN * (nowNanos - anchorNanos - intervalNanos);
