Release notes: strict schema, checks with paths, hostile notes bounded; compact client blocks

Cause: notes were read field by field without a schema; faults stopped at the first failing layer; 1.6 million client blocks as objects do not fit the daemon's heap. Change: release-note.schema.json checked item by item with a bound on faults; size, UTF-8, token, depth and number limits before the tree is built; NoteChecks on the state that a note leads to. Client blocks are kept as BlockList: segments of a few bytes a block, cut by content, so that equal sets have equal segments and a small note rewrites one or two. Ruled out: rejecting pairs of rules A to B and B to A. A request is moved at most once, so two regions may relieve each other; only a rule from a region to itself is refused as a cycle. A drain that leaves a region's callers without any server they may reach is a warning that force passes.

--- a/src/main/java/org/arbutusfield/error/ErrorCode.java
+++ b/src/main/java/org/arbutusfield/error/ErrorCode.java
@@ -26,6 +26,11 @@
     NOTE_CAP_INFEASIBLE(Severity.ERROR, 422, Execution.NOT_RUN, "a cap cannot hold with the other items"),
     NOTE_CONFLICT(Severity.NOTICE, 409, Execution.NOT_RUN, "the running state moved since the note was written"),
     NOTE_ID_REUSED(Severity.ERROR, 409, Execution.NOT_RUN, "another note with the same id was applied"),
+    NOTE_DRAIN_LEAVES_NONE(
+            Severity.WARNING,
+            422,
+            Execution.NOT_RUN,
+            "a drain leaves callers without a server; force the note to apply it"),
 
     // platform store
     STORE_UNAVAILABLE(Severity.WARNING, 503, Execution.NOT_RUN, "the store cannot be reached"),
@@ -73,6 +78,11 @@
             "a request with the same key may have run; its outcome is unknown"),
     KEY_REQUIRED(
             Severity.NOTICE, 428, Execution.NOT_RUN, "a request that may not be repeated needs an idempotency key"),
+    KEY_COMPLETED(
+            Severity.NOTICE,
+            409,
+            Execution.NOT_RUN,
+            "this copy was not run: a request with the same key has completed"),
     CLAIM_UNAVAILABLE(Severity.WARNING, 503, Execution.NOT_RUN, "the idempotency key cannot be claimed now"),
 
     // between hosts
--- a/src/main/java/org/arbutusfield/model/Configuration.java
+++ b/src/main/java/org/arbutusfield/model/Configuration.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 /**
  * The whole running state at one revision. Immutable; a new revision is a new object, installed as a whole.
@@ -17,17 +18,19 @@
  * <p>Revisions are numbered from 1 without gaps; 0 is the empty state before the first release note.
  */
 public final class Configuration {
-    private static final Configuration EMPTY = new Configuration(0, "", new EnumMap<>(Kind.class));
+    private static final Configuration EMPTY = new Configuration(0, "", new EnumMap<>(Kind.class), BlockList.empty());
 
     private final long revision;
     private final String noteId;
     private final Map<Kind, SortedMap<String, Entity>> tables;
+    private final BlockList blocks;
     private final Map<String, List<Upstream>> upstreamsByService;
 
-    private Configuration(long revision, String noteId, Map<Kind, SortedMap<String, Entity>> tables) {
+    private Configuration(long revision, String noteId, Map<Kind, SortedMap<String, Entity>> tables, BlockList blocks) {
         this.revision = revision;
         this.noteId = noteId;
         this.tables = tables;
+        this.blocks = blocks;
         this.upstreamsByService = groupUpstreams(tables);
     }
 
@@ -44,16 +47,37 @@
      * @param items all items; two of one kind with the same key are not allowed
      */
     public static Configuration of(long revision, String noteId, Collection<? extends Entity> items) {
+        List<Entity> others = new ArrayList<>();
+        List<ClientBlock> blocks = new ArrayList<>();
+        for (Entity item : items) {
+            if (item instanceof ClientBlock block) {
+                blocks.add(block);
+            } else {
+                others.add(item);
+            }
+        }
+        return of(revision, noteId, others, BlockList.of(blocks));
+    }
+
+    /**
+     * A state whose client blocks are already in their compact form.
+     *
+     * @param revision the revision, 1 or more
+     * @param noteId id of the release note that made it
+     * @param items all items but client blocks; two of one kind with the same key are not allowed
+     * @param blocks the client blocks
+     */
+    public static Configuration of(long revision, String noteId, Collection<? extends Entity> items, BlockList blocks) {
         Map<Kind, SortedMap<String, Entity>> tables = new EnumMap<>(Kind.class);
         for (Entity item : items) {
             Entity earlier =
                     tables.computeIfAbsent(item.kind(), kind -> new TreeMap<>()).put(item.key(), item);
-            if (earlier != null) {
-                throw new IllegalArgumentException("two items with key " + item.kind() + " " + item.key());
+            if (earlier != null || item.kind() == Kind.CLIENT_BLOCK) {
+                throw new IllegalArgumentException("misplaced or second item " + item.kind() + " " + item.key());
             }
         }
         tables.replaceAll((kind, table) -> Collections.unmodifiableSortedMap(table));
-        return new Configuration(revision, noteId, tables);
+        return new Configuration(revision, noteId, tables, blocks);
     }
 
     /** The revision number; 0 for the empty state. */
@@ -66,21 +90,40 @@
         return noteId;
     }
 
-    /** All items of a kind by key, sorted. */
+    /** The client blocks in their compact form. */
+    public BlockList blocks() {
+        return blocks;
+    }
+
+    /** Visits every client block in order of address, wider blocks first, without making objects of them. */
+    public void forEachBlock(BlockVisitor visitor) {
+        blocks.forEach(visitor);
+    }
+
+    /**
+     * All items of a kind by key, sorted. The table of client blocks is made anew by each call, some hundred bytes a
+     * block: where there may be many, use {@link #blocks()}.
+     */
     public SortedMap<String, Entity> table(Kind kind) {
+        if (kind == Kind.CLIENT_BLOCK) {
+            return blocks.asTable();
+        }
         return tables.getOrDefault(kind, Collections.emptySortedMap());
     }
 
     /** The item with the key, if there is one. */
     public Optional<Entity> find(Kind kind, String key) {
+        if (kind == Kind.CLIENT_BLOCK) {
+            return blocks.siteOf(key).map(site -> new ClientBlock(key, site));
+        }
         return Optional.ofNullable(table(kind).get(key));
     }
 
     /** The items of a kind, sorted by key. */
     public <T extends Entity> List<T> items(Class<T> type) {
-        return tables.values().stream()
-                .flatMap(table -> table.values().stream())
-                .filter(type::isInstance)
+        return Stream.of(Kind.values())
+                .filter(kind -> kind.type() == type)
+                .flatMap(kind -> table(kind).values().stream())
                 .map(type::cast)
                 .toList();
     }
@@ -124,7 +167,8 @@
         return other instanceof Configuration that
                 && revision == that.revision
                 && noteId.equals(that.noteId)
-                && tables.equals(that.tables);
+                && tables.equals(that.tables)
+                && blocks.equals(that.blocks);
     }
 
     @Override
@@ -137,7 +181,7 @@
         StringBuilder out = new StringBuilder("Configuration[revision=" + revision + ", note=" + noteId);
         tables.forEach((kind, table) ->
                 out.append(", ").append(kind.field()).append('=').append(table.size()));
-        return out.append(']').toString();
+        return out.append(", blocks=").append(blocks.size()).append(']').toString();
     }
 
     private static Map<String, List<Upstream>> groupUpstreams(Map<Kind, SortedMap<String, Entity>> tables) {
--- /dev/null
+++ b/src/main/java/org/arbutusfield/note/ItemChecks.java
@@ -0,0 +1,97 @@
+package org.arbutusfield.note;
+
+import io.netty.util.NetUtil;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.lookup.Ipv4Block;
+import org.arbutusfield.model.ClientBlock;
+import org.arbutusfield.model.Entity;
+import org.arbutusfield.model.Link;
+import org.arbutusfield.model.MoveRule;
+import org.arbutusfield.model.Objective;
+import org.arbutusfield.model.RequestClass;
+import org.arbutusfield.model.Service;
+import org.arbutusfield.model.ShiftCap;
+import org.arbutusfield.model.Upstream;
+
+/** What the schema cannot say about one item on its own. */
+final class ItemChecks {
+    private ItemChecks() {}
+
+    /**
+     * Checks one item.
+     *
+     * @param item the item
+     * @param path its JSON path in the note
+     * @param faults where faults go
+     */
+    static void check(Entity item, String path, Faults faults) {
+        if (item instanceof Service service) {
+            checkClasses(service.classes(), path + "/classes", faults);
+            checkObjectives(service, path + "/objectives", faults);
+            if (service.latencyWeight() + service.headroomWeight() <= 0) {
+                add(faults, ErrorCode.NOTE_SCHEMA, path + "/latencyWeight", "both weights are zero");
+            }
+        } else if (item instanceof ClientBlock block) {
+            Ipv4Block.parse(block.prefix())
+                    .peekLeft(f -> add(faults, ErrorCode.NOTE_SCHEMA, path + "/prefix", f.detail()));
+        } else if (item instanceof Upstream upstream) {
+            checkUpstream(upstream, path, faults);
+        } else if (item instanceof Link link && link.from().equals(link.to())) {
+            add(faults, ErrorCode.NOTE_SCHEMA, path + "/to", "a link joins two regions");
+        } else if (item instanceof MoveRule rule && rule.from().equals(rule.to())) {
+            add(faults, ErrorCode.NOTE_RULE_CYCLE, path + "/to", "a rule moves callers to another region");
+        } else if (item instanceof ShiftCap cap && cap.from().equals(cap.to())) {
+            add(faults, ErrorCode.NOTE_CAP_INFEASIBLE, path + "/to", "a cap is on shifts to another region");
+        }
+    }
+
+    private static void checkClasses(List<RequestClass> classes, String path, Faults faults) {
+        Set<String> names = new HashSet<>();
+        for (int i = 0; i < classes.size(); i++) {
+            if (!names.add(classes.get(i).name())) {
+                add(
+                        faults,
+                        ErrorCode.NOTE_DUPLICATE,
+                        path + "/" + i + "/name",
+                        classes.get(i).name());
+            }
+        }
+        RequestClass last = classes.get(classes.size() - 1);
+        if (!last.methods().isEmpty() || !last.pathPrefix().isEmpty()) {
+            add(faults, ErrorCode.NOTE_SCHEMA, path, "the last class must match every request");
+        }
+    }
+
+    private static void checkObjectives(Service service, String path, Faults faults) {
+        Set<String> classes = service.classes().stream().map(RequestClass::name).collect(Collectors.toSet());
+        Set<String> seen = new HashSet<>();
+        for (int i = 0; i < service.objectives().size(); i++) {
+            Objective objective = service.objectives().get(i);
+            String field = path + "/" + i + "/requestClass";
+            if (!classes.contains(objective.requestClass())) {
+                add(faults, ErrorCode.NOTE_DANGLING_REFERENCE, field, "no class " + objective.requestClass());
+            }
+            if (!seen.add(objective.requestClass())) {
+                add(faults, ErrorCode.NOTE_DUPLICATE, field, objective.requestClass());
+            }
+        }
+    }
+
+    private static void checkUpstream(Upstream upstream, String path, Faults faults) {
+        if (!NetUtil.isValidIpV4Address(upstream.host()) && !NetUtil.isValidIpV6Address(upstream.host())) {
+            add(faults, ErrorCode.NOTE_SCHEMA, path + "/host", "not an IP address");
+        }
+        if (upstream.connections() < upstream.slots()) {
+            add(faults, ErrorCode.NOTE_SCHEMA, path + "/connections", "fewer connections than slots");
+        }
+    }
+
+    private static void add(Faults faults, ErrorCode code, String path, String detail) {
+        faults.add(Failure.of(code, path, detail));
+    }
+}
--- a/src/main/java/org/arbutusfield/note/NoteApplier.java
+++ b/src/main/java/org/arbutusfield/note/NoteApplier.java
@@ -5,57 +5,147 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.lookup.Ipv4Block;
+import org.arbutusfield.model.BlockList;
+import org.arbutusfield.model.ClientBlock;
 import org.arbutusfield.model.Configuration;
 import org.arbutusfield.model.Entity;
 import org.arbutusfield.model.Kind;
 
-/** Works out the running state that a note leads to. Pure: the current state is never changed. */
+/**
+ * Works out the running state that a note leads to. Pure: the current state is never changed.
+ *
+ * <p>All faults are found in one go: the next state is built even when items are named twice or missing, so that its
+ * references are checked too.
+ */
 public final class NoteApplier {
-    private NoteApplier() {}
+    private final Configuration current;
+    private final ReleaseNote note;
+    private final Faults faults = new Faults();
+    private final Set<String> blocksBefore;
+
+    private NoteApplier(Configuration current, ReleaseNote note) {
+        this.current = current;
+        this.note = note;
+        this.blocksBefore = current.blocks().sitesOf(prefixesOf(note)).keySet();
+    }
 
     /**
      * Applies a note to a state.
      *
      * @param current the running state
      * @param note a note written against {@code current.revision()}
-     * @return the next state, or every fault found
+     * @return the next state, or every fault found, each with its JSON path in the note
      */
     public static Either<List<Failure>, Configuration> apply(Configuration current, ReleaseNote note) {
         if (note.against() != current.revision()) {
-            return Either.left(List.of(Failure.of(
-                    ErrorCode.NOTE_CONFLICT,
-                    note.id(),
-                    "written against " + note.against() + ", running is " + current.revision())));
+            String detail = "written against " + note.against() + ", running is " + current.revision();
+            return Either.left(List.of(Failure.of(ErrorCode.NOTE_CONFLICT, note.id(), detail)));
+        }
+        return new NoteApplier(current, note).apply();
+    }
+
+    private Either<List<Failure>, Configuration> apply() {
+        NotePaths paths = NotePaths.of(note, faults);
+        checkExistence(paths);
+        for (Entity item : note.added()) {
+            ItemChecks.check(item, paths.of(NotePaths.keyOf(item)), faults);
+        }
+        for (Entity item : note.changed()) {
+            ItemChecks.check(item, paths.of(NotePaths.keyOf(item)), faults);
+        }
+        Configuration next = Configuration.of(current.revision() + 1, note.id(), nextItems(), nextBlocks());
+        NoteChecks.check(current, next, note, paths, faults);
+        return faults.none() ? Either.right(next) : Either.left(faults.list());
+    }
+
+    private void checkExistence(NotePaths paths) {
+        for (Entity item : note.added()) {
+            EntityKey key = NotePaths.keyOf(item);
+            if (exists(key)) {
+                faults.add(Failure.of(ErrorCode.NOTE_ALREADY_EXISTS, paths.of(key), key.key()));
+            }
         }
-        List<Failure> faults = new ArrayList<>();
+        for (Entity item : note.changed()) {
+            checkPresent(NotePaths.keyOf(item), paths);
+        }
+        for (EntityKey key : note.withdrawn()) {
+            checkPresent(key, paths);
+        }
+    }
+
+    private void checkPresent(EntityKey key, NotePaths paths) {
+        if (!exists(key)) {
+            faults.add(Failure.of(ErrorCode.NOTE_NOT_FOUND, paths.of(key), key.key()));
+        }
+    }
+
+    private boolean exists(EntityKey key) {
+        if (key.kind() == Kind.CLIENT_BLOCK) {
+            return blocksBefore.contains(key.key());
+        }
+        return current.table(key.kind()).containsKey(key.key());
+    }
+
+    private List<Entity> nextItems() {
         Map<EntityKey, Entity> items = new LinkedHashMap<>();
         for (Kind kind : Kind.values()) {
-            current.table(kind).values().forEach(item -> items.put(keyOf(item), item));
+            if (kind != Kind.CLIENT_BLOCK) {
+                current.table(kind).values().forEach(item -> items.put(NotePaths.keyOf(item), item));
+            }
         }
-        for (EntityKey key : note.withdrawn()) {
-            if (items.remove(key) == null) {
-                faults.add(Failure.of(ErrorCode.NOTE_NOT_FOUND, key.kind().field() + "/" + key.key()));
+        note.withdrawn().forEach(items::remove);
+        for (List<Entity> section : List.of(note.changed(), note.added())) {
+            for (Entity item : section) {
+                if (item.kind() != Kind.CLIENT_BLOCK) {
+                    items.put(NotePaths.keyOf(item), item);
+                }
             }
         }
-        for (Entity item : note.changed()) {
-            if (items.replace(keyOf(item), item) == null) {
-                faults.add(Failure.of(ErrorCode.NOTE_NOT_FOUND, item.kind().field() + "/" + item.key()));
+        return List.copyOf(items.values());
+    }
+
+    private BlockList nextBlocks() {
+        List<ClientBlock> set = new ArrayList<>();
+        for (List<Entity> section : List.of(note.changed(), note.added())) {
+            for (Entity item : section) {
+                if (item instanceof ClientBlock block && canonical(block.prefix())) {
+                    set.add(block);
+                }
             }
         }
-        for (Entity item : note.added()) {
-            if (items.putIfAbsent(keyOf(item), item) != null) {
-                faults.add(Failure.of(ErrorCode.NOTE_ALREADY_EXISTS, item.kind().field() + "/" + item.key()));
+        List<String> removed = note.withdrawn().stream()
+                .filter(key -> key.kind() == Kind.CLIENT_BLOCK && canonical(key.key()))
+                .map(EntityKey::key)
+                .toList();
+        return set.isEmpty() && removed.isEmpty()
+                ? current.blocks()
+                : current.blocks().updated(set, removed);
+    }
+
+    private static Set<String> prefixesOf(ReleaseNote note) {
+        Set<String> prefixes = new TreeSet<>();
+        for (List<Entity> section : List.of(note.added(), note.changed())) {
+            for (Entity item : section) {
+                if (item.kind() == Kind.CLIENT_BLOCK) {
+                    prefixes.add(item.key());
+                }
             }
         }
-        if (!faults.isEmpty()) {
-            return Either.left(faults);
+        for (EntityKey key : note.withdrawn()) {
+            if (key.kind() == Kind.CLIENT_BLOCK) {
+                prefixes.add(key.key());
+            }
         }
-        return Either.right(Configuration.of(current.revision() + 1, note.id(), items.values()));
+        prefixes.removeIf(prefix -> !canonical(prefix));
+        return prefixes;
     }
 
-    private static EntityKey keyOf(Entity item) {
-        return new EntityKey(item.kind(), item.key());
+    private static boolean canonical(String prefix) {
+        return Ipv4Block.parse(prefix).isRight();
     }
 }
--- /dev/null
+++ b/src/main/java/org/arbutusfield/note/NoteChecks.java
@@ -0,0 +1,178 @@
+package org.arbutusfield.note;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.model.Configuration;
+import org.arbutusfield.model.Entity;
+import org.arbutusfield.model.Kind;
+import org.arbutusfield.model.MoveRule;
+import org.arbutusfield.model.Service;
+import org.arbutusfield.model.ShiftCap;
+import org.arbutusfield.model.Upstream;
+
+/**
+ * Checks the state that a note leads to: references, shared addresses, caps without a link, drains that leave callers
+ * without a server.
+ */
+final class NoteChecks {
+    private final Configuration current;
+    private final Configuration next;
+    private final ReleaseNote note;
+    private final NotePaths paths;
+    private final Faults faults;
+
+    private NoteChecks(Configuration current, Configuration next, ReleaseNote note, NotePaths paths, Faults faults) {
+        this.current = current;
+        this.next = next;
+        this.note = note;
+        this.paths = paths;
+        this.faults = faults;
+    }
+
+    /** Adds every fault of the next state, and the warnings unless the note is forced. */
+    static void check(Configuration current, Configuration next, ReleaseNote note, NotePaths paths, Faults faults) {
+        NoteChecks checks = new NoteChecks(current, next, note, paths, faults);
+        checks.checkReferences();
+        checks.checkBlocks();
+        checks.checkAddresses();
+        checks.checkCaps();
+        if (!note.force()) {
+            checks.warnOfDrains();
+        }
+    }
+
+    private void checkReferences() {
+        for (Kind kind : Kind.values()) {
+            if (kind == Kind.CLIENT_BLOCK) {
+                continue;
+            }
+            for (Entity item : next.table(kind).values()) {
+                References.of(item).forEach(reference -> checkReference(item, reference));
+            }
+        }
+    }
+
+    private void checkReference(Entity item, References.Reference reference) {
+        EntityKey target = reference.target();
+        if (next.table(target.kind()).containsKey(target.key())) {
+            return;
+        }
+        EntityKey key = NotePaths.keyOf(item);
+        String path = paths.find(key).map(p -> p + "/" + reference.field()).orElseGet(() -> paths.of(target));
+        String detail = describe(key) + " refers to " + describe(target) + ", which does not exist";
+        faults.add(Failure.of(ErrorCode.NOTE_DANGLING_REFERENCE, path, detail));
+    }
+
+    private void checkBlocks() {
+        Set<String> sites = next.table(Kind.SITE).keySet();
+        for (List<Entity> section : List.of(note.added(), note.changed())) {
+            for (Entity item : section) {
+                if (item.kind() == Kind.CLIENT_BLOCK) {
+                    References.of(item).forEach(reference -> checkReference(item, reference));
+                }
+            }
+        }
+        Set<String> named = blockSitesOfNote();
+        for (String site : next.blocks().sites()) {
+            if (!sites.contains(site) && !named.contains(site)) {
+                EntityKey key = new EntityKey(Kind.SITE, site);
+                faults.add(Failure.of(
+                        ErrorCode.NOTE_DANGLING_REFERENCE, paths.of(key), "blocks refer to " + describe(key)));
+            }
+        }
+    }
+
+    private Set<String> blockSitesOfNote() {
+        Set<String> sites = new HashSet<>();
+        for (List<Entity> section : List.of(note.added(), note.changed())) {
+            for (Entity item : section) {
+                if (item.kind() == Kind.CLIENT_BLOCK) {
+                    References.of(item)
+                            .forEach(reference -> sites.add(reference.target().key()));
+                }
+            }
+        }
+        return sites;
+    }
+
+    private void checkAddresses() {
+        Map<String, Upstream> byAddress = new HashMap<>();
+        for (Upstream upstream : next.items(Upstream.class)) {
+            Upstream other = byAddress.putIfAbsent(upstream.host() + " " + upstream.port(), upstream);
+            if (other == null) {
+                continue;
+            }
+            String path = paths.find(NotePaths.keyOf(upstream)).orElseGet(() -> paths.of(NotePaths.keyOf(other)));
+            faults.add(Failure.of(
+                    ErrorCode.NOTE_DUPLICATE,
+                    path + "/port",
+                    upstream.name() + " and " + other.name() + " have one address"));
+        }
+    }
+
+    private void checkCaps() {
+        for (ShiftCap cap : next.items(ShiftCap.class)) {
+            EntityKey link = new EntityKey(Kind.LINK, cap.from() + ">" + cap.to());
+            boolean shifts = cap.maxShare() > 0 && cap.maxPerInterval() > 0;
+            if (!shifts || cap.from().equals(cap.to()) || next.table(Kind.LINK).containsKey(link.key())) {
+                continue;
+            }
+            String path = paths.find(NotePaths.keyOf(cap)).orElseGet(() -> paths.of(link));
+            faults.add(Failure.of(
+                    ErrorCode.NOTE_CAP_INFEASIBLE,
+                    path,
+                    cap.key() + " allows a shift and there is no " + describe(link)));
+        }
+    }
+
+    private void warnOfDrains() {
+        for (Service service : next.items(Service.class)) {
+            Set<String> before = openRegions(current, service.name());
+            Set<String> after = openRegions(next, service.name());
+            for (String region : before) {
+                if (!after.contains(region)
+                        && hasServers(service.name(), region)
+                        && !relieved(service, region, after)) {
+                    faults.add(Failure.of(
+                            ErrorCode.NOTE_DRAIN_LEAVES_NONE,
+                            "/services/" + service.name() + "/regions/" + region,
+                            "all servers drained and no rule leads to a region with a server"));
+                }
+            }
+        }
+    }
+
+    private boolean relieved(Service service, String region, Set<String> open) {
+        for (MoveRule rule : next.items(MoveRule.class)) {
+            if (rule.service().equals(service.name()) && rule.from().equals(region) && open.contains(rule.to())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean hasServers(String service, String region) {
+        return next.upstreams(service).stream()
+                .anyMatch(u -> next.regionOf(u).filter(region::equals).isPresent());
+    }
+
+    private static Set<String> openRegions(Configuration state, String service) {
+        Set<String> regions = new TreeSet<>();
+        for (Upstream upstream : state.upstreams(service)) {
+            if (!state.drained(upstream)) {
+                state.regionOf(upstream).ifPresent(regions::add);
+            }
+        }
+        return regions;
+    }
+
+    private static String describe(EntityKey key) {
+        return key.kind().field() + " " + key.key();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/note/NotePaths.java
@@ -0,0 +1,58 @@
+package org.arbutusfield.note;
+
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.model.Entity;
+import org.arbutusfield.model.Kind;
+
+/** Where in a note each item stands, as JSON paths. */
+final class NotePaths {
+    private final Map<EntityKey, String> paths = new HashMap<>();
+
+    private NotePaths() {}
+
+    /** The paths of a note's items; an item that is named twice is a {@code NOTE_DUPLICATE} at its later path. */
+    static NotePaths of(ReleaseNote note, Faults faults) {
+        NotePaths result = new NotePaths();
+        result.addSection("added", keys(note.added()), faults);
+        result.addSection("changed", keys(note.changed()), faults);
+        result.addSection("withdrawn", note.withdrawn(), faults);
+        return result;
+    }
+
+    /** The key of an item. */
+    static EntityKey keyOf(Entity item) {
+        return new EntityKey(item.kind(), item.key());
+    }
+
+    /** The path of an item, if the note names it. */
+    Optional<String> find(EntityKey key) {
+        return Optional.ofNullable(paths.get(key));
+    }
+
+    /** The path of an item that the note names. */
+    String of(EntityKey key) {
+        return find(key).orElse("");
+    }
+
+    private void addSection(String section, List<EntityKey> keys, Faults faults) {
+        Map<Kind, Integer> counts = new EnumMap<>(Kind.class);
+        for (EntityKey key : keys) {
+            int index = counts.merge(key.kind(), 1, Integer::sum) - 1;
+            String path = "/" + section + "/" + key.kind().field() + "/" + index;
+            String earlier = paths.putIfAbsent(key, path);
+            if (earlier != null) {
+                faults.add(Failure.of(ErrorCode.NOTE_DUPLICATE, path, "also at " + earlier));
+            }
+        }
+    }
+
+    private static List<EntityKey> keys(List<Entity> items) {
+        return items.stream().map(NotePaths::keyOf).toList();
+    }
+}
--- a/src/main/java/org/arbutusfield/note/NoteReader.java
+++ b/src/main/java/org/arbutusfield/note/NoteReader.java
@@ -1,31 +1,50 @@
 package org.arbutusfield.note;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
-import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.CodingErrorAction;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.model.Entity;
 import org.arbutusfield.model.Kind;
 
-/** Reads release notes from JSON. Reports every fault that it finds, each with its path. */
+/**
+ * Reads release notes from JSON.
+ *
+ * <p>A note passes these gates in turn: size, UTF-8, JSON (strict: no duplicate keys, no {@code NaN}, bounded depth,
+ * numbers, names and tokens), schema. A note that fails one gate does not reach the next; within the schema every fault
+ * is reported, up to a bound, each with its path. Memory and time are bounded by the size limits.
+ */
 public final class NoteReader {
     /** Largest note, in bytes. */
     public static final int MAX_NOTE_BYTES = 8 << 20;
 
+    /** Most JSON tokens in a note. */
+    public static final int MAX_TOKENS = 1_000_000;
+
     private static final int MAX_DEPTH = 16;
-    private static final JsonMapper JSON = JsonMapper.builder(com.fasterxml.jackson.core.JsonFactory.builder()
+    private static final int MAX_NUMBER_CHARS = 32;
+    private static final int MAX_NAME_CHARS = 256;
+    private static final int MAX_STRING_CHARS = 4096;
+    private static final JsonMapper JSON = JsonMapper.builder(JsonFactory.builder()
                     .streamReadConstraints(StreamReadConstraints.builder()
                             .maxNestingDepth(MAX_DEPTH)
+                            .maxNumberLength(MAX_NUMBER_CHARS)
+                            .maxNameLength(MAX_NAME_CHARS)
+                            .maxStringLength(MAX_STRING_CHARS)
                             .build())
                     .build())
             .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
@@ -33,11 +52,8 @@
             .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
             .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
             .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
-            .disable(JsonReadFeature.ALLOW_NON_NUMERIC_NUMBERS)
             .build();
 
-    private final List<Failure> faults = new ArrayList<>();
-
     private NoteReader() {}
 
     /**
@@ -48,73 +64,86 @@
      */
     public static Either<List<Failure>, ReleaseNote> read(byte[] document) {
         if (document.length > MAX_NOTE_BYTES) {
-            return Either.left(List.of(Failure.of(ErrorCode.NOTE_TOO_LARGE, "", document.length + " bytes")));
+            return refused(ErrorCode.NOTE_TOO_LARGE, document.length + " bytes, at most " + MAX_NOTE_BYTES);
         }
         try {
-            return new NoteReader().note(JSON.readTree(document));
+            String text = decode(document);
+            if (tokens(text) > MAX_TOKENS) {
+                return refused(ErrorCode.NOTE_TOO_LARGE, "more than " + MAX_TOKENS + " JSON tokens");
+            }
+            return text.isBlank() ? refused(ErrorCode.NOTE_MALFORMED, "empty") : note(JSON.readTree(text));
+        } catch (CharacterCodingException e) {
+            return refused(ErrorCode.NOTE_MALFORMED, "not UTF-8");
         } catch (IOException e) {
-            return Either.left(List.of(Failure.of(ErrorCode.NOTE_MALFORMED, "", firstLine(e))));
+            return refused(ErrorCode.NOTE_MALFORMED, firstLine(e));
         }
     }
 
-    private Either<List<Failure>, ReleaseNote> note(JsonNode root) {
-        String id = root.path("id").asText("");
-        if (!id.matches("[A-Za-z0-9._-]{1,64}")) {
-            fault("/id", "1 to 64 letters, digits, dots, dashes or underscores");
+    private static String decode(byte[] document) throws CharacterCodingException {
+        return StandardCharsets.UTF_8
+                .newDecoder()
+                .onMalformedInput(CodingErrorAction.REPORT)
+                .onUnmappableCharacter(CodingErrorAction.REPORT)
+                .decode(ByteBuffer.wrap(document))
+                .toString();
+    }
+
+    private static int tokens(String text) throws IOException {
+        int count = 0;
+        try (JsonParser parser = JSON.createParser(text)) {
+            while (count <= MAX_TOKENS && parser.nextToken() != null) {
+                count++;
+            }
         }
-        if (!root.path("against").canConvertToLong()) {
-            fault("/against", "a revision number");
+        return count;
+    }
+
+    private static Either<List<Failure>, ReleaseNote> note(JsonNode root) {
+        Faults faults = new Faults();
+        NoteSchema.shipped().check(root, faults);
+        if (!faults.none()) {
+            return Either.left(faults.list());
         }
-        List<Entity> added = entities(root, "added");
-        List<Entity> changed = entities(root, "changed");
-        List<EntityKey> withdrawn = withdrawn(root);
-        if (!faults.isEmpty()) {
-            return Either.left(List.copyOf(faults));
+        List<Entity> added = entities(root, "added", faults);
+        List<Entity> changed = entities(root, "changed", faults);
+        if (!faults.none()) {
+            return Either.left(faults.list());
         }
-        return Either.right(new ReleaseNote(id, root.path("against").asLong(), added, changed, withdrawn));
+        return Either.right(new ReleaseNote(
+                root.path("id").asText(),
+                root.path("against").asLong(),
+                added,
+                changed,
+                withdrawn(root),
+                root.path("force").asBoolean()));
     }
 
-    private List<Entity> entities(JsonNode root, String section) {
+    private static List<Entity> entities(JsonNode root, String section, Faults faults) {
         List<Entity> items = new ArrayList<>();
-        for (Map.Entry<String, JsonNode> field : root.path(section).properties()) {
-            String path = "/" + section + "/" + field.getKey();
-            Kind kind = Kind.ofField(field.getKey()).orElse(null);
-            if (kind == null) {
-                fault(path, "unknown kind of item");
-                continue;
-            }
-            int index = 0;
-            for (JsonNode item : field.getValue()) {
-                entity(kind, item, path + "/" + index, items);
-                index++;
+        for (Kind kind : Kind.values()) {
+            for (JsonNode item : root.path(section).path(kind.field())) {
+                try {
+                    items.add(JSON.treeToValue(item, kind.type()));
+                } catch (JsonProcessingException e) {
+                    faults.add(Failure.of(ErrorCode.NOTE_SCHEMA, "/" + section + "/" + kind.field(), firstLine(e)));
+                }
             }
         }
         return items;
     }
 
-    private void entity(Kind kind, JsonNode item, String path, List<Entity> items) {
-        try {
-            items.add(JSON.treeToValue(item, kind.type()));
-        } catch (JsonProcessingException e) {
-            fault(path, firstLine(e));
-        }
-    }
-
-    private List<EntityKey> withdrawn(JsonNode root) {
+    private static List<EntityKey> withdrawn(JsonNode root) {
         List<EntityKey> keys = new ArrayList<>();
-        for (Map.Entry<String, JsonNode> field : root.path("withdrawn").properties()) {
-            Kind kind = Kind.ofField(field.getKey()).orElse(null);
-            if (kind == null) {
-                fault("/withdrawn/" + field.getKey(), "unknown kind of item");
-                continue;
-            }
-            field.getValue().forEach(key -> keys.add(new EntityKey(kind, key.asText())));
+        for (Kind kind : Kind.values()) {
+            root.path(NoteSchema.KEY_SECTION)
+                    .path(kind.field())
+                    .forEach(key -> keys.add(new EntityKey(kind, key.asText())));
         }
         return keys;
     }
 
-    private void fault(String path, String detail) {
-        faults.add(Failure.of(ErrorCode.NOTE_SCHEMA, path, detail));
+    private static Either<List<Failure>, ReleaseNote> refused(ErrorCode code, String detail) {
+        return Either.left(List.of(Failure.of(code, "", detail)));
     }
 
     private static String firstLine(IOException e) {
--- a/src/main/java/org/arbutusfield/note/ReleaseNote.java
+++ b/src/main/java/org/arbutusfield/note/ReleaseNote.java
@@ -11,9 +11,10 @@
  * @param added items that must not exist yet
  * @param changed items that must exist; each replaces the one with its key
  * @param withdrawn items that must exist and are removed
+ * @param force whether the note is applied in spite of warnings
  */
 public record ReleaseNote(
-        String id, long against, List<Entity> added, List<Entity> changed, List<EntityKey> withdrawn) {
+        String id, long against, List<Entity> added, List<Entity> changed, List<EntityKey> withdrawn, boolean force) {
 
     /** Copies the lists so that the note stays immutable. */
     public ReleaseNote {
@@ -21,4 +22,9 @@
         changed = List.copyOf(changed);
         withdrawn = List.copyOf(withdrawn);
     }
+
+    /** A note that is refused when there are warnings. */
+    public ReleaseNote(String id, long against, List<Entity> added, List<Entity> changed, List<EntityKey> withdrawn) {
+        this(id, against, added, changed, withdrawn, false);
+    }
 }
--- /dev/null
+++ b/src/test/java/org/arbutusfield/note/Notes.java
@@ -0,0 +1,56 @@
+package org.arbutusfield.note;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.function.Consumer;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.model.Configuration;
+
+/** Notes for tests. */
+final class Notes {
+    private Notes() {}
+
+    static byte[] example(String name) {
+        try {
+            return Files.readAllBytes(Path.of("examples", name + "-note.json"));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    static ReleaseNote read(String text) {
+        return NoteReader.read(text.getBytes(StandardCharsets.UTF_8)).get();
+    }
+
+    /** The state after Magnolia's example note. */
+    static Configuration magnolia() {
+        return NoteApplier.apply(
+                        Configuration.empty(),
+                        NoteReader.read(example("magnolia")).get())
+                .get();
+    }
+
+    /** A note against revision 1 with these sections, in JSON with single quotes. */
+    static ReleaseNote second(String sections) {
+        return read(("{'id':'second','against':1," + sections + "}").replace('\'', '"'));
+    }
+
+    static List<String> faults(Either<List<Failure>, ?> result) {
+        return result.isRight()
+                ? List.of()
+                : result.getLeft().stream()
+                        .map(f -> f.code() + " " + f.subject())
+                        .toList();
+    }
+
+    static void times(int count, Consumer<Integer> action) {
+        for (int i = 0; i < count; i++) {
+            action.accept(i);
+        }
+    }
+}
