--- a/src/test/java/org/arbutusfield/wire/ControlClientTest.java
+++ b/src/test/java/org/arbutusfield/wire/ControlClientTest.java
@@ -138,7 +138,7 @@
     }
 
     private static ControlMessage message(long id) {
-        return ControlMessage.slotCancel(new SlotCancel().setRequestId(id));
+        return ControlMessage.slotCancel(new SlotCancel().setRequestId(Long.toString(id)));
     }
 
     private static Either<Failure, ControlMessage> outcome(CompletableFuture<Either<Failure, ControlMessage>> call)
--- a/src/test/java/org/arbutusfield/wire/ControlServerTest.java
+++ b/src/test/java/org/arbutusfield/wire/ControlServerTest.java
@@ -24,7 +24,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 class ControlServerTest {
-    private static final ControlMessage PING = ControlMessage.slotCancel(new SlotCancel().setRequestId(7));
+    private static final ControlMessage PING = ControlMessage.slotCancel(new SlotCancel().setRequestId("7"));
     private static final int OVERSIZED = ControlLimits.MAX_FRAME_BYTES + 1;
 
     private NioEventLoopGroup group;
