--- a/src/main/java/org/arbutusfield/daemon/Daemon.java
+++ b/src/main/java/org/arbutusfield/daemon/Daemon.java
@@ -59,12 +59,9 @@
     /** Leaves look-ups, lets running requests finish, then closes. */
     public void stopGracefully(Duration limit) {
         leaving = true;
-        entry.stopAccepting();
-        long end = timer.nowNanos() + limit.toNanos();
-        while (entry.inFlight() > 0 && timer.nowNanos() < end) {
-            pause();
-        }
-        LOG.info("event=host_stopped host={} unfinished={}", settings.name(), entry.inFlight());
+        entry.leave();
+        int unfinished = entry.drain(limit).join();
+        LOG.info("event=host_stopped host={} unfinished={}", settings.name(), unfinished);
         close();
     }
 
@@ -142,12 +139,4 @@
                 "{\"host\":\"%s\",\"state\":\"%s\",\"revision\":%d,\"inFlight\":%d}",
                 settings.name(), leaving ? "leaving" : "serving", running.get().revision(), entry.inFlight());
     }
-
-    private static void pause() {
-        try {
-            TimeUnit.MILLISECONDS.sleep(20);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/src/main/java/org/arbutusfield/error/ErrorCode.java
+++ b/src/main/java/org/arbutusfield/error/ErrorCode.java
@@ -46,6 +46,11 @@
     REQUEST_MALFORMED(Severity.NOTICE, 400, Execution.NOT_RUN, "the request is not valid HTTP"),
     REQUEST_TOO_LARGE(Severity.NOTICE, 413, Execution.NOT_RUN, "the request exceeds a size limit"),
     REQUEST_TIMEOUT(Severity.NOTICE, 408, Execution.NOT_RUN, "the request was not received in time"),
+    REQUEST_BROKEN(
+            Severity.NOTICE,
+            400,
+            Execution.UNKNOWN,
+            "the request's body broke off after part of it was passed on; the outcome is unknown"),
     SERVICE_UNKNOWN(Severity.NOTICE, 404, Execution.NOT_RUN, "no such service"),
     PATH_UNKNOWN(Severity.NOTICE, 404, Execution.NOT_RUN, "no such resource"),
     METHOD_NOT_ALLOWED(Severity.NOTICE, 405, Execution.NOT_RUN, "the method is not allowed here"),
--- a/src/main/java/org/arbutusfield/lab/UpstreamStandIn.java
+++ b/src/main/java/org/arbutusfield/lab/UpstreamStandIn.java
@@ -1,40 +1,73 @@
 package org.arbutusfield.lab;
 
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.List;
-import java.util.concurrent.CompletableFuture;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
+import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
-import org.arbutusfield.http.Header;
-import org.arbutusfield.http.HttpAnswer;
 import org.arbutusfield.http.HttpCall;
-import org.arbutusfield.http.HttpListener;
 import org.arbutusfield.timer.TimerService;
 
 /**
- * A server of a service with a fixed number of slots. It sheds with 503 and {@code x-not-run: true} when all are busy,
- * and otherwise answers after its service time with the request's method, path and body.
+ * A server of a service with a fixed number of slots and with fault switches. It sheds with 503 and {@code x-not-run:
+ * true} when all slots are busy, and otherwise answers after its service time with its name and the request's method,
+ * target and body. {@code GET /blob/LENGTH} answers that many bytes under a strong validator, and in ranges.
  */
 public final class UpstreamStandIn implements AutoCloseable {
-    private static final int MAX_BODY_BYTES = 16 << 20;
+    private static final int MAX_HEAD_BYTES = 64 << 10;
+    private static final int MAX_CHUNK_BYTES = 64 << 10;
 
     private final String name;
     private final int slots;
-    private final Duration serviceTime;
     private final TimerService timer;
     private final AtomicInteger busy = new AtomicInteger();
-    private HttpListener listener;
+    private final AtomicInteger peakConnections = new AtomicInteger();
+    private final AtomicLong received = new AtomicLong();
+    private final AtomicLong cancelled = new AtomicLong();
+    private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+    private final Set<StandInConnection> connections = ConcurrentHashMap.newKeySet();
+    private volatile ServiceTimes serviceTimes;
+    private volatile FaultPlan faults = (call, number) -> Fault.NONE;
+    private volatile Predicate<HttpCall> held = call -> false;
+    private volatile Duration readPause = Duration.ZERO;
+    private volatile boolean echoesIds = true;
+    private volatile String validator = "\"v1\"";
+    private Channel listener;
 
-    private UpstreamStandIn(String name, int slots, Duration serviceTime, TimerService timer) {
+    private UpstreamStandIn(String name, int slots, ServiceTimes serviceTimes, TimerService timer) {
         this.name = name;
         this.slots = slots;
-        this.serviceTime = serviceTime;
+        this.serviceTimes = serviceTimes;
         this.timer = timer;
     }
 
+    /** Chooses what goes wrong. */
+    @FunctionalInterface
+    public interface FaultPlan {
+        /**
+         * The fault of one request.
+         *
+         * @param call its head; its body may be missing
+         * @param number requests received before it
+         */
+        Fault faultOf(HttpCall call, long number);
+    }
+
     /** Starts a server on the address. */
     public static Either<Failure, UpstreamStandIn> bind(
             EventLoopGroup group,
@@ -43,36 +76,183 @@
             int slots,
             Duration serviceTime,
             TimerService timer) {
-        UpstreamStandIn server = new UpstreamStandIn(name, slots, serviceTime, timer);
-        return HttpListener.bind(group, address, MAX_BODY_BYTES, server::handle).map(bound -> {
-            server.listener = bound;
-            return server;
-        });
+        UpstreamStandIn server = new UpstreamStandIn(name, slots, ServiceTimes.fixed(serviceTime), timer);
+        ChannelFuture bound = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel child) {
+                        server.accept(child);
+                    }
+                })
+                .bind(address)
+                .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            return Either.left(Failure.of(ErrorCode.ADDRESS_IN_USE, address.toString()));
+        }
+        server.listener = bound.channel();
+        return Either.right(server);
     }
 
     /** The address that was bound. */
     public InetSocketAddress address() {
-        return listener.address();
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    /** How often the request with this id or idempotency key was run. */
+    public int runs(String idOrKey) {
+        AtomicInteger count = runs.get(idOrKey);
+        return count == null ? 0 : count.get();
+    }
+
+    /** Request heads received. */
+    public long received() {
+        return received.get();
+    }
+
+    /** Requests whose connection was closed before they were answered. */
+    public long cancelled() {
+        return cancelled.get();
+    }
+
+    /** Requests that are running. */
+    public int busy() {
+        return busy.get();
+    }
+
+    /** Connections open now. */
+    public int connections() {
+        return connections.size();
+    }
+
+    /** The most connections open at once. */
+    public int peakConnections() {
+        return peakConnections.get();
+    }
+
+    /** Lets the plan choose faults from now on. */
+    public void faults(FaultPlan plan) {
+        faults = plan;
+    }
+
+    /** Works this long on requests from now on. */
+    public void serviceTimes(ServiceTimes times) {
+        serviceTimes = times;
+    }
+
+    /** Runs matching requests and keeps their answers until {@link #releaseHeld()}. */
+    public void hold(Predicate<HttpCall> which) {
+        held = which;
+    }
+
+    /** Answers the requests that were kept, and keeps no more. */
+    public void releaseHeld() {
+        held = call -> false;
+        connections.forEach(StandInConnection::releaseHeld);
+    }
+
+    /** Pauses so long after each read of a request's bytes. */
+    public void readPause(Duration pause) {
+        readPause = pause;
+    }
+
+    /** Whether answers carry the request's id. */
+    public void echoesIds(boolean echoes) {
+        echoesIds = echoes;
+    }
+
+    /** The entity tag of blobs from now on, quotes included. */
+    public void validator(String tag) {
+        validator = tag;
+    }
+
+    /** The connections open now neither read nor answer any more; new ones work. */
+    public void silenceExisting() {
+        connections.forEach(StandInConnection::silence);
+    }
+
+    /** Takes no new connections; those open work on. */
+    public void stopAccepting() {
+        listener.close().awaitUninterruptibly();
     }
 
     @Override
     public void close() {
-        listener.close();
+        listener.close().awaitUninterruptibly();
+        connections.forEach(StandInConnection::close);
+    }
+
+    String name() {
+        return name;
+    }
+
+    TimerService timer() {
+        return timer;
+    }
+
+    Duration readPause() {
+        return readPause;
+    }
+
+    boolean echoesIds() {
+        return echoesIds;
+    }
+
+    String validator() {
+        return validator;
+    }
+
+    boolean holds(HttpCall call) {
+        return held.test(call);
+    }
+
+    Fault faultOf(HttpCall call) {
+        return faults.faultOf(call, received.getAndIncrement());
     }
 
-    private CompletableFuture<HttpAnswer> handle(HttpCall call) {
+    Duration serviceTime() {
+        return serviceTimes.of(received.get() - 1);
+    }
+
+    boolean occupySlot() {
         if (busy.incrementAndGet() > slots) {
             busy.decrementAndGet();
-            HttpAnswer shed = HttpAnswer.text(503, "no free slot\n");
-            return CompletableFuture.completedFuture(
-                    new HttpAnswer(shed.status(), List.of(Header.of("x-not-run", "true")), shed.body()));
+            return false;
         }
-        CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
-        timer.after(serviceTime, () -> {
-            busy.decrementAndGet();
-            answer.complete(
-                    HttpAnswer.text(200, name + " " + call.method() + " " + call.target() + "\n" + call.text()));
-        });
-        return answer;
+        return true;
+    }
+
+    void freeSlot() {
+        busy.decrementAndGet();
+    }
+
+    void countRun(HttpCall call) {
+        call.header("x-request-id").ifPresent(this::countRun);
+        call.header("idempotency-key").ifPresent(this::countRun);
+    }
+
+    void countCancelled() {
+        cancelled.incrementAndGet();
+    }
+
+    void closed(StandInConnection connection) {
+        connections.remove(connection);
+    }
+
+    private void countRun(String idOrKey) {
+        runs.computeIfAbsent(idOrKey, key -> new AtomicInteger()).incrementAndGet();
+    }
+
+    private void accept(SocketChannel child) {
+        StandInConnection connection = StandInConnection.of(this);
+        connections.add(connection);
+        peakConnections.accumulateAndGet(connections.size(), Math::max);
+        child.pipeline()
+                .addLast(new HttpRequestDecoder(new HttpDecoderConfig()
+                        .setMaxInitialLineLength(MAX_HEAD_BYTES)
+                        .setMaxHeaderSize(MAX_HEAD_BYTES)
+                        .setMaxChunkSize(MAX_CHUNK_BYTES)))
+                .addLast(connection);
     }
 }
--- /dev/null
+++ b/src/main/java/org/arbutusfield/proxy/BufferBudget.java
@@ -0,0 +1,56 @@
+package org.arbutusfield.proxy;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Counts the bytes that a host holds for all of its requests, against a limit. Thread-safe. */
+final class BufferBudget {
+    private final long limit;
+    private final AtomicLong held = new AtomicLong();
+    private final AtomicLong peak = new AtomicLong();
+
+    private BufferBudget(long limit) {
+        this.limit = limit;
+    }
+
+    static BufferBudget of(long limitBytes) {
+        return new BufferBudget(limitBytes);
+    }
+
+    /** Adds the bytes if the limit allows. */
+    boolean tryAdd(long bytes) {
+        long now = held.addAndGet(bytes);
+        if (now > limit) {
+            held.addAndGet(-bytes);
+            return false;
+        }
+        raisePeak(now);
+        return true;
+    }
+
+    /** Adds the bytes even beyond the limit. */
+    void add(long bytes) {
+        raisePeak(held.addAndGet(bytes));
+    }
+
+    void remove(long bytes) {
+        held.addAndGet(-bytes);
+    }
+
+    boolean exhausted() {
+        return held.get() >= limit;
+    }
+
+    long held() {
+        return held.get();
+    }
+
+    long peak() {
+        return peak.get();
+    }
+
+    private void raisePeak(long now) {
+        if (now > peak.get()) {
+            peak.accumulateAndGet(now, Math::max);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/proxy/EntryContext.java
@@ -0,0 +1,81 @@
+package org.arbutusfield.proxy;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import org.arbutusfield.model.Configuration;
+import org.arbutusfield.model.Entity;
+import org.arbutusfield.model.Kind;
+import org.arbutusfield.model.Region;
+import org.arbutusfield.model.Upstream;
+import org.arbutusfield.proxy.upstream.ConnectionPools;
+
+/** What all requests of one entry server share. Thread-safe. */
+final class EntryContext {
+    private final EntryWiring wiring;
+    private final ConnectionPools pools;
+    private final BufferBudget replay;
+    private final BufferBudget pending;
+    private final AtomicInteger inFlight = new AtomicInteger();
+    private final AtomicInteger connections = new AtomicInteger();
+    private volatile boolean leaving;
+
+    private EntryContext(EntryWiring wiring, ConnectionPools pools) {
+        this.wiring = wiring;
+        this.pools = pools;
+        replay = BufferBudget.of(wiring.limits().hostReplayBytes());
+        pending = BufferBudget.of(wiring.limits().hostPendingBytes());
+    }
+
+    static EntryContext of(EntryWiring wiring, ConnectionPools pools) {
+        return new EntryContext(wiring, pools);
+    }
+
+    EntryWiring wiring() {
+        return wiring;
+    }
+
+    ProxyLimits limits() {
+        return wiring.limits();
+    }
+
+    ConnectionPools pools() {
+        return pools;
+    }
+
+    /** Bytes of requests kept for another try. */
+    BufferBudget replay() {
+        return replay;
+    }
+
+    /** Bytes of answers that wait for callers. */
+    BufferBudget pending() {
+        return pending;
+    }
+
+    /** Requests taken and not yet finished. */
+    AtomicInteger inFlight() {
+        return inFlight;
+    }
+
+    /** Connections from callers. */
+    AtomicInteger connections() {
+        return connections;
+    }
+
+    boolean leaving() {
+        return leaving;
+    }
+
+    void leave() {
+        leaving = true;
+    }
+
+    /** This host's share of an upstream's connections, with every region at its ceiling of hosts; at least 1. */
+    int connectionShare(Upstream upstream) {
+        Configuration configuration = wiring.running().get();
+        int hosts = 0;
+        for (Entity region : configuration.table(Kind.REGION).values()) {
+            hosts += ((Region) region).hostCeiling();
+        }
+        return Math.max(1, upstream.connections() / Math.max(1, hosts));
+    }
+}
--- a/src/main/java/org/arbutusfield/proxy/EntryServer.java
+++ b/src/main/java/org/arbutusfield/proxy/EntryServer.java
@@ -1,122 +1,186 @@
 package org.arbutusfield.proxy;
 
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.flow.FlowControlHandler;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.Comparator;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
-import org.arbutusfield.http.HttpAnswer;
-import org.arbutusfield.http.HttpCall;
-import org.arbutusfield.http.HttpCaller;
-import org.arbutusfield.http.HttpListener;
 import org.arbutusfield.model.Configuration;
-import org.arbutusfield.model.RequestClass;
-import org.arbutusfield.model.Service;
-import org.arbutusfield.model.Upstream;
+import org.arbutusfield.proxy.upstream.ConnectionPools;
 
-/** The callers' port: forwards {@code /service/rest} to the least loaded upstream of the service. */
+/**
+ * The callers' port of an entry host: answers {@code /-/} itself and forwards requests for services to upstreams or to
+ * entry hosts of other regions. Thread-safe.
+ *
+ * <p>A planned stop is {@link #leave()}, then some time in which callers' cached look-ups run out, then
+ * {@link #drain(Duration)}, then {@link #close()}.
+ */
 public final class EntryServer implements AutoCloseable {
-    private static final int MAX_BODY_BYTES = 1 << 20;
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+    private static final int BACKLOG = 1024;
+    private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 << 10, 64 << 10);
 
-    private final HttpCaller caller;
-    private final String region;
-    private final Supplier<Configuration> running;
-    private final Map<String, AtomicInteger> inFlightByUpstream = new ConcurrentHashMap<>();
-    private final AtomicInteger inFlight = new AtomicInteger();
-    private HttpListener listener;
+    private final EventLoopGroup group;
+    private final EntryContext context;
+    private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
+    private final CompletableFuture<Void> empty = new CompletableFuture<>();
+    private Channel listener;
+    private volatile boolean draining;
 
-    private EntryServer(HttpCaller caller, String region, Supplier<Configuration> running) {
-        this.caller = caller;
-        this.region = region;
-        this.running = running;
+    private EntryServer(EventLoopGroup group, EntryContext context) {
+        this.group = group;
+        this.context = context;
     }
 
-    /** Opens the callers' port. */
+    /** Opens the callers' port of a host that places requests by itself; see {@link EntryWiring#of}. */
     public static Either<Failure, EntryServer> bind(
             EventLoopGroup group, InetSocketAddress address, String region, Supplier<Configuration> running) {
-        EntryServer server = new EntryServer(HttpCaller.create(group, CONNECT_TIMEOUT), region, running);
-        return HttpListener.bind(group, address, MAX_BODY_BYTES, server::answer).map(bound -> {
-            server.listener = bound;
-            return server;
-        });
+        return bind(group, address, EntryWiring.of(region, running));
     }
 
-    /** Takes no new connections. */
-    public void stopAccepting() {
-        listener.close();
+    /**
+     * Opens the callers' port.
+     *
+     * @param group event loops for callers and upstreams
+     * @param address where to listen; port 0 picks a free one
+     * @param wiring the parts to work with
+     * @return the server, or {@code ADDRESS_IN_USE}
+     */
+    public static Either<Failure, EntryServer> bind(
+            EventLoopGroup group, InetSocketAddress address, EntryWiring wiring) {
+        ConnectionPools pools = ConnectionPools.start(group, wiring.limits().connectTimeout());
+        EntryServer server = new EntryServer(group, EntryContext.of(wiring, pools));
+        ChannelFuture bound = server.bootstrap().bind(address).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            pools.close();
+            return Either.left(Failure.of(ErrorCode.ADDRESS_IN_USE, address.toString()));
+        }
+        server.listener = bound.channel();
+        return Either.right(server);
     }
 
-    /** Requests taken and not yet answered. */
+    /** The address that was bound. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    /** Requests taken and not yet finished. */
     public int inFlight() {
-        return inFlight.get();
+        return context.inFlight().get();
+    }
+
+    /** Connections from callers. */
+    public int connections() {
+        return connections.size();
+    }
+
+    /** Connections to upstreams and other hosts, open or opening. */
+    public int upstreamConnections() {
+        return context.pools().open();
+    }
+
+    /** Connections to upstreams and other hosts that wait for a request. */
+    public int idleUpstreamConnections() {
+        return context.pools().idle();
+    }
+
+    /** Bytes held for requests and answers at this moment. */
+    public long bufferedBytes() {
+        return context.replay().held() + context.pending().held();
     }
 
+    /** The most bytes held at any moment, of requests and of answers, added. */
+    public long peakBufferedBytes() {
+        return context.replay().peak() + context.pending().peak();
+    }
+
+    /** Serves on, and asks callers with each answer to use another connection next time. */
+    public void leave() {
+        context.leave();
+    }
+
+    /**
+     * Takes no new connections, closes those without a request, and lets the others finish.
+     *
+     * @param limit time after which the future completes all the same
+     * @return the number of requests left unfinished; 0 unless the limit passed
+     */
+    public CompletableFuture<Integer> drain(Duration limit) {
+        leave();
+        draining = true;
+        listener.close();
+        connections.forEach(this::drain);
+        finishIfEmpty();
+        CompletableFuture<Integer> drained = new CompletableFuture<>();
+        empty.thenRun(() -> drained.complete(0));
+        group.next().schedule(() -> drained.complete(inFlight()), limit.toNanos(), TimeUnit.NANOSECONDS);
+        return drained;
+    }
+
+    /** Closes the port and all connections; what still runs is cut. */
     @Override
     public void close() {
-        listener.close();
+        draining = true;
+        listener.close().awaitUninterruptibly();
+        connections.forEach(CallerConnection::close);
+        context.pools().close();
     }
 
-    private CompletableFuture<HttpAnswer> answer(HttpCall call) {
-        String[] parts = call.path().split("/", 3);
-        Configuration configuration = running.get();
-        Optional<Service> service = parts.length < 2 ? Optional.empty() : configuration.service(parts[1]);
-        if (service.isEmpty()) {
-            ErrorCode code = configuration.revision() == 0 ? ErrorCode.NO_CONFIGURATION : ErrorCode.SERVICE_UNKNOWN;
-            return CompletableFuture.completedFuture(HttpAnswer.problem(Failure.of(code, call.path())));
-        }
-        Optional<Upstream> upstream = choose(configuration, service.get());
-        if (upstream.isEmpty()) {
-            return CompletableFuture.completedFuture(HttpAnswer.problem(
-                    Failure.of(ErrorCode.NO_UPSTREAM, service.get().name())));
-        }
-        String rest = call.target().substring(parts[1].length() + 1);
-        return forward(call, rest.isEmpty() ? "/" : rest, service.get(), upstream.get());
-    }
-
-    private CompletableFuture<HttpAnswer> forward(HttpCall call, String target, Service service, Upstream upstream) {
-        Duration deadline = service.classOf(call.method(), target)
-                .map(RequestClass::deadlineMillis)
-                .map(Duration::ofMillis)
-                .orElse(Duration.ofSeconds(10));
-        AtomicInteger count = counter(upstream);
-        count.incrementAndGet();
-        inFlight.incrementAndGet();
-        HttpCall onward = new HttpCall(call.method(), target, List.of(), call.body());
-        return caller.call(new InetSocketAddress(upstream.host(), upstream.port()), onward, deadline)
-                .thenApply(result -> {
-                    count.decrementAndGet();
-                    inFlight.decrementAndGet();
-                    return result.fold(failure -> HttpAnswer.problem(upstreamFailure(failure, upstream)), a -> a);
+    private ServerBootstrap bootstrap() {
+        return new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel child) {
+                        accept(child);
+                    }
                 });
     }
 
-    private static Failure upstreamFailure(Failure failure, Upstream upstream) {
-        return switch (failure.code()) {
-            case PEER_UNREACHABLE -> Failure.of(ErrorCode.UPSTREAM_CONNECT, upstream.name());
-            case PEER_TIMEOUT -> Failure.of(ErrorCode.UPSTREAM_TIMEOUT, upstream.name());
-            default -> Failure.of(ErrorCode.UPSTREAM_LOST, upstream.name(), failure.detail());
-        };
+    private void accept(SocketChannel child) {
+        CallerResponseEncoder encoder = CallerResponseEncoder.create();
+        CallerConnection connection = CallerConnection.of(context, encoder);
+        child.closeFuture().addListener(closed -> {
+            connections.remove(connection);
+            finishIfEmpty();
+        });
+        child.pipeline()
+                .addLast(connection.decoder())
+                .addLast(encoder)
+                .addLast(new FlowControlHandler())
+                .addLast(connection);
+        connections.add(connection);
+        if (draining) {
+            drain(connection);
+        }
     }
 
-    private Optional<Upstream> choose(Configuration configuration, Service service) {
-        return configuration.upstreams(service.name()).stream()
-                .filter(upstream -> !configuration.drained(upstream))
-                .min(Comparator.comparing(
-                                (Upstream u) -> !configuration.regionOf(u).equals(Optional.of(region)))
-                        .thenComparing(u -> (double) counter(u).get() / u.slots()));
+    private void drain(CallerConnection connection) {
+        connection.loop().execute(connection::drain);
     }
 
-    private AtomicInteger counter(Upstream upstream) {
-        return inFlightByUpstream.computeIfAbsent(upstream.name(), name -> new AtomicInteger());
+    private void finishIfEmpty() {
+        if (draining && connections.isEmpty()) {
+            empty.complete(null);
+        }
     }
 }
--- /dev/null
+++ b/src/main/java/org/arbutusfield/proxy/ExchangeAccount.java
@@ -0,0 +1,66 @@
+package org.arbutusfield.proxy;
+
+import java.util.Optional;
+import org.arbutusfield.error.ErrorCode;
+
+/** Gathers the account of one request. Confined to the request's event loop. */
+final class ExchangeAccount {
+    private final RequestHead head;
+    private final long startNanos;
+    private int status;
+    private String placedAt = "";
+    private long waitStart;
+    private long waitNanos;
+
+    private ExchangeAccount(RequestHead head, long startNanos) {
+        this.head = head;
+        this.startNanos = startNanos;
+    }
+
+    static ExchangeAccount of(RequestHead head, long startNanos) {
+        return new ExchangeAccount(head, startNanos);
+    }
+
+    void waitBegins() {
+        waitStart = System.nanoTime();
+    }
+
+    void waitEnds() {
+        waitNanos += System.nanoTime() - waitStart;
+    }
+
+    void triedAt(String name) {
+        placedAt = name;
+    }
+
+    void answered(int httpStatus) {
+        status = httpStatus;
+    }
+
+    void refused(ErrorCode code) {
+        status = code.httpStatus();
+    }
+
+    RequestRecord record(
+            RequestRecord.Result result,
+            Optional<ErrorCode> failure,
+            boolean notRun,
+            int retries,
+            long bytesIn,
+            long bytesOut) {
+        return new RequestRecord(
+                head.requestId(),
+                head.service().name(),
+                head.requestClass().name(),
+                result,
+                status,
+                failure,
+                notRun,
+                retries,
+                placedAt,
+                System.nanoTime() - startNanos,
+                waitNanos,
+                bytesIn,
+                bytesOut);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/proxy/Fingerprint.java
@@ -0,0 +1,27 @@
+package org.arbutusfield.proxy;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import org.arbutusfield.misc.Digests;
+
+/** Tells whether two requests with one idempotency key are the same request. */
+final class Fingerprint {
+    private static final byte SEPARATOR = 0;
+
+    private Fingerprint() {}
+
+    /** Digest of method, target and body; of a body too large to keep only the declared length. */
+    static String of(RequestHead head, RequestBody body) {
+        ByteArrayOutputStream content = new ByteArrayOutputStream();
+        content.writeBytes(head.method().getBytes(StandardCharsets.UTF_8));
+        content.write(SEPARATOR);
+        content.writeBytes(head.upstreamTarget().getBytes(StandardCharsets.UTF_8));
+        content.write(SEPARATOR);
+        if (body.whole()) {
+            content.writeBytes(body.bytes());
+        } else {
+            content.writeBytes(head.length().toString().getBytes(StandardCharsets.UTF_8));
+        }
+        return Digests.sha256(content.toByteArray());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/proxy/LocalExchange.java
@@ -0,0 +1,147 @@
+package org.arbutusfield.proxy;
+
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.http.Body;
+import org.arbutusfield.http.Header;
+import org.arbutusfield.http.HttpAnswer;
+import org.arbutusfield.http.HttpCall;
+
+/** A request that this host answers itself. Confined to the event loop of the caller's connection. */
+final class LocalExchange implements RequestSink {
+    private static final Logger LOG = LogManager.getLogger(LocalExchange.class);
+
+    private final CallerConnection caller;
+    private final HttpRequest request;
+    private final String requestId;
+    private final RequestBody body;
+    private final int maxBodyBytes;
+    private final Function<HttpCall, CompletableFuture<Either<Failure, HttpAnswer>>> handler;
+    private boolean over;
+
+    private LocalExchange(
+            CallerConnection caller,
+            EntryContext context,
+            HttpRequest request,
+            String requestId,
+            Function<HttpCall, CompletableFuture<Either<Failure, HttpAnswer>>> handler) {
+        this.caller = caller;
+        this.request = request;
+        this.requestId = requestId;
+        this.handler = handler;
+        maxBodyBytes = context.limits().replayBytes();
+        body = RequestBody.of(maxBodyBytes, context.replay());
+    }
+
+    /** A request for the local handler. */
+    static LocalExchange of(CallerConnection caller, EntryContext context, HttpRequest request, String requestId) {
+        return new LocalExchange(
+                caller,
+                context,
+                request,
+                requestId,
+                call -> context.wiring()
+                        .local()
+                        .handle(call, caller.remoteAddress())
+                        .thenApply(Either::right));
+    }
+
+    /** A request without body that is refused, after which the connection can be used again. */
+    static LocalExchange refusing(
+            CallerConnection caller, EntryContext context, HttpRequest request, String requestId, Failure failure) {
+        return new LocalExchange(
+                caller, context, request, requestId, call -> CompletableFuture.completedFuture(Either.left(failure)));
+    }
+
+    void start() {
+        caller.demandBody(HttpUtil.is100ContinueExpected(request));
+    }
+
+    @Override
+    public void bodyPart(HttpContent part) {
+        if (over) {
+            part.release();
+            return;
+        }
+        boolean broken = part.decoderResult().isFailure();
+        body.add(part.content());
+        if (broken || body.beyondKept()) {
+            refuse(broken ? ErrorCode.REQUEST_MALFORMED : ErrorCode.REQUEST_TOO_LARGE);
+        } else if (part instanceof LastHttpContent) {
+            body.end();
+            answer();
+        } else {
+            caller.demandBody(false);
+        }
+    }
+
+    @Override
+    public void callerGone() {
+        end(false);
+    }
+
+    @Override
+    public void writabilityChanged() {
+        caller.flush();
+    }
+
+    @Override
+    public void expired() {
+        refuse(ErrorCode.REQUEST_TIMEOUT);
+    }
+
+    private void answer() {
+        List<Header> headers = request.headers().entries().stream()
+                .map(field -> Header.of(field.getKey(), field.getValue()))
+                .toList();
+        HttpCall call = new HttpCall(request.method().name(), request.uri(), headers, Body.of(body.bytes()));
+        handler.apply(call).whenComplete((result, error) -> {
+            if (caller.loop().inEventLoop()) {
+                write(result, error);
+            } else {
+                caller.loop().execute(() -> write(result, error));
+            }
+        });
+    }
+
+    private void write(Either<Failure, HttpAnswer> result, Throwable error) {
+        if (over) {
+            return;
+        }
+        if (error != null) {
+            LOG.error("event=local_handler_failed id={}", requestId, error);
+            caller.writeProblem(Failure.of(ErrorCode.INTERNAL), requestId, true);
+        } else {
+            result.peek(answer -> caller.writeAnswer(answer, requestId))
+                    .peekLeft(failure -> caller.writeProblem(failure, requestId, true));
+        }
+        caller.afterWrites(written -> end(written));
+    }
+
+    private void refuse(ErrorCode code) {
+        if (over) {
+            return;
+        }
+        caller.writeProblem(Failure.of(code, "body"), requestId, false);
+        caller.afterWrites(written -> end(false));
+    }
+
+    private void end(boolean reusable) {
+        if (over) {
+            return;
+        }
+        over = true;
+        body.release();
+        caller.exchangeDone(reusable);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/proxy/Placing.java
@@ -0,0 +1,134 @@
+package org.arbutusfield.proxy;
+
+import io.netty.channel.EventLoop;
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+
+/**
+ * The claim and the placements of one request: brings their results to the request's event loop, and gives back what
+ * arrives after the request was given up on. Confined to that event loop.
+ */
+final class Placing {
+    private static final Logger LOG = LogManager.getLogger(Placing.class);
+
+    private final EntryWiring wiring;
+    private final RequestHead head;
+    private final EventLoop loop;
+    private final InetSocketAddress caller;
+    private CompletableFuture<?> waitingFor;
+    private boolean placing;
+    private Optional<KeyTicket> ticket = Optional.empty();
+
+    private Placing(EntryWiring wiring, RequestHead head, EventLoop loop, InetSocketAddress caller) {
+        this.wiring = wiring;
+        this.head = head;
+        this.loop = loop;
+        this.caller = caller;
+    }
+
+    static Placing of(EntryWiring wiring, RequestHead head, EventLoop loop, InetSocketAddress caller) {
+        return new Placing(wiring, head, loop, caller);
+    }
+
+    /** True when the request has an idempotency key that this host must claim first. */
+    boolean needsClaim() {
+        boolean claimedBefore = head.hops() > 0 && wiring.peers().test(caller.getAddress());
+        return head.key().isPresent() && !head.requestClass().repeatable() && !claimedBefore;
+    }
+
+    /** Claims the key; the taker learns of a failure, or nothing when the claim is held. */
+    void claim(RequestBody body, Consumer<Optional<Failure>> taker) {
+        CompletableFuture<Either<Failure, KeyTicket>> future = wiring.keys()
+                .begin(head.service().name(), head.key().orElseThrow(), head.requestId(), Fingerprint.of(head, body));
+        waitingFor = future;
+        future.whenComplete((result, error) -> onLoop(() -> {
+            if (waitingFor != future) {
+                Optional.ofNullable(result).ifPresent(r -> r.peek(late -> late.finished(KeyOutcome.notRun())));
+                return;
+            }
+            waitingFor = null;
+            if (error != null) {
+                LOG.error("event=key_guard_failed id={}", head.requestId(), error);
+                taker.accept(Optional.of(
+                        Failure.of(ErrorCode.CLAIM_UNAVAILABLE, head.service().name())));
+                return;
+            }
+            result.peek(claimed -> ticket = Optional.of(claimed));
+            taker.accept(result.fold(Optional::of, claimed -> Optional.empty()));
+        }));
+    }
+
+    /** Seeks a place; the taker learns of it unless cancelled before. */
+    void place(Duration remaining, Set<String> tried, Consumer<Either<Failure, Placed>> taker) {
+        RequestFacts facts = new RequestFacts(
+                head.requestId(),
+                head.service(),
+                head.requestClass(),
+                head.method(),
+                head.path(),
+                remaining,
+                caller,
+                head.hops(),
+                tried);
+        CompletableFuture<Either<Failure, Placed>> future = wiring.placement().place(facts);
+        waitingFor = future;
+        placing = true;
+        future.whenComplete((result, error) -> onLoop(() -> {
+            if (waitingFor != future) {
+                Optional.ofNullable(result).ifPresent(r -> r.peek(Placing::giveBack));
+                return;
+            }
+            waitingFor = null;
+            taker.accept(error == null ? checked(result) : failed(error));
+        }));
+    }
+
+    /** Waits for nothing any more; what comes yet is given back. */
+    void cancel() {
+        CompletableFuture<?> future = waitingFor;
+        waitingFor = null;
+        if (future != null && placing) {
+            future.cancel(false);
+        }
+    }
+
+    /** Tells the holder of the claim, if there is one, what became of the request. */
+    void finish(KeyOutcome outcome) {
+        ticket.ifPresent(claimed -> claimed.finished(outcome));
+        ticket = Optional.empty();
+    }
+
+    private Either<Failure, Placed> checked(Either<Failure, Placed> result) {
+        if (result.isRight() && result.get() instanceof Placed.AtHost host && head.hops() > 0) {
+            giveBack(host);
+            return Either.left(Failure.of(ErrorCode.NO_UPSTREAM, head.service().name(), "forwarded once already"));
+        }
+        return result;
+    }
+
+    private Either<Failure, Placed> failed(Throwable error) {
+        LOG.error("event=placement_failed id={}", head.requestId(), error);
+        return Either.left(Failure.of(ErrorCode.NO_UPSTREAM, head.service().name(), "placement failed"));
+    }
+
+    private static void giveBack(Placed late) {
+        late.permit().release(Outcome.CANCELLED, 0);
+    }
+
+    private void onLoop(Runnable task) {
+        if (loop.inEventLoop()) {
+            task.run();
+        } else {
+            loop.execute(task);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/proxy/ProxyHeaders.java
@@ -0,0 +1,83 @@
+package org.arbutusfield.proxy;
+
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpHeadersFactory;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.regex.Pattern;
+
+/** The header fields that the request path itself reads, writes and removes. */
+final class ProxyHeaders {
+    static final String REQUEST_ID = "x-request-id";
+    static final String DEADLINE_MILLIS = "x-request-deadline-ms";
+    static final String HOP = "x-arbutus-hop";
+    static final String NOT_RUN = "x-not-run";
+    static final String IDEMPOTENCY_KEY = "idempotency-key";
+
+    private static final HttpHeadersFactory UNCHECKED =
+            DefaultHttpHeadersFactory.headersFactory().withValidation(false);
+    private static final Pattern VALID_ID = Pattern.compile("[A-Za-z0-9._:-]{1,128}");
+    private static final Set<String> HOP_BY_HOP = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade");
+    private static final Set<String> REWRITTEN = Set.of("expect", REQUEST_ID, DEADLINE_MILLIS, HOP, NOT_RUN);
+
+    private ProxyHeaders() {}
+
+    /** The caller's request id if it is valid, else a new one. */
+    static String requestId(HttpHeaders headers) {
+        String given = headers.get(REQUEST_ID);
+        if (given != null && VALID_ID.matcher(given).matches()) {
+            return given;
+        }
+        return newRequestId();
+    }
+
+    /** A new request id. */
+    static String newRequestId() {
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        HexFormat hex = HexFormat.of();
+        return hex.toHexDigits(random.nextLong()) + hex.toHexDigits(random.nextLong());
+    }
+
+    /** The fields that go on to the next place, without those of one connection only and those that are rewritten. */
+    static HttpHeaders onward(HttpHeaders received) {
+        Set<String> named = namedByConnection(received);
+        HttpHeaders onward = UNCHECKED.newHeaders();
+        for (Map.Entry<String, String> field : received) {
+            String name = field.getKey().toLowerCase(Locale.ROOT);
+            if (!HOP_BY_HOP.contains(name) && !REWRITTEN.contains(name) && !named.contains(name)) {
+                onward.add(field.getKey(), field.getValue());
+            }
+        }
+        return onward;
+    }
+
+    private static Set<String> namedByConnection(HttpHeaders received) {
+        if (!received.contains(HttpHeaderNames.CONNECTION)) {
+            return Set.of();
+        }
+        Set<String> names = new HashSet<>();
+        for (String value : received.getAll(HttpHeaderNames.CONNECTION)) {
+            for (String token : value.split(",", -1)) {
+                names.add(token.strip().toLowerCase(Locale.ROOT));
+            }
+        }
+        names.remove("content-length");
+        names.remove("host");
+        return names;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/proxy/RequestHead.java
@@ -0,0 +1,181 @@
+package org.arbutusfield.proxy;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.regex.Pattern;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.model.Configuration;
+import org.arbutusfield.model.RequestClass;
+import org.arbutusfield.model.Service;
+
+/**
+ * A request's head, checked.
+ *
+ * @param requestId its id, the caller's or a new one
+ * @param service the service asked for
+ * @param requestClass its class in the service
+ * @param method upper-case method
+ * @param target target as the caller wrote it
+ * @param upstreamTarget target at the upstream, without the service
+ * @param path decoded and normalised path at the upstream
+ * @param deadline time allowed until the answer begins
+ * @param hops entry hosts that forwarded it before
+ * @param key idempotency key, if it has one
+ * @param length declared length of the body in bytes, if declared; none for chunked bodies
+ * @param expectsContinue whether the caller waits for 100 before it sends the body
+ * @param headers all header fields received
+ */
+record RequestHead(
+        String requestId,
+        Service service,
+        RequestClass requestClass,
+        String method,
+        String target,
+        String upstreamTarget,
+        String path,
+        Duration deadline,
+        int hops,
+        Optional<String> key,
+        OptionalLong length,
+        boolean expectsContinue,
+        HttpHeaders headers) {
+
+    private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(10);
+    private static final int MAX_HOPS = 1;
+    private static final List<String> SAFE_METHODS = List.of("GET", "HEAD", "OPTIONS");
+    private static final RequestClass SAFE =
+            new RequestClass("unclassified", SAFE_METHODS, "", true, true, DEFAULT_DEADLINE.toMillis());
+    private static final RequestClass UNSAFE =
+            new RequestClass("unclassified", List.of(), "", false, true, DEFAULT_DEADLINE.toMillis());
+    private static final Pattern VALID_KEY = Pattern.compile("[!-~]{1,256}");
+    private static final Pattern SMALL_NUMBER = Pattern.compile("[0-9]{1,9}");
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
+
+    /** Checks what concerns every request, for this host or for a service: framing, host, target, expectation. */
+    static Optional<Failure> fault(HttpRequest request, ProxyLimits limits) {
+        HttpHeaders headers = request.headers();
+        boolean hostMissing =
+                request.protocolVersion().equals(HttpVersion.HTTP_1_1) && !headers.contains(HttpHeaderNames.HOST);
+        if (hostMissing || headers.getAll(HttpHeaderNames.HOST).size() > 1) {
+            return malformed("host");
+        }
+        if (!request.uri().startsWith("/")) {
+            return malformed("target");
+        }
+        String expected = headers.get(HttpHeaderNames.EXPECT);
+        if (expected != null && !expected.equalsIgnoreCase("100-continue")) {
+            return malformed("expect");
+        }
+        List<String> encodings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean chunkedOnly = encodings.size() == 1
+                && encodings.get(0).equalsIgnoreCase("chunked")
+                && request.protocolVersion().equals(HttpVersion.HTTP_1_1);
+        if (!encodings.isEmpty() && !chunkedOnly) {
+            return malformed("transfer-encoding");
+        }
+        List<String> lengths = headers.getAll(HttpHeaderNames.CONTENT_LENGTH);
+        if (lengths.size() > 1
+                || (lengths.size() == 1 && !LENGTH.matcher(lengths.get(0)).matches())) {
+            return malformed("content-length");
+        }
+        if (!lengths.isEmpty() && !encodings.isEmpty()) {
+            return malformed("content-length with transfer-encoding");
+        }
+        if (lengths.size() == 1 && Long.parseLong(lengths.get(0)) > limits.bodyBytes()) {
+            return Optional.of(Failure.of(ErrorCode.REQUEST_TOO_LARGE, "body"));
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Reads a head without fault as a request for a service.
+     *
+     * @param request the head
+     * @param requestId the id it goes by
+     * @param configuration the configuration in force
+     */
+    static Either<Failure, RequestHead> read(HttpRequest request, String requestId, Configuration configuration) {
+        Optional<Routing> routing = Routing.of(request, configuration);
+        if (routing.isEmpty()) {
+            ErrorCode code = configuration.revision() == 0 ? ErrorCode.NO_CONFIGURATION : ErrorCode.SERVICE_UNKNOWN;
+            return Either.left(Failure.of(code, request.uri()));
+        }
+        Optional<String> path = TargetPath.normalise(routing.get().target());
+        if (path.isEmpty()) {
+            return Either.left(Failure.of(ErrorCode.REQUEST_MALFORMED, "target"));
+        }
+        HttpHeaders headers = request.headers();
+        Optional<Failure> fault = fieldFault(headers);
+        if (fault.isPresent()) {
+            return Either.left(fault.get());
+        }
+        Service service = routing.get().service();
+        String method = request.method().name();
+        RequestClass requestClass =
+                service.classOf(method, path.get()).orElse(SAFE_METHODS.contains(method) ? SAFE : UNSAFE);
+        String length = headers.get(HttpHeaderNames.CONTENT_LENGTH);
+        return Either.right(new RequestHead(
+                requestId,
+                service,
+                requestClass,
+                method,
+                request.uri(),
+                routing.get().target(),
+                path.get(),
+                deadline(headers, requestClass),
+                hops(headers),
+                Optional.ofNullable(headers.get(ProxyHeaders.IDEMPOTENCY_KEY)),
+                length == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(length)),
+                HttpUtil.is100ContinueExpected(request),
+                headers));
+    }
+
+    /** True when the request has a body, perhaps an empty one. */
+    boolean hasBody() {
+        return length.isPresent() || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+    }
+
+    private static Optional<Failure> fieldFault(HttpHeaders headers) {
+        String deadline = headers.get(ProxyHeaders.DEADLINE_MILLIS);
+        if (deadline != null && !SMALL_NUMBER.matcher(deadline).matches()) {
+            return malformed(ProxyHeaders.DEADLINE_MILLIS);
+        }
+        String hop = headers.get(ProxyHeaders.HOP);
+        if (hop != null && !SMALL_NUMBER.matcher(hop).matches()) {
+            return malformed(ProxyHeaders.HOP);
+        }
+        if (hops(headers) > MAX_HOPS) {
+            return Optional.of(Failure.of(ErrorCode.NO_UPSTREAM, ProxyHeaders.HOP, "forwarded too often"));
+        }
+        List<String> keys = headers.getAll(ProxyHeaders.IDEMPOTENCY_KEY);
+        if (keys.size() > 1
+                || (keys.size() == 1 && !VALID_KEY.matcher(keys.get(0)).matches())) {
+            return malformed(ProxyHeaders.IDEMPOTENCY_KEY);
+        }
+        return Optional.empty();
+    }
+
+    private static Duration deadline(HttpHeaders headers, RequestClass requestClass) {
+        String given = headers.get(ProxyHeaders.DEADLINE_MILLIS);
+        long allowed = requestClass.deadlineMillis();
+        return Duration.ofMillis(given == null ? allowed : Math.min(allowed, Long.parseLong(given)));
+    }
+
+    private static int hops(HttpHeaders headers) {
+        String hop = headers.get(ProxyHeaders.HOP);
+        return hop == null ? 0 : Integer.parseInt(hop);
+    }
+
+    private static Optional<Failure> malformed(String subject) {
+        return Optional.of(Failure.of(ErrorCode.REQUEST_MALFORMED, subject));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPools.java
@@ -0,0 +1,66 @@
+package org.arbutusfield.proxy.upstream;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/** The pools of one entry host, one for each address. */
+public final class ConnectionPools implements AutoCloseable {
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(20);
+    private static final Duration SWEEP_PERIOD = Duration.ofSeconds(5);
+
+    private final Duration connectTimeout;
+    private final Map<InetSocketAddress, ConnectionPool> pools = new ConcurrentHashMap<>();
+    private Future<?> sweeping;
+
+    private ConnectionPools(Duration connectTimeout) {
+        this.connectTimeout = connectTimeout;
+    }
+
+    /**
+     * Pools whose idle connections are closed after a while.
+     *
+     * @param group event loops, one of which sweeps
+     * @param connectTimeout time to connect
+     */
+    public static ConnectionPools start(EventLoopGroup group, Duration connectTimeout) {
+        ConnectionPools pools = new ConnectionPools(connectTimeout);
+        pools.sweeping = group.next()
+                .scheduleWithFixedDelay(
+                        () -> pools.closeIdleSince(System.nanoTime() - IDLE_TIMEOUT.toNanos()),
+                        SWEEP_PERIOD.toNanos(),
+                        SWEEP_PERIOD.toNanos(),
+                        TimeUnit.NANOSECONDS);
+        return pools;
+    }
+
+    /** The pool of connections to the address. */
+    public ConnectionPool pool(InetSocketAddress address) {
+        ConnectionPool known = pools.get(address);
+        return known != null ? known : pools.computeIfAbsent(address, key -> new ConnectionPool(key, connectTimeout));
+    }
+
+    /** Connections open or opening to all addresses. */
+    public int open() {
+        return pools.values().stream().mapToInt(ConnectionPool::open).sum();
+    }
+
+    /** Idle connections to all addresses. */
+    public int idle() {
+        return pools.values().stream().mapToInt(ConnectionPool::idle).sum();
+    }
+
+    @Override
+    public void close() {
+        sweeping.cancel(false);
+        pools.values().forEach(pool -> pool.closeIdle(connection -> true));
+    }
+
+    private void closeIdleSince(long nanos) {
+        pools.values().forEach(pool -> pool.closeIdle(c -> c.idleSinceNanos() - nanos < 0));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/proxy/upstream/ExactResponseDecoder.java
@@ -0,0 +1,46 @@
+package org.arbutusfield.proxy.upstream;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+
+/** Decodes answers, knows which request they answer, and tells whether bytes beyond the answer were received. */
+final class ExactResponseDecoder extends HttpResponseDecoder {
+    private static final int MAX_LINE_BYTES = 8 << 10;
+    private static final int MAX_HEADER_BYTES = 32 << 10;
+    private static final int MAX_CHUNK_BYTES = 64 << 10;
+
+    private boolean headRequest;
+
+    private ExactResponseDecoder(HttpDecoderConfig config) {
+        super(config);
+    }
+
+    static ExactResponseDecoder create() {
+        return new ExactResponseDecoder(new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setMaxChunkSize(MAX_CHUNK_BYTES));
+    }
+
+    /** The next answer is to a request with this method. */
+    void expectAnswerTo(HttpMethod method) {
+        headRequest = method.equals(HttpMethod.HEAD);
+    }
+
+    /** Bytes received and not decoded. */
+    int undecodedBytes() {
+        return actualReadableBytes();
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return headRequest || super.isContentAlwaysEmpty(message);
+    }
+
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        throw new IllegalArgumentException("both content-length and transfer-encoding");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/arbutusfield/proxy/Blobs.java
@@ -0,0 +1,19 @@
+package org.arbutusfield.proxy;
+
+/** The bytes that a stand-in's blobs have. */
+final class Blobs {
+    private Blobs() {}
+
+    static byte[] bytes(String target, int length) {
+        byte[] bytes = new byte[length];
+        int seed = target.hashCode();
+        for (int i = 0; i < length; i++) {
+            bytes[i] = byteAt(seed, i);
+        }
+        return bytes;
+    }
+
+    static byte byteAt(int seed, long position) {
+        return (byte) (seed + position * 31 + (position >> 8));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/arbutusfield/proxy/ProxyBench.java
@@ -0,0 +1,129 @@
+package org.arbutusfield.proxy;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
+import org.arbutusfield.lab.Fault;
+import org.arbutusfield.lab.UpstreamStandIn;
+import org.arbutusfield.model.Configuration;
+import org.arbutusfield.model.Entity;
+import org.arbutusfield.model.FailureDomain;
+import org.arbutusfield.model.Region;
+import org.arbutusfield.model.RequestClass;
+import org.arbutusfield.model.Service;
+import org.arbutusfield.model.Upstream;
+import org.arbutusfield.timer.SystemTimer;
+
+/** An entry server before some upstream stand-ins, over loopback sockets. Requests under {@code /book} may run once. */
+final class ProxyBench implements AutoCloseable {
+    static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    static final long DEADLINE_MILLIS = 5_000;
+
+    final EventLoopGroup group = new NioEventLoopGroup(2);
+    final SystemTimer timer = SystemTimer.start();
+    final List<UpstreamStandIn> upstreams = new ArrayList<>();
+    final BlockingQueue<RequestRecord> records = new LinkedBlockingQueue<>();
+    final Queue<Outcome> outcomes = new ConcurrentLinkedQueue<>();
+    final AtomicInteger permitsHeld = new AtomicInteger();
+    final Configuration configuration;
+    final EntryServer entry;
+
+    private ProxyBench(int count, int connections, UnaryOperator<EntryWiring> change) {
+        List<Entity> items =
+                new ArrayList<>(List.of(new Region("gulf", 1), new FailureDomain("gulf-a", "gulf"), service()));
+        for (int i = 0; i < count; i++) {
+            UpstreamStandIn upstream = UpstreamStandIn.bind(group, ANY, "u" + i, 64, Duration.ZERO, timer)
+                    .get();
+            upstreams.add(upstream);
+            items.add(new Upstream(
+                    "u" + i, "desk", "gulf-a", "127.0.0.1", upstream.address().getPort(), 64, connections));
+        }
+        configuration = Configuration.of(1, "n1", items);
+        EntryWiring wiring = EntryWiring.of("gulf", () -> configuration).withObserver(records::add);
+        wiring = change.apply(wiring.withPlacement(counting(wiring.placement())));
+        entry = EntryServer.bind(group, ANY, wiring).get();
+    }
+
+    static ProxyBench of(int upstreams) {
+        return new ProxyBench(upstreams, 64, wiring -> wiring);
+    }
+
+    static ProxyBench of(int upstreams, int connections, UnaryOperator<EntryWiring> change) {
+        return new ProxyBench(upstreams, connections, change);
+    }
+
+    static Service service() {
+        return new Service(
+                "desk",
+                1,
+                1,
+                0,
+                List.of(
+                        new RequestClass("book", List.of(), "/book", false, true, DEADLINE_MILLIS),
+                        new RequestClass("read", List.of(), "", true, true, DEADLINE_MILLIS)),
+                List.of());
+    }
+
+    RawCaller caller() {
+        return RawCaller.connect(entry.address());
+    }
+
+    UpstreamStandIn upstream() {
+        return upstreams.get(0);
+    }
+
+    /** The first request that any upstream receives has the fault; the others have none. */
+    void faultOnce(Fault fault) {
+        AtomicInteger first = new AtomicInteger();
+        upstreams.forEach(u -> u.faults((call, n) -> first.getAndIncrement() == 0 ? fault : Fault.NONE));
+    }
+
+    int runs(String id) {
+        return upstreams.stream().mapToInt(u -> u.runs(id)).sum();
+    }
+
+    RequestRecord nextRecord() throws InterruptedException {
+        return records.poll(20, TimeUnit.SECONDS);
+    }
+
+    static String get(String target, String id) {
+        return "GET " + target + " HTTP/1.1\r\nhost: x\r\nx-request-id: " + id + "\r\n\r\n";
+    }
+
+    static String post(String target, String id, String body) {
+        return "POST " + target + " HTTP/1.1\r\nhost: x\r\nx-request-id: " + id + "\r\ncontent-length: " + body.length()
+                + "\r\n\r\n" + body;
+    }
+
+    @Override
+    public void close() {
+        entry.close();
+        upstreams.forEach(UpstreamStandIn::close);
+        timer.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    private Placement counting(Placement inner) {
+        return facts -> inner.place(facts)
+                .thenApply(result -> result.map(placed -> {
+                    permitsHeld.incrementAndGet();
+                    Permit permit = (outcome, nanos) -> {
+                        permitsHeld.decrementAndGet();
+                        outcomes.add(outcome);
+                        placed.permit().release(outcome, nanos);
+                    };
+                    return new Placed.AtUpstream(((Placed.AtUpstream) placed).upstream(), permit);
+                }));
+    }
+}
