Running state in content-addressed segments under one root, with a history of notes

Cause: the state was one value, at most 1 MB; a lost answer could be found out only while its note was the latest; a conflict did not say what moved. A root write whose answer is lost is made again: at most one copy can take effect, and once a copy conflicts none on its way can. Ruled out: reading back after a timeout and trusting the old version, since the write may arrive after the read.

--- a/src/main/java/org/arbutusfield/model/BlockList.java
+++ b/src/main/java/org/arbutusfield/model/BlockList.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -156,6 +157,12 @@
         return new BlockList(cutter.finish());
     }
 
+    /** The blocks of those segments that the other list does not have; used to compare two lists. */
+    public BlockList without(BlockList other) {
+        Set<BlockSegment> shared = new HashSet<>(other.segments);
+        return new BlockList(segments.stream().filter(s -> !shared.contains(s)).toList());
+    }
+
     /** All blocks as objects by prefix. Costs some hundred bytes a block: for small states and tests. */
     public SortedMap<String, Entity> asTable() {
         SortedMap<String, Entity> table = new TreeMap<>();
--- a/src/main/java/org/arbutusfield/note/ConfigurationRepository.java
+++ b/src/main/java/org/arbutusfield/note/ConfigurationRepository.java
@@ -1,84 +1,265 @@
 package org.arbutusfield.note;
 
 import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.model.Configuration;
 import org.arbutusfield.store.Store;
 import org.arbutusfield.store.Versioned;
+import org.arbutusfield.timer.TimerService;
 
-/** The running state as kept in the store: read it, and move it on by a release note. */
+/**
+ * The running state as kept in the store: read it, and move it on by a release note.
+ *
+ * <p><b>Problem.</b> The state is larger than one value of the store, and yet a note must become the running state as a
+ * whole; writers race; answers get lost after the write took effect.
+ *
+ * <p><b>Idea.</b> The content lies in immutable segments named by their digests, a manifest names the segments of one
+ * state, and the root names the manifest. A note's new segments and manifest are written first; then one
+ * compare-and-swap of the root makes them the running state. The root also keeps the history of applied notes, in which
+ * a note whose answer was lost is found by its own id.
+ *
+ * <p><b>Invariants.</b> Whatever the root names is in the store. Revisions grow by one with each accepted note. A note
+ * is in the history exactly when it was accepted. Segments of a note that was refused stay behind unreferenced.
+ *
+ * <p><b>Example.</b> A note that drains one region at revision 7 writes one segment of drains, the manifest of revision
+ * 8 and the root: three writes, however large the state is.
+ */
 public final class ConfigurationRepository {
     /** Store key of the running state. */
     public static final String ROOT_KEY = "arbutusfield/root";
 
     private final Store store;
+    private final RetryPause pause;
+    private final SegmentStore segments;
+    private final NoteHistory history;
+    private final AtomicReference<ConfigurationSnapshot> lastRead =
+            new AtomicReference<>(ConfigurationSnapshot.empty());
 
-    private ConfigurationRepository(Store store) {
+    private ConfigurationRepository(Store store, RetryPause pause) {
         this.store = store;
+        this.pause = pause;
+        this.segments = SegmentStore.of(store, pause);
+        this.history = NoteHistory.of(segments);
     }
 
-    /** A repository over a store. */
+    /** A repository over a store that repeats failed calls at once. */
     public static ConfigurationRepository of(Store store) {
-        return new ConfigurationRepository(store);
+        return new ConfigurationRepository(store, RetryPause.none());
     }
 
-    /** The running state; the empty one before the first note. */
+    /** A repository over a store that repeats failed calls after a pause. */
+    public static ConfigurationRepository of(Store store, TimerService timer) {
+        return new ConfigurationRepository(store, RetryPause.of(timer));
+    }
+
+    /** Names the running state; one read. */
+    public CompletableFuture<Either<Failure, RootPointer>> pointer() {
+        return readRoot().thenApply(read -> read.map(root -> root.state().pointer()));
+    }
+
+    /** The running state; the empty one before the first note. Reads only what changed since the last call. */
     public CompletableFuture<Either<Failure, Configuration>> latest() {
-        return store.read(ROOT_KEY).thenApply(r -> r.flatMap(ConfigurationRepository::decode));
+        return latestSnapshot().thenApply(read -> read.map(ConfigurationSnapshot::configuration));
+    }
+
+    /** The running state with its form in bytes. */
+    public CompletableFuture<Either<Failure, ConfigurationSnapshot>> latestSnapshot() {
+        return readRoot()
+                .thenCompose(read -> read.fold(
+                        failure -> done(Either.left(failure)),
+                        root -> load(root.state().pointer())));
+    }
+
+    /** The applied notes, newest first, as far back as they are kept. */
+    public CompletableFuture<Either<Failure, List<HistoryEntry>>> history(int limit) {
+        return readRoot()
+                .thenCompose(read ->
+                        read.fold(failure -> done(Either.left(failure)), root -> history.latest(root.state(), limit)));
+    }
+
+    /** The state at an earlier revision; {@code NOTE_NOT_FOUND} when it is no longer known. */
+    public CompletableFuture<Either<Failure, Configuration>> at(long revision) {
+        return readRoot()
+                .thenCompose(read -> read.fold(
+                        failure -> done(Either.left(failure)),
+                        root -> history.find(root.state(), revision)
+                                .thenCompose(found -> found.flatMap(entry -> known(entry, revision))
+                                        .fold(failure -> done(Either.left(failure)), this::loadState))));
     }
 
     /**
-     * Applies a note by one compare-and-swap. Idempotent: a note that is already the running one is reported as
-     * applied, so that an answer lost after the write is found out by calling again.
+     * Applies a note by one compare-and-swap. Idempotent: a note that was applied before, even if others followed, is
+     * reported as applied with the state that it led to.
+     *
+     * <p>Errors: every fault of the note; {@code NOTE_CONFLICT} with what moved when the state is not the one that it
+     * was written against; {@code NOTE_ID_REUSED}; a store failure without effect; {@code STORE_TIMEOUT} when it could
+     * not be found out whether the note is in force. A failure without effect speaks of this call only: after a
+     * {@code STORE_TIMEOUT} for a note, apply it again until it is reported as applied or in conflict.
      */
     public CompletableFuture<Either<List<Failure>, Configuration>> apply(ReleaseNote note) {
-        return store.read(ROOT_KEY).thenCompose(read -> {
-            Either<Failure, Configuration> state = read.flatMap(ConfigurationRepository::decode);
-            if (state.isLeft()) {
-                return CompletableFuture.completedFuture(Either.left(List.of(state.getLeft())));
+        return readRoot().thenCompose(read -> read.fold(failure -> refused(failure), root -> apply(root, note)));
+    }
+
+    private CompletableFuture<Either<List<Failure>, Configuration>> apply(VersionedRoot root, ReleaseNote note) {
+        return history.find(root.state(), note.id()).thenCompose(found -> {
+            if (found.isLeft()) {
+                return refused(found.getLeft());
+            }
+            if (found.get().isPresent()) {
+                return appliedBefore(found.get().get(), note);
             }
-            if (state.get().noteId().equals(note.id())) {
-                return CompletableFuture.completedFuture(Either.right(state.get()));
+            if (note.against() != root.state().revision()) {
+                return refused(NoteHistory.conflict(root.state(), note));
             }
-            return write(read.get().map(Versioned::version).orElse(0L), NoteApplier.apply(state.get(), note), note);
+            return load(root.state().pointer())
+                    .thenCompose(
+                            loaded -> loaded.fold(failure -> refused(failure), current -> write(root, current, note)));
         });
     }
 
+    private CompletableFuture<Either<List<Failure>, Configuration>> appliedBefore(
+            HistoryEntry entry, ReleaseNote note) {
+        if (!entry.noteDigest().equals(NoteHistory.digestOf(note))) {
+            String detail = "applied as revision " + entry.revision() + " with other content";
+            return refused(Failure.of(ErrorCode.NOTE_ID_REUSED, note.id(), detail));
+        }
+        String detail = "in force as revision " + entry.revision() + ", whose content cannot be read now";
+        return loadState(entry)
+                .thenApply(
+                        loaded -> loaded.mapLeft(f -> List.of(Failure.of(ErrorCode.STORE_TIMEOUT, note.id(), detail))));
+    }
+
     private CompletableFuture<Either<List<Failure>, Configuration>> write(
-            long version, Either<List<Failure>, Configuration> next, ReleaseNote note) {
-        if (next.isLeft()) {
-            return CompletableFuture.completedFuture(next);
+            VersionedRoot root, ConfigurationSnapshot current, ReleaseNote note) {
+        Either<List<Failure>, Configuration> applied = NoteApplier.apply(current.configuration(), note);
+        if (applied.isLeft()) {
+            return CompletableFuture.completedFuture(applied);
+        }
+        ConfigurationSnapshot next = ConfigurationSnapshot.of(applied.get());
+        RootState nextRoot = root.state().append(NoteHistory.entry(note, next.pointer()));
+        List<Segment> fresh = new ArrayList<>();
+        for (String digest : next.missing(current.digests())) {
+            fresh.add(Segment.of(digest, next.segment(digest).orElseThrow()));
         }
-        return store.compareAndSwap(ROOT_KEY, version, ConfigurationCodec.encode(next.get()))
-                .thenCompose(written -> {
-                    if (written.isRight()) {
-                        return CompletableFuture.completedFuture(next);
-                    }
-                    if (written.getLeft().code() == ErrorCode.STORE_UNAVAILABLE) {
-                        return CompletableFuture.completedFuture(Either.left(List.of(written.getLeft())));
-                    }
-                    return confirm(note, written.getLeft());
-                });
-    }
-
-    private CompletableFuture<Either<List<Failure>, Configuration>> confirm(ReleaseNote note, Failure failure) {
-        return latest().thenApply(state -> {
-            if (state.isRight() && state.get().noteId().equals(note.id())) {
-                return Either.right(state.get());
+        fresh.add(Segment.of(next.pointer().digest(), next.manifest()));
+        root.state().overflow().ifPresent(fresh::add);
+        return segments.writeAll(fresh)
+                .thenCompose(written -> written.fold(
+                        failure -> refused(withoutEffect(failure, note)),
+                        count -> RootWrite.of(store, pause, root.version(), nextRoot.encode())
+                                .send()
+                                .thenCompose(outcome -> outcome.fold(
+                                        failure -> refused(named(failure, note)), what -> settle(what, next, note)))));
+    }
+
+    private CompletableFuture<Either<List<Failure>, Configuration>> settle(
+            RootWrite.Outcome outcome, ConfigurationSnapshot next, ReleaseNote note) {
+        if (outcome == RootWrite.Outcome.MOVED) {
+            lastRead.set(next);
+            return CompletableFuture.completedFuture(Either.right(next.configuration()));
+        }
+        return pause.repeat(this::readRoot).thenCompose(read -> {
+            if (read.isLeft()) {
+                return refused(unknown(note));
             }
-            ErrorCode code = failure.code() == ErrorCode.STORE_CONFLICT ? ErrorCode.NOTE_CONFLICT : failure.code();
-            return Either.left(List.of(Failure.of(code, note.id())));
+            RootState root = read.get().state();
+            return history.find(root, note.id()).thenCompose(found -> {
+                if (found.isLeft()) {
+                    return refused(unknown(note));
+                }
+                if (found.get().map(HistoryEntry::pointer).equals(Optional.of(next.pointer()))) {
+                    return CompletableFuture.completedFuture(Either.right(next.configuration()));
+                }
+                return found.get().isPresent()
+                        ? appliedBefore(found.get().get(), note)
+                        : refused(NoteHistory.conflict(root, note));
+            });
         });
     }
 
-    private static Either<Failure, Configuration> decode(Optional<Versioned> value) {
+    private CompletableFuture<Either<Failure, Configuration>> loadState(HistoryEntry entry) {
+        return load(entry.pointer()).thenApply(loaded -> loaded.map(ConfigurationSnapshot::configuration));
+    }
+
+    private CompletableFuture<Either<Failure, ConfigurationSnapshot>> load(RootPointer pointer) {
+        ConfigurationSnapshot known = lastRead.get();
+        if (known.pointer().equals(pointer)) {
+            return done(Either.right(known));
+        }
+        if (pointer.equals(RootPointer.EMPTY)) {
+            return done(Either.right(ConfigurationSnapshot.empty()));
+        }
+        return segments.read(pointer.digest())
+                .thenCompose(manifest -> manifest.flatMap(bytes -> ConfigurationSnapshot.digestsOf(pointer, bytes))
+                        .fold(
+                                failure -> done(Either.left(failure)),
+                                digests -> assemble(pointer, manifest.get(), digests)));
+    }
+
+    private CompletableFuture<Either<Failure, ConfigurationSnapshot>> assemble(
+            RootPointer pointer, byte[] manifest, List<String> digests) {
+        ConfigurationSnapshot known = lastRead.get();
+        List<String> missing =
+                digests.stream().filter(d -> known.segment(d).isEmpty()).toList();
+        return segments.readAll(missing)
+                .thenApply(read -> read.flatMap(found -> {
+                    Map<String, byte[]> parts = new HashMap<>(found);
+                    Either<Failure, ConfigurationSnapshot> loaded = ConfigurationSnapshot.assemble(
+                            pointer,
+                            manifest,
+                            d -> Optional.ofNullable(parts.get(d)).or(() -> known.segment(d)));
+                    loaded.peek(lastRead::set);
+                    return loaded;
+                }));
+    }
+
+    private CompletableFuture<Either<Failure, VersionedRoot>> readRoot() {
+        return store.read(ROOT_KEY).thenApply(read -> read.flatMap(ConfigurationRepository::decode));
+    }
+
+    private static Either<Failure, VersionedRoot> decode(Optional<Versioned> value) {
         if (value.isEmpty()) {
-            return Either.right(Configuration.empty());
+            return Either.right(new VersionedRoot(0, RootState.empty()));
         }
-        return ConfigurationCodec.decode(value.get().value());
+        return RootState.decode(value.get().value())
+                .map(state -> new VersionedRoot(value.get().version(), state));
     }
+
+    private static Either<Failure, HistoryEntry> known(Optional<HistoryEntry> entry, long revision) {
+        return entry.<Either<Failure, HistoryEntry>>map(Either::right)
+                .orElseGet(() -> Either.left(Failure.of(ErrorCode.NOTE_NOT_FOUND, "revision " + revision)));
+    }
+
+    /** Before the root is written, a note has no effect, whatever became of its segments. */
+    private static Failure withoutEffect(Failure failure, ReleaseNote note) {
+        ErrorCode code = failure.notRun() ? failure.code() : ErrorCode.STORE_UNAVAILABLE;
+        return Failure.of(code, note.id(), "this call did not apply the note");
+    }
+
+    private static Failure unknown(ReleaseNote note) {
+        String detail = "whether the note is in force is unknown: apply it again to find out";
+        return Failure.of(ErrorCode.STORE_TIMEOUT, note.id(), detail);
+    }
+
+    private static Failure named(Failure failure, ReleaseNote note) {
+        return Failure.of(failure.code(), note.id(), failure.detail());
+    }
+
+    private static CompletableFuture<Either<List<Failure>, Configuration>> refused(Failure failure) {
+        return CompletableFuture.completedFuture(Either.left(List.of(failure)));
+    }
+
+    private static <T> CompletableFuture<Either<Failure, T>> done(Either<Failure, T> answer) {
+        return CompletableFuture.completedFuture(answer);
+    }
+
+    private record VersionedRoot(long version, RootState state) {}
 }
--- /dev/null
+++ b/src/main/java/org/arbutusfield/note/ConfigurationSnapshot.java
@@ -0,0 +1,230 @@
+package org.arbutusfield.note;
+
+import io.vavr.control.Either;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.Digests;
+import org.arbutusfield.model.BlockList;
+import org.arbutusfield.model.BlockSegment;
+import org.arbutusfield.model.Configuration;
+import org.arbutusfield.model.Entity;
+import org.arbutusfield.model.Kind;
+
+/**
+ * One running state together with its form in bytes: a manifest and the segments that it names, each at most the
+ * store's largest value.
+ *
+ * <p>A host that has an older state needs only the manifest and the {@link #missing} segments: it asks for them one by
+ * one, each is checked against its digest, and {@link #assemble} makes the new state as a whole.
+ */
+public final class ConfigurationSnapshot {
+    private static final ConfigurationSnapshot EMPTY =
+            new ConfigurationSnapshot(Configuration.empty(), RootPointer.EMPTY, new byte[0], Map.of());
+    private static final int LENGTH_BYTES = Integer.BYTES;
+
+    private final Configuration configuration;
+    private final RootPointer pointer;
+    private final byte[] manifest;
+    private final Map<String, byte[]> segments;
+
+    private ConfigurationSnapshot(
+            Configuration configuration, RootPointer pointer, byte[] manifest, Map<String, byte[]> segments) {
+        this.configuration = configuration;
+        this.pointer = pointer;
+        this.manifest = manifest;
+        this.segments = segments;
+    }
+
+    /** The state before the first note. */
+    public static ConfigurationSnapshot empty() {
+        return EMPTY;
+    }
+
+    /** Encodes a state. Equal states have equal pointers and segments. */
+    public static ConfigurationSnapshot of(Configuration configuration) {
+        if (configuration.revision() == 0) {
+            return EMPTY;
+        }
+        Map<Kind, List<String>> digests = new EnumMap<>(Kind.class);
+        Map<String, byte[]> segments = new LinkedHashMap<>();
+        for (Kind kind : Kind.values()) {
+            List<Segment> encoded = encode(configuration, kind);
+            digests.put(kind, encoded.stream().map(Segment::digest).toList());
+            encoded.forEach(segment -> segments.put(segment.digest(), segment.bytes()));
+        }
+        Segment manifest = new Manifest(configuration.revision(), configuration.noteId(), digests).encode();
+        RootPointer pointer = new RootPointer(configuration.revision(), manifest.digest());
+        return new ConfigurationSnapshot(configuration, pointer, manifest.bytes(), segments);
+    }
+
+    /**
+     * The digests of the segments that a manifest names.
+     *
+     * @param pointer names the state
+     * @param manifest content received for it
+     * @return the digests, or {@code STORE_CORRUPT} when the content is not the one that the pointer names
+     */
+    public static Either<Failure, List<String>> digestsOf(RootPointer pointer, byte[] manifest) {
+        return checkedManifest(pointer, manifest).map(Manifest::digests);
+    }
+
+    /**
+     * Makes a state from its parts, checking each against its digest.
+     *
+     * @param pointer names the state
+     * @param manifest its manifest
+     * @param segments finds a segment by its digest
+     * @return the state, or {@code STORE_CORRUPT} when a part is absent or damaged
+     */
+    public static Either<Failure, ConfigurationSnapshot> assemble(
+            RootPointer pointer, byte[] manifest, Function<String, Optional<byte[]>> segments) {
+        return checkedManifest(pointer, manifest)
+                .flatMap(contents -> checkedSegments(contents, segments)
+                        .flatMap(found -> decode(contents, found)
+                                .map(state -> new ConfigurationSnapshot(state, pointer, manifest, found))));
+    }
+
+    /** The state. */
+    public Configuration configuration() {
+        return configuration;
+    }
+
+    /** Names the state. */
+    public RootPointer pointer() {
+        return pointer;
+    }
+
+    /** The manifest; must not be changed. */
+    public byte[] manifest() {
+        return manifest;
+    }
+
+    /** Digests of all segments. */
+    public Set<String> digests() {
+        return segments.keySet();
+    }
+
+    /** Content of a segment, at most 1 MiB; must not be changed. */
+    public Optional<byte[]> segment(String digest) {
+        return Optional.ofNullable(segments.get(digest));
+    }
+
+    /** Digests of the segments that somebody who has the given ones still needs. */
+    public List<String> missing(Set<String> present) {
+        return segments.keySet().stream()
+                .filter(digest -> !present.contains(digest))
+                .toList();
+    }
+
+    /** The whole snapshot as one run of bytes: length and content of the manifest, then of each segment. */
+    public byte[] encode() {
+        long total = (long) LENGTH_BYTES + manifest.length;
+        for (byte[] segment : segments.values()) {
+            total += LENGTH_BYTES + segment.length;
+        }
+        ByteBuffer out = ByteBuffer.allocate(Math.toIntExact(total));
+        out.putInt(manifest.length).put(manifest);
+        segments.values().forEach(segment -> out.putInt(segment.length).put(segment));
+        return out.array();
+    }
+
+    /** Decodes what {@link #encode} made, or {@code STORE_CORRUPT}. */
+    public static Either<Failure, ConfigurationSnapshot> decode(RootPointer pointer, byte[] encoded) {
+        Map<String, byte[]> segments = new HashMap<>();
+        byte[] manifest;
+        try {
+            ByteBuffer in = ByteBuffer.wrap(encoded);
+            manifest = part(in);
+            while (in.hasRemaining()) {
+                byte[] segment = part(in);
+                segments.put(Digests.sha256(segment), segment);
+            }
+        } catch (BufferUnderflowException e) {
+            return Either.left(corrupt("snapshot", "cut short"));
+        }
+        return assemble(pointer, manifest, digest -> Optional.ofNullable(segments.get(digest)));
+    }
+
+    private static byte[] part(ByteBuffer in) {
+        int length = in.getInt();
+        if (length < 0 || length > in.remaining()) {
+            throw new BufferUnderflowException();
+        }
+        byte[] part = new byte[length];
+        in.get(part);
+        return part;
+    }
+
+    private static List<Segment> encode(Configuration configuration, Kind kind) {
+        if (kind != Kind.CLIENT_BLOCK) {
+            return SegmentCodec.encode(configuration.table(kind));
+        }
+        return configuration.blocks().segments().stream()
+                .map(segment -> Segment.of(segment.digest(), segment.bytes()))
+                .toList();
+    }
+
+    private static Either<Failure, Manifest> checkedManifest(RootPointer pointer, byte[] bytes) {
+        if (!Digests.sha256(bytes).equals(pointer.digest())) {
+            return Either.left(corrupt("manifest", "does not match its digest"));
+        }
+        return Manifest.decode(bytes)
+                .filterOrElse(m -> m.revision() == pointer.revision(), m -> corrupt("manifest", "another revision"));
+    }
+
+    private static Either<Failure, Map<String, byte[]>> checkedSegments(
+            Manifest manifest, Function<String, Optional<byte[]>> segments) {
+        Map<String, byte[]> found = new LinkedHashMap<>();
+        for (String digest : manifest.digests()) {
+            Optional<byte[]> bytes = segments.apply(digest);
+            if (bytes.isEmpty()) {
+                return Either.left(corrupt(digest, "segment absent"));
+            }
+            if (!Digests.sha256(bytes.get()).equals(digest)) {
+                return Either.left(corrupt(digest, "segment does not match its digest"));
+            }
+            found.put(digest, bytes.get());
+        }
+        return Either.right(found);
+    }
+
+    private static Either<Failure, Configuration> decode(Manifest manifest, Map<String, byte[]> segments) {
+        List<Entity> items = new ArrayList<>();
+        List<BlockSegment> blocks = new ArrayList<>();
+        for (Kind kind : Kind.values()) {
+            for (String digest : manifest.of(kind)) {
+                byte[] bytes = segments.get(digest);
+                Either<Failure, ?> decoded = kind == Kind.CLIENT_BLOCK
+                        ? BlockSegment.decode(bytes).peek(blocks::add)
+                        : SegmentCodec.decode(kind, bytes).peek(items::addAll);
+                if (decoded.isLeft()) {
+                    return Either.left(decoded.getLeft());
+                }
+            }
+        }
+        return BlockList.ofSegments(blocks).flatMap(list -> configuration(manifest, items, list));
+    }
+
+    private static Either<Failure, Configuration> configuration(Manifest manifest, List<Entity> items, BlockList list) {
+        try {
+            return Either.right(Configuration.of(manifest.revision(), manifest.noteId(), items, list));
+        } catch (IllegalArgumentException e) {
+            return Either.left(corrupt("configuration", e.getMessage()));
+        }
+    }
+
+    private static Failure corrupt(String subject, String detail) {
+        return Failure.of(ErrorCode.STORE_CORRUPT, subject, detail);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/note/NoteHistory.java
@@ -0,0 +1,167 @@
+package org.arbutusfield.note;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.Digests;
+import org.arbutusfield.model.Entity;
+
+/** The applied notes: the recent ones stand in the root, older ones in segments that it names. */
+final class NoteHistory {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int LISTED_ITEMS = 8;
+    private static final int LISTED_NOTES = 5;
+
+    private final SegmentStore segments;
+
+    private NoteHistory(SegmentStore segments) {
+        this.segments = segments;
+    }
+
+    /** A history whose older runs are read from the segments. */
+    static NoteHistory of(SegmentStore segments) {
+        return new NoteHistory(segments);
+    }
+
+    /** Digest of a note's content. */
+    static String digestOf(ReleaseNote note) {
+        ObjectNode content = JSON.createObjectNode()
+                .put("id", note.id())
+                .put("against", note.against())
+                .put("force", note.force());
+        addItems(content.putArray("added"), note.added());
+        addItems(content.putArray("changed"), note.changed());
+        ArrayNode withdrawn = content.putArray("withdrawn");
+        note.withdrawn().forEach(key -> withdrawn.add(nameOf(key)));
+        return Digests.sha256(content.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** The entry of a note that led to a state. */
+    static HistoryEntry entry(ReleaseNote note, RootPointer state) {
+        Set<String> items = itemsOf(note);
+        return new HistoryEntry(
+                state.revision(),
+                note.id(),
+                digestOf(note),
+                state.digest(),
+                items.size(),
+                items.stream().limit(LISTED_ITEMS).toList());
+    }
+
+    /** A {@code NOTE_CONFLICT} that says what moved since the note was written. */
+    static Failure conflict(RootState root, ReleaseNote note) {
+        if (note.against() > root.revision()) {
+            String detail = "written against " + note.against() + ", the store holds only " + root.revision();
+            return Failure.of(ErrorCode.NOTE_CONFLICT, note.id(), detail);
+        }
+        Set<String> mine = itemsOf(note);
+        List<HistoryEntry> since = root.recent().stream()
+                .filter(e -> e.revision() > note.against())
+                .toList();
+        String moved = since.stream()
+                .skip(Math.max(0, since.size() - LISTED_NOTES))
+                .map(e -> describe(e, mine))
+                .collect(Collectors.joining("; "));
+        String detail =
+                "written against " + note.against() + ", running is " + root.revision() + "; since then: " + moved;
+        return Failure.of(ErrorCode.NOTE_CONFLICT, note.id(), detail);
+    }
+
+    /** Finds the entry of a note among the recent and the older ones. */
+    CompletableFuture<Either<Failure, Optional<HistoryEntry>>> find(RootState root, String noteId) {
+        Optional<HistoryEntry> recent = root.findRecent(noteId);
+        if (recent.isPresent()) {
+            return CompletableFuture.completedFuture(Either.right(recent));
+        }
+        List<HistorySegment> candidates =
+                root.older().stream().filter(s -> s.mayHold(noteId)).toList();
+        return read(candidates)
+                .thenApply(answer -> answer.map(entries ->
+                        entries.stream().filter(e -> e.noteId().equals(noteId)).findFirst()));
+    }
+
+    /** Finds the entry of a revision. */
+    CompletableFuture<Either<Failure, Optional<HistoryEntry>>> find(RootState root, long revision) {
+        List<HistorySegment> candidates = root.older().stream()
+                .filter(s -> s.firstRevision() <= revision && revision <= s.lastRevision())
+                .toList();
+        return read(candidates)
+                .thenApply(answer -> answer.map(entries -> Stream.concat(entries.stream(), root.recent().stream())
+                        .filter(e -> e.revision() == revision)
+                        .findFirst()));
+    }
+
+    /** The latest entries, newest first. */
+    CompletableFuture<Either<Failure, List<HistoryEntry>>> latest(RootState root, int limit) {
+        int older = Math.max(0, limit - root.recent().size());
+        int runs = (older + RootState.SEGMENT_ENTRIES - 1) / RootState.SEGMENT_ENTRIES;
+        int skipped = Math.max(0, root.older().size() - runs);
+        return read(root.older().subList(skipped, root.older().size()))
+                .thenApply(answer -> answer.map(entries -> {
+                    List<HistoryEntry> all = new ArrayList<>(entries);
+                    all.addAll(root.recent());
+                    Collections.reverse(all);
+                    return List.copyOf(all.subList(0, Math.min(limit, all.size())));
+                }));
+    }
+
+    private CompletableFuture<Either<Failure, List<HistoryEntry>>> read(List<HistorySegment> runs) {
+        List<String> digests = runs.stream().map(HistorySegment::digest).toList();
+        return segments.readAll(digests).thenApply(answer -> answer.flatMap(found -> decode(found.values())));
+    }
+
+    private static Either<Failure, List<HistoryEntry>> decode(Collection<byte[]> runs) {
+        List<HistoryEntry> entries = new ArrayList<>();
+        for (byte[] run : runs) {
+            Either<Failure, List<HistoryEntry>> decoded = RootState.decodeEntries(run);
+            if (decoded.isLeft()) {
+                return decoded;
+            }
+            entries.addAll(decoded.get());
+        }
+        return Either.right(entries);
+    }
+
+    private static String describe(HistoryEntry entry, Set<String> mine) {
+        List<String> shared = entry.items().stream().filter(mine::contains).toList();
+        String names = String.join(", ", entry.items());
+        String more = entry.itemCount() > entry.items().size()
+                ? " and " + (entry.itemCount() - entry.items().size()) + " more"
+                : "";
+        String both = shared.isEmpty() ? "" : ", also named by this note: " + String.join(", ", shared);
+        return entry.noteId() + " (" + names + more + both + ")";
+    }
+
+    private static Set<String> itemsOf(ReleaseNote note) {
+        Set<String> names = new LinkedHashSet<>();
+        note.added().forEach(item -> names.add(nameOf(NotePaths.keyOf(item))));
+        note.changed().forEach(item -> names.add(nameOf(NotePaths.keyOf(item))));
+        note.withdrawn().forEach(key -> names.add(nameOf(key)));
+        return names;
+    }
+
+    private static String nameOf(EntityKey key) {
+        return key.kind().field() + "/" + key.key();
+    }
+
+    private static void addItems(ArrayNode list, List<Entity> items) {
+        for (Entity item : items) {
+            list.add(item.kind().field());
+            list.add(JSON.<ObjectNode>valueToTree(item));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/note/SegmentStore.java
@@ -0,0 +1,107 @@
+package org.arbutusfield.note;
+
+import io.vavr.control.Either;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.Digests;
+import org.arbutusfield.store.Store;
+import org.arbutusfield.store.Versioned;
+
+/** Immutable segments in the store, each under its digest. Writing one twice is harmless. */
+final class SegmentStore {
+    private static final String PREFIX = "arbutusfield/segment/";
+    private static final int CALLS_AT_ONCE = 8;
+
+    private final Store store;
+    private final RetryPause pause;
+
+    private SegmentStore(Store store, RetryPause pause) {
+        this.store = store;
+        this.pause = pause;
+    }
+
+    /** Segments in a store; failed calls are repeated after a pause. */
+    static SegmentStore of(Store store, RetryPause pause) {
+        return new SegmentStore(store, pause);
+    }
+
+    /** Store key of a segment. */
+    static String keyOf(String digest) {
+        return PREFIX + digest;
+    }
+
+    /** Writes the segments that are not there yet; the first failure ends it. */
+    CompletableFuture<Either<Failure, Integer>> writeAll(List<Segment> segments) {
+        return writeFrom(segments, 0);
+    }
+
+    /** Reads segments, checking each against its digest. */
+    CompletableFuture<Either<Failure, Map<String, byte[]>>> readAll(List<String> digests) {
+        return readFrom(digests, 0, new LinkedHashMap<>());
+    }
+
+    /** Reads one segment, checking it against its digest. */
+    CompletableFuture<Either<Failure, byte[]>> read(String digest) {
+        return pause.repeat(() -> store.read(keyOf(digest)))
+                .thenApply(answer -> answer.flatMap(value -> value.map(Versioned::value)
+                        .filter(bytes -> Digests.sha256(bytes).equals(digest))
+                        .<Either<Failure, byte[]>>map(Either::right)
+                        .orElseGet(() -> Either.left(
+                                Failure.of(ErrorCode.STORE_CORRUPT, digest, "segment absent or damaged")))));
+    }
+
+    private CompletableFuture<Either<Failure, Integer>> writeFrom(List<Segment> segments, int start) {
+        if (start >= segments.size()) {
+            return CompletableFuture.completedFuture(Either.right(segments.size()));
+        }
+        List<Segment> batch = segments.subList(start, Math.min(segments.size(), start + CALLS_AT_ONCE));
+        List<CompletableFuture<Either<Failure, Long>>> calls =
+                batch.stream().map(this::write).toList();
+        return all(calls).thenCompose(done -> {
+            for (CompletableFuture<Either<Failure, Long>> call : calls) {
+                if (call.join().isLeft()) {
+                    return CompletableFuture.completedFuture(
+                            Either.left(call.join().getLeft()));
+                }
+            }
+            return writeFrom(segments, start + CALLS_AT_ONCE);
+        });
+    }
+
+    private CompletableFuture<Either<Failure, Long>> write(Segment segment) {
+        return pause.repeat(() -> store.compareAndSwap(keyOf(segment.digest()), 0, segment.bytes())
+                .thenApply(SegmentStore::presentIsWritten));
+    }
+
+    private static Either<Failure, Long> presentIsWritten(Either<Failure, Long> answer) {
+        return answer.isLeft() && answer.getLeft().code() == ErrorCode.STORE_CONFLICT ? Either.right(1L) : answer;
+    }
+
+    private CompletableFuture<Either<Failure, Map<String, byte[]>>> readFrom(
+            List<String> digests, int start, Map<String, byte[]> found) {
+        if (start >= digests.size()) {
+            return CompletableFuture.completedFuture(Either.right(found));
+        }
+        List<String> batch = digests.subList(start, Math.min(digests.size(), start + CALLS_AT_ONCE));
+        List<CompletableFuture<Either<Failure, byte[]>>> calls =
+                batch.stream().map(this::read).toList();
+        return all(calls).thenCompose(done -> {
+            for (int i = 0; i < calls.size(); i++) {
+                Either<Failure, byte[]> answer = calls.get(i).join();
+                if (answer.isLeft()) {
+                    return CompletableFuture.completedFuture(Either.left(answer.getLeft()));
+                }
+                found.put(batch.get(i), answer.get());
+            }
+            return readFrom(digests, start + CALLS_AT_ONCE, found);
+        });
+    }
+
+    private static CompletableFuture<Void> all(List<? extends CompletableFuture<?>> calls) {
+        return CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new));
+    }
+}
