Daemon: membership, spread, brokers, look-up and spill on the whole path; end-to-end run under load

Cause: the daemon polled the store by itself and chose servers by its own counts; look-up was missing. Change: the daemon starts the control plane, hands each revision in force to admission, caps and look-up, and stops in the order leave, serve while answers live, drain, close, exit 0.

--- a/src/main/java/org/arbutusfield/admission/RetryBudget.java
+++ b/src/main/java/org/arbutusfield/admission/RetryBudget.java
@@ -46,7 +46,12 @@
      * @return false when the attempt must not be made again
      */
     public boolean take(Failure failure, boolean repeatable) {
-        if (!harmless(failure, repeatable) || retries < 1) {
+        return harmless(failure, repeatable) && takeOne();
+    }
+
+    /** Takes one retry from the budget for an attempt that is known to be harmless; false if none is left. */
+    public boolean takeOne() {
+        if (retries < 1) {
             return false;
         }
         retries--;
--- /dev/null
+++ b/src/main/java/org/arbutusfield/daemon/AdminDesk.java
@@ -0,0 +1,67 @@
+package org.arbutusfield.daemon;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.http.HttpAnswer;
+import org.arbutusfield.http.HttpCall;
+import org.arbutusfield.http.HttpListener;
+import org.arbutusfield.member.Member;
+
+/** Answers on the admin port: liveness, readiness, status and members. Changes nothing. */
+final class AdminDesk implements HttpListener.Handler {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final Supplier<HostStatus> status;
+    private final Supplier<List<Member>> members;
+
+    private AdminDesk(Supplier<HostStatus> status, Supplier<List<Member>> members) {
+        this.status = status;
+        this.members = members;
+    }
+
+    /** A desk that asks these for its answers. */
+    static AdminDesk of(Supplier<HostStatus> status, Supplier<List<Member>> members) {
+        return new AdminDesk(status, members);
+    }
+
+    @Override
+    public CompletableFuture<HttpAnswer> handle(HttpCall call) {
+        return CompletableFuture.completedFuture(answer(call));
+    }
+
+    private HttpAnswer answer(HttpCall call) {
+        if (!call.method().equals("GET")) {
+            return HttpAnswer.problem(Failure.of(ErrorCode.METHOD_NOT_ALLOWED, call.method()));
+        }
+        return switch (call.path()) {
+            case "/live" -> HttpAnswer.text(200, "live\n");
+            case "/ready" -> readiness(status.get());
+            case "/status" -> json(status.get());
+            case "/members" -> json(members.get());
+            default -> HttpAnswer.problem(Failure.of(ErrorCode.PATH_UNKNOWN, call.path()));
+        };
+    }
+
+    private static HttpAnswer readiness(HostStatus now) {
+        if (now.state().equals("leaving")) {
+            return HttpAnswer.problem(Failure.of(ErrorCode.HOST_LEAVING));
+        }
+        if (now.revision() == 0) {
+            return HttpAnswer.problem(Failure.of(ErrorCode.NO_CONFIGURATION));
+        }
+        return HttpAnswer.text(200, "ready\n");
+    }
+
+    private static HttpAnswer json(Object value) {
+        try {
+            return HttpAnswer.json(200, JSON.writeValueAsString(value));
+        } catch (JsonProcessingException e) {
+            return HttpAnswer.problem(Failure.of(ErrorCode.INTERNAL, "", e.getOriginalMessage()));
+        }
+    }
+}
--- a/src/main/java/org/arbutusfield/daemon/ArbutusDaemon.java
+++ b/src/main/java/org/arbutusfield/daemon/ArbutusDaemon.java
@@ -2,7 +2,6 @@
 
 import io.vavr.control.Either;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.List;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -16,7 +15,6 @@
 
 /** The program {@code arbutusd}. Exit codes: 0 stopped or checked, 1 could not start, 2 bad settings or usage. */
 public final class ArbutusDaemon {
-    private static final Duration STOP_LIMIT = Duration.ofMinutes(5);
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE = 2;
 
@@ -58,11 +56,16 @@
             complain(List.of(daemon.getLeft()));
             System.exit(EXIT_FAILED);
         }
-        Runtime.getRuntime()
-                .addShutdownHook(new Thread(() -> daemon.get().stopGracefully(STOP_LIMIT), "graceful-stop"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon.get()), "graceful-stop"));
         daemon.get().awaitStop();
     }
 
+    /** Ends the process with status 0 after a graceful stop, where the runtime would report the signal instead. */
+    private static void stop(Daemon daemon) {
+        daemon.stopGracefully();
+        Runtime.getRuntime().halt(0);
+    }
+
     private static void complain(List<Failure> failures) {
         failures.forEach(f -> System.err.println(
                 f.code() + " " + f.subject() + ": " + f.code().message() + " " + f.detail()));
--- a/src/main/java/org/arbutusfield/daemon/Daemon.java
+++ b/src/main/java/org/arbutusfield/daemon/Daemon.java
@@ -3,51 +3,72 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.vavr.control.Either;
+import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.concurrent.CompletableFuture;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicReference;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.dispatch.Dispatch;
+import org.arbutusfield.dispatch.HostIdentity;
 import org.arbutusfield.error.Failure;
-import org.arbutusfield.http.HttpAnswer;
-import org.arbutusfield.http.HttpCall;
 import org.arbutusfield.http.HttpCaller;
 import org.arbutusfield.http.HttpListener;
-import org.arbutusfield.model.Configuration;
-import org.arbutusfield.note.ConfigurationRepository;
+import org.arbutusfield.member.HostList;
+import org.arbutusfield.member.Member;
+import org.arbutusfield.member.MemberState;
+import org.arbutusfield.member.MembershipLimits;
+import org.arbutusfield.member.MembershipSettings;
 import org.arbutusfield.proxy.EntryServer;
+import org.arbutusfield.proxy.EntryWiring;
 import org.arbutusfield.settings.HostSettings;
+import org.arbutusfield.spread.ControlPlane;
+import org.arbutusfield.spread.ControlPlaneSettings;
+import org.arbutusfield.spread.LeaderSettings;
+import org.arbutusfield.spread.PlatformServices;
+import org.arbutusfield.spread.RootPointer;
+import org.arbutusfield.spread.Snapshot;
+import org.arbutusfield.spread.StoreRepair;
 import org.arbutusfield.store.HttpStore;
 import org.arbutusfield.timer.SystemTimer;
+import org.arbutusfield.wire.ControlLimits;
+import org.arbutusfield.wire.PeerAddress;
 
 /** One running entry host. */
 public final class Daemon implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(Daemon.class);
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-    private static final Duration CONFIGURATION_POLL = Duration.ofMillis(500);
+    private static final Duration HOST_LIST_INTERVAL = Duration.ofSeconds(5);
     private static final int ADMIN_BODY_BYTES = 1 << 20;
 
     private final HostSettings settings;
+    private final HostIdentity self;
     private final SystemTimer timer = SystemTimer.start();
-    private final EventLoopGroup group = new NioEventLoopGroup();
-    private final AtomicReference<Configuration> running = new AtomicReference<>(Configuration.empty());
+    private final EventLoopGroup group;
+    private final RunningState state = RunningState.create();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private volatile boolean leaving;
+    private ControlPlane control;
+    private Dispatch dispatch;
     private EntryServer entry;
     private HttpListener admin;
 
     private Daemon(HostSettings settings) {
         this.settings = settings;
+        this.group = new NioEventLoopGroup(settings.eventLoops());
+        this.self = new HostIdentity(
+                settings.name(), System.currentTimeMillis(), settings.region(), settings.failureDomain());
     }
 
-    /** Starts a host: configuration, callers' port, admin port. */
+    /** Starts a host; on the left why it could not start, with nothing left running. */
     public static Either<Failure, Daemon> start(HostSettings settings) {
         Daemon daemon = new Daemon(settings);
-        Either<Failure, Daemon> started =
-                daemon.followConfiguration().flatMap(Daemon::openCallerPort).flatMap(Daemon::openAdminPort);
+        Either<Failure, Daemon> started = daemon.joinHosts()
+                .map(Daemon::carryDecisions)
+                .map(Daemon::followConfiguration)
+                .flatMap(Daemon::openCallerPort)
+                .flatMap(Daemon::openAdminPort);
         if (started.isLeft()) {
             daemon.close();
             return started;
@@ -56,11 +77,17 @@
         return started;
     }
 
-    /** Leaves look-ups, lets running requests finish, then closes. */
-    public void stopGracefully(Duration limit) {
+    /**
+     * Stops in the order that cuts no request short: leave look-ups and brokers, serve on while callers may still use
+     * answers they were given, take no new connections, let running requests finish, close.
+     */
+    public void stopGracefully() {
         leaving = true;
+        LOG.info("event=host_leaving host={}", settings.name());
+        control.leave();
         entry.leave();
-        int unfinished = entry.drain(limit).join();
+        pause(settings.lookupMaxAge());
+        int unfinished = entry.drain(settings.drainLimit()).join();
         LOG.info("event=host_stopped host={} unfinished={}", settings.name(), unfinished);
         close();
     }
@@ -72,71 +99,117 @@
 
     @Override
     public void close() {
-        if (admin != null) {
-            admin.close();
-        }
-        if (entry != null) {
-            entry.close();
-        }
+        closeAll(admin, entry, dispatch, control);
         timer.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         stopped.countDown();
     }
 
-    private Either<Failure, Daemon> followConfiguration() {
+    private Either<Failure, Daemon> joinHosts() {
         HttpStore store = HttpStore.create(
                 HttpCaller.create(group, CONNECT_TIMEOUT), settings.storeAddress(), settings.storeTimeout());
-        ConfigurationRepository repository = ConfigurationRepository.of(store);
-        timer.every(CONFIGURATION_POLL, () -> repository.latest().thenAccept(r -> r.peek(this::install)));
-        return Either.right(this);
+        PlatformServices platform =
+                new PlatformServices(store, StoredSource.of(store), StoreRepair.none(), HostList.none(), state::check);
+        MembershipSettings membership =
+                new MembershipSettings(member(), seeds(), MembershipLimits.standard(), HOST_LIST_INTERVAL);
+        ControlPlaneSettings plane =
+                new ControlPlaneSettings(membership, ControlLimits.standard(), LeaderSettings.standard());
+        return ControlPlane.start(plane, platform, group, timer).map(started -> {
+            control = started;
+            return this;
+        });
     }
 
-    private void install(Configuration next) {
-        Configuration before = running.getAndUpdate(current -> next.revision() > current.revision() ? next : current);
-        if (next.revision() > before.revision()) {
-            LOG.info("event=revision_installed host={} revision={}", settings.name(), next.revision());
-        }
+    private Daemon carryDecisions() {
+        dispatch = Dispatch.start(self, timer, control.handlers(), control.client(), control.membership());
+        return this;
+    }
+
+    private Daemon followConfiguration() {
+        control.running().subscribe(snapshot -> state.install(snapshot, dispatch));
+        return this;
     }
 
     private Either<Failure, Daemon> openCallerPort() {
-        return EntryServer.bind(group, settings.callerAddress(), settings.region(), running::get)
-                .map(server -> {
-                    entry = server;
-                    return this;
-                });
+        EntryWiring wiring = EntryWiring.of(settings.region(), state::configuration)
+                .withPlacement(dispatch.placement(state::configuration))
+                .withRetries(dispatch.retries())
+                .withLocal(dispatch.desk())
+                .withPeers(dispatch::isHost);
+        return EntryServer.bind(group, settings.callerAddress(), wiring).map(server -> {
+            entry = server;
+            return this;
+        });
     }
 
     private Either<Failure, Daemon> openAdminPort() {
-        return HttpListener.bind(group, settings.adminAddress(), ADMIN_BODY_BYTES, this::answerAdmin)
+        AdminDesk desk =
+                AdminDesk.of(this::status, () -> control.membership().view().alive());
+        return HttpListener.bind(group, settings.adminAddress(), ADMIN_BODY_BYTES, desk)
                 .map(listener -> {
                     admin = listener;
                     return this;
                 });
     }
 
-    private CompletableFuture<HttpAnswer> answerAdmin(HttpCall call) {
-        return CompletableFuture.completedFuture(
-                switch (call.path()) {
-                    case "/live" -> HttpAnswer.text(200, "live\n");
-                    case "/ready" -> readiness();
-                    case "/status" -> HttpAnswer.json(200, status());
-                    default -> HttpAnswer.problem(Failure.of(ErrorCode.PATH_UNKNOWN, call.path()));
-                });
+    private HostStatus status() {
+        RootPointer root = control.running().current().map(Snapshot::root).orElseGet(() -> new RootPointer(0, ""));
+        return new HostStatus(
+                settings.name(),
+                leaving ? "leaving" : "serving",
+                settings.region(),
+                settings.failureDomain(),
+                self.incarnation(),
+                root.revision(),
+                root.digest(),
+                entry.inFlight(),
+                control.membership().view().alive().size(),
+                control.leader().leads(),
+                dispatch.exchange().status());
+    }
+
+    private Member member() {
+        return new Member(
+                settings.name(),
+                settings.region(),
+                settings.failureDomain(),
+                settings.callerAddress().getHostString(),
+                settings.callerAddress().getPort(),
+                settings.controlAddress().getPort(),
+                self.incarnation(),
+                MemberState.ALIVE);
+    }
+
+    private List<PeerAddress> seeds() {
+        return settings.seeds().stream().map(Daemon::peer).toList();
+    }
+
+    private static PeerAddress peer(InetSocketAddress address) {
+        return new PeerAddress(address.getHostString(), address.getPort());
     }
 
-    private HttpAnswer readiness() {
-        if (leaving) {
-            return HttpAnswer.problem(Failure.of(ErrorCode.HOST_LEAVING));
+    private static void closeAll(AutoCloseable... parts) {
+        for (AutoCloseable part : parts) {
+            close(part);
         }
-        if (running.get().revision() == 0) {
-            return HttpAnswer.problem(Failure.of(ErrorCode.NO_CONFIGURATION));
+    }
+
+    private static void close(AutoCloseable part) {
+        if (part == null) {
+            return;
+        }
+        try {
+            part.close();
+        } catch (Exception e) {
+            LOG.error("event=close_failed part={}", part.getClass().getSimpleName(), e);
         }
-        return HttpAnswer.text(200, "ready\n");
     }
 
-    private String status() {
-        return String.format(
-                "{\"host\":\"%s\",\"state\":\"%s\",\"revision\":%d,\"inFlight\":%d}",
-                settings.name(), leaving ? "leaving" : "serving", running.get().revision(), entry.inFlight());
+    private static void pause(Duration time) {
+        try {
+            TimeUnit.NANOSECONDS.sleep(time.toNanos());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
--- /dev/null
+++ b/src/main/java/org/arbutusfield/daemon/RunningState.java
@@ -0,0 +1,65 @@
+package org.arbutusfield.daemon;
+
+import io.vavr.control.Either;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.arbutusfield.dispatch.Dispatch;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.lookup.BlockTable;
+import org.arbutusfield.model.ClientBlock;
+import org.arbutusfield.model.Configuration;
+import org.arbutusfield.note.ConfigurationSnapshot;
+import org.arbutusfield.spread.RootPointer;
+import org.arbutusfield.spread.Snapshot;
+
+/** Checks each revision that arrives, and hands it to the parts that work by it once it is in force. */
+final class RunningState {
+    private static final Logger LOG = LogManager.getLogger(RunningState.class);
+
+    private final AtomicReference<Configuration> running = new AtomicReference<>(Configuration.empty());
+    private final AtomicReference<ConfigurationSnapshot> checked = new AtomicReference<>(ConfigurationSnapshot.empty());
+
+    private RunningState() {}
+
+    /** Nothing in force yet. */
+    static RunningState create() {
+        return new RunningState();
+    }
+
+    /** The configuration in force. */
+    Configuration configuration() {
+        return running.get();
+    }
+
+    /** Decodes a received snapshot and checks every part against its digest. */
+    Either<Failure, Snapshot> check(Snapshot snapshot) {
+        return decode(snapshot).peek(checked::set).map(decoded -> snapshot);
+    }
+
+    /** Puts a checked snapshot in force. */
+    void install(Snapshot snapshot, Dispatch dispatch) {
+        ConfigurationSnapshot last = checked.get();
+        Either<Failure, ConfigurationSnapshot> decoded =
+                last.pointer().equals(pointer(snapshot)) ? Either.right(last) : decode(snapshot);
+        if (decoded.isLeft()) {
+            LOG.error("event=revision_undecodable revision={}", snapshot.root().revision());
+            return;
+        }
+        Configuration next = decoded.get().configuration();
+        running.set(next);
+        dispatch.exchange().configure(next);
+        dispatch.gate().configure(next);
+        BlockTable blocks = BlockTable.of(next.items(ClientBlock.class)).getOrElse(BlockTable.empty());
+        dispatch.desk().configure(next, blocks);
+    }
+
+    private static Either<Failure, ConfigurationSnapshot> decode(Snapshot snapshot) {
+        return ConfigurationSnapshot.decode(pointer(snapshot), snapshot.content());
+    }
+
+    private static org.arbutusfield.note.RootPointer pointer(Snapshot snapshot) {
+        RootPointer root = snapshot.root();
+        return new org.arbutusfield.note.RootPointer(root.revision(), root.digest());
+    }
+}
--- a/src/main/java/org/arbutusfield/dispatch/RegionalPlacement.java
+++ b/src/main/java/org/arbutusfield/dispatch/RegionalPlacement.java
@@ -36,6 +36,7 @@
     private final HostIdentity self;
     private final SlotExchange exchange;
     private final ShiftGate gate;
+    private final RetryBudgets retries;
     private final Supplier<Configuration> running;
     private final Supplier<List<Member>> alive;
     private final AtomicLong sequence = new AtomicLong();
@@ -44,11 +45,13 @@
             HostIdentity self,
             SlotExchange exchange,
             ShiftGate gate,
+            RetryBudgets retries,
             Supplier<Configuration> running,
             Supplier<List<Member>> alive) {
         this.self = self;
         this.exchange = exchange;
         this.gate = gate;
+        this.retries = retries;
         this.running = running;
         this.alive = alive;
     }
@@ -58,22 +61,28 @@
      *
      * @param self this host
      * @param exchange asks for slots of this region
+     * @param retries told of each first attempt
      * @param gate counts moved requests against the caps
      * @param running the configuration in force
      * @param alive the live hosts of all regions
      */
-    public static RegionalPlacement of(
+    static RegionalPlacement of(
             HostIdentity self,
             SlotExchange exchange,
             ShiftGate gate,
+            RetryBudgets retries,
             Supplier<Configuration> running,
             Supplier<List<Member>> alive) {
-        return new RegionalPlacement(self, exchange, gate, running, alive);
+        return new RegionalPlacement(self, exchange, gate, retries, running, alive);
     }
 
     @Override
     public CompletableFuture<Either<Failure, Placed>> place(RequestFacts facts) {
-        if (facts.hops() == 0 && facts.tried().isEmpty()) {
+        boolean first = facts.tried().isEmpty();
+        if (first) {
+            retries.attempted(facts.service().name());
+        }
+        if (first && facts.hops() == 0) {
             gate.see(facts.service().name(), self.region());
         }
         CompletableFuture<Either<Failure, Placed>> result = new CompletableFuture<>();
--- /dev/null
+++ b/src/main/java/org/arbutusfield/dispatch/RetryBudgets.java
@@ -0,0 +1,39 @@
+package org.arbutusfield.dispatch;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.arbutusfield.admission.RetryBudget;
+import org.arbutusfield.model.Service;
+import org.arbutusfield.proxy.RetryPermit;
+
+/** One retry budget for each service, each under its own lock. */
+final class RetryBudgets implements RetryPermit {
+    private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
+
+    private RetryBudgets() {}
+
+    /** Full budgets. */
+    static RetryBudgets create() {
+        return new RetryBudgets();
+    }
+
+    /** Notes the first attempt of a request. */
+    void attempted(String service) {
+        RetryBudget budget = budget(service);
+        synchronized (budget) {
+            budget.attempted();
+        }
+    }
+
+    @Override
+    public boolean tryAcquire(Service service) {
+        RetryBudget budget = budget(service.name());
+        synchronized (budget) {
+            return budget.takeOne();
+        }
+    }
+
+    private RetryBudget budget(String service) {
+        return budgets.computeIfAbsent(service, name -> RetryBudget.create());
+    }
+}
--- a/src/main/java/org/arbutusfield/lab/ArbutusLab.java
+++ b/src/main/java/org/arbutusfield/lab/ArbutusLab.java
@@ -2,36 +2,135 @@
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.http.HttpCaller;
+import org.arbutusfield.lab.load.LoadGenerator;
+import org.arbutusfield.lab.load.LoadPlan;
+import org.arbutusfield.note.NoteReader;
 import org.arbutusfield.timer.SystemTimer;
 
 /**
- * The program {@code arbutuslab}: runs stand-ins. Usage: {@code store ADDRESS PORT} or {@code upstream ADDRESS PORT
- * NAME SLOTS MILLIS}.
+ * The program {@code arbutuslab}: {@code store}, {@code upstreams} and {@code load}. Exit codes: 0 done, 1 failed or a
+ * promise was broken, 2 usage.
  */
 public final class ArbutusLab {
-    private ArbutusLab() {}
-
-    /** Runs the program until it is ended. */
-    public static void main(String[] args) throws InterruptedException {
-        NioEventLoopGroup group = new NioEventLoopGroup();
-        SystemTimer timer = SystemTimer.start();
-        InetSocketAddress address = new InetSocketAddress(args[1], Integer.parseInt(args[2]));
-        Either<Failure, ? extends AutoCloseable> started = args[0].equals("store")
-                ? StoreStandIn.bind(group, address, timer)
-                : UpstreamStandIn.bind(
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+    private static final long POLL_MILLIS = 50;
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_USAGE = 2;
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(2);
+    private final SystemTimer timer = SystemTimer.start();
+    private final CommandLine line;
+
+    private ArbutusLab(CommandLine line) {
+        this.line = line;
+    }
+
+    /** Runs the program. */
+    public static void main(String[] args) throws InterruptedException, IOException {
+        Options options = new Options()
+                .addOption(null, "listen", true, "store: IP:PORT to listen on")
+                .addOption(null, "note", true, "upstreams: release note whose upstreams are started")
+                .addOption(null, "service-millis", true, "upstreams: time for one request; default 20")
+                .addOption(null, "hosts", true, "load: caller ports of some entry hosts, IP:PORT,...")
+                .addOption(null, "service", true, "load: service; default quotedesk")
+                .addOption(null, "booking", true, "load: path of requests that may not be repeated; default /holds")
+                .addOption(null, "rate", true, "load: requests a second; default 100")
+                .addOption(null, "seconds", true, "load: length of the run; default 10")
+                .addOption(null, "seed", true, "load: seed of the mix; default 1");
+        try {
+            System.exit(new ArbutusLab(new DefaultParser().parse(options, args)).run());
+        } catch (ParseException e) {
+            System.err.println(e.getMessage());
+            System.exit(EXIT_USAGE);
+        }
+    }
+
+    private int run() throws InterruptedException, IOException {
+        String command = line.getArgList().isEmpty() ? "" : line.getArgList().get(0);
+        return switch (command) {
+            case "store" ->
+                serve(StoreStandIn.bind(
                         group,
-                        address,
-                        args[3],
-                        Integer.parseInt(args[4]),
-                        Duration.ofMillis(Long.parseLong(args[5])),
-                        timer);
+                        addresses(line.getOptionValue("listen", "127.0.0.1:20000"))
+                                .get(0),
+                        timer));
+            case "upstreams" -> upstreams();
+            case "load" -> load();
+            default -> {
+                System.err.println("usage: arbutuslab store|upstreams|load [options]");
+                yield EXIT_USAGE;
+            }
+        };
+    }
+
+    private int upstreams() throws InterruptedException, IOException {
+        Duration serviceTime = Duration.ofMillis(number("service-millis", "20"));
+        byte[] document = Files.readAllBytes(Path.of(line.getOptionValue("note")));
+        Either<Failure, UpstreamFleet> fleet = NoteReader.read(document)
+                .mapLeft(failures -> failures.get(0))
+                .flatMap(note -> UpstreamFleet.bind(group, note.added(), serviceTime, timer));
+        fleet.peek(f -> Runtime.getRuntime().addShutdownHook(new Thread(() -> report(f), "report")));
+        return serve(fleet);
+    }
+
+    private static void report(UpstreamFleet fleet) {
+        long twice = fleet.keyRuns().values().stream().filter(runs -> runs > 1).count();
+        System.out.printf(
+                "keys_run=%d keys_run_twice=%d sheds=%d%n", fleet.keyRuns().size(), twice, fleet.sheds());
+        System.out.flush();
+    }
+
+    private int load() throws InterruptedException {
+        LoadPlan plan = new LoadPlan(
+                addresses(line.getOptionValue("hosts", "127.0.0.1:20100")),
+                line.getOptionValue("service", "quotedesk"),
+                line.getOptionValue("booking", "/holds"),
+                "/quotes",
+                "/blob",
+                (int) number("rate", "100"),
+                Duration.ofSeconds(number("seconds", "10")),
+                number("seed", "1"));
+        LoadGenerator generator = LoadGenerator.create(plan, HttpCaller.create(group, CONNECT_TIMEOUT), timer);
+        generator.start();
+        TimeUnit.NANOSECONDS.sleep(plan.length().toNanos());
+        while (!generator.settled()) {
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        }
+        System.out.println(generator.report());
+        return generator.report().cutShort() + generator.report().wrong() == 0 ? 0 : EXIT_FAILED;
+    }
+
+    private static int serve(Either<Failure, ? extends AutoCloseable> started) throws InterruptedException {
         if (started.isLeft()) {
             System.err.println(started.getLeft());
-            System.exit(1);
+            return EXIT_FAILED;
         }
         Thread.currentThread().join();
+        return 0;
+    }
+
+    private long number(String option, String otherwise) {
+        return Long.parseLong(line.getOptionValue(option, otherwise));
+    }
+
+    private static List<InetSocketAddress> addresses(String text) {
+        return Stream.of(text.split(","))
+                .map(part -> part.split(":", 2))
+                .map(part -> new InetSocketAddress(part[0], Integer.parseInt(part[1])))
+                .toList();
     }
 }
--- a/src/main/java/org/arbutusfield/lab/UpstreamStandIn.java
+++ b/src/main/java/org/arbutusfield/lab/UpstreamStandIn.java
@@ -38,8 +38,10 @@
     private final AtomicInteger busy = new AtomicInteger();
     private final AtomicInteger peakConnections = new AtomicInteger();
     private final AtomicLong received = new AtomicLong();
+    private final AtomicLong sheds = new AtomicLong();
     private final AtomicLong cancelled = new AtomicLong();
     private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+    private final Map<String, Integer> keyRuns = new ConcurrentHashMap<>();
     private final Set<StandInConnection> connections = ConcurrentHashMap.newKeySet();
     private volatile ServiceTimes serviceTimes;
     private volatile FaultPlan faults = (call, number) -> Fault.NONE;
@@ -106,6 +108,16 @@
         return count == null ? 0 : count.get();
     }
 
+    /** How often each idempotency key was run here. */
+    public Map<String, Integer> keyRuns() {
+        return Map.copyOf(keyRuns);
+    }
+
+    /** Requests shed because all slots were busy. */
+    public long sheds() {
+        return sheds.get();
+    }
+
     /** Request heads received. */
     public long received() {
         return received.get();
@@ -218,6 +230,7 @@
     boolean occupySlot() {
         if (busy.incrementAndGet() > slots) {
             busy.decrementAndGet();
+            sheds.incrementAndGet();
             return false;
         }
         return true;
@@ -230,6 +243,7 @@
     void countRun(HttpCall call) {
         call.header("x-request-id").ifPresent(this::countRun);
         call.header("idempotency-key").ifPresent(this::countRun);
+        call.header("idempotency-key").ifPresent(key -> keyRuns.merge(key, 1, Integer::sum));
     }
 
     void countCancelled() {
--- /dev/null
+++ b/src/main/java/org/arbutusfield/lab/sketch/package-info.java
@@ -0,0 +1,2 @@
+/** Measures ways to merge latency distributions of many hosts. */
+package org.arbutusfield.lab.sketch;
