Admission: a host runs its next request on the slot that it has

Change: the first eight waiting requests of the highest priority get a permit. A host that ends a request runs its own permitted one on the same slot and tells the broker afterwards (SlotPermit, SlotTakeover). Only on near servers that completed the last request and are not drained, and at most eight times in a row, so that a slot whose server was lowered or that another host waits for goes back.

--- a/src/main/java/org/arbutusfield/admission/Ask.java
+++ b/src/main/java/org/arbutusfield/admission/Ask.java
@@ -7,6 +7,7 @@
     private final SlotRequest request;
     private final long deadlineNanos;
     private int moves;
+    private boolean permitted;
 
     private Ask(SlotRequest request, long deadlineNanos) {
         this.request = request;
@@ -30,7 +31,17 @@
         return moves == 0 ? request.requestId() : request.requestId() + SEPARATOR + moves;
     }
 
+    /** True when the request may run on a slot that its host has. */
+    boolean permitted() {
+        return permitted;
+    }
+
+    void permit() {
+        permitted = true;
+    }
+
     void move() {
+        permitted = false;
         moves++;
     }
 
--- a/src/main/java/org/arbutusfield/admission/BrokerMessage.java
+++ b/src/main/java/org/arbutusfield/admission/BrokerMessage.java
@@ -1,4 +1,4 @@
 package org.arbutusfield.admission;
 
 /** A host's message to a broker. */
-public sealed interface BrokerMessage permits SlotRequest, SlotRelease, SlotCancel, HeldSlots {}
+public sealed interface BrokerMessage permits SlotRequest, SlotRelease, SlotTakeover, SlotCancel, HeldSlots {}
--- a/src/main/java/org/arbutusfield/admission/BrokerSettings.java
+++ b/src/main/java/org/arbutusfield/admission/BrokerSettings.java
@@ -8,6 +8,7 @@
  * @param order order of service within a priority
  * @param maxQueued most requests that wait at once
  * @param lowerClassInterval one grant in this many goes to the lower priority served longest ago
+ * @param permits most waiting requests, counted from the front, that may take over a slot of their host
  * @param expirySlackNanos how long after its deadline a request may still occupy its slot
  * @param recoverNanos time after which one slot lost to a shed is tried again
  * @param graceNanos how long a new broker waits for hosts that do not report
@@ -18,6 +19,7 @@
         QueueOrder order,
         int maxQueued,
         int lowerClassInterval,
+        int permits,
         long expirySlackNanos,
         long recoverNanos,
         long graceNanos,
@@ -25,6 +27,7 @@
         long minRetryNanos) {
     private static final int MAX_QUEUED = 10_000;
     private static final int LOWER_CLASS_INTERVAL = 20;
+    private static final int PERMITS = 8;
     private static final long EXPIRY_SLACK_NANOS = Duration.ofMillis(50).toNanos();
     private static final long RECOVER_NANOS = Duration.ofSeconds(1).toNanos();
     private static final long GRACE_NANOS = Duration.ofMillis(500).toNanos();
@@ -37,6 +40,7 @@
                 QueueOrder.FIFO,
                 MAX_QUEUED,
                 LOWER_CLASS_INTERVAL,
+                PERMITS,
                 EXPIRY_SLACK_NANOS,
                 RECOVER_NANOS,
                 GRACE_NANOS,
@@ -50,6 +54,21 @@
                 other,
                 maxQueued,
                 lowerClassInterval,
+                permits,
+                expirySlackNanos,
+                recoverNanos,
+                graceNanos,
+                retentionNanos,
+                minRetryNanos);
+    }
+
+    /** The same settings with another number of permits; 0 switches take-over off. */
+    public BrokerSettings withPermits(int other) {
+        return new BrokerSettings(
+                order,
+                maxQueued,
+                lowerClassInterval,
+                other,
                 expirySlackNanos,
                 recoverNanos,
                 graceNanos,
--- a/src/main/java/org/arbutusfield/admission/GrantTable.java
+++ b/src/main/java/org/arbutusfield/admission/GrantTable.java
@@ -6,7 +6,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 
-/** The slots in use, by token and by time of expiry. */
+/** The slots in use, by the first use of their grant and by time of expiry. A use ends itself and all before it. */
 final class GrantTable {
     private final Map<SlotToken, LiveGrant> byToken = new HashMap<>();
     private final PriorityQueue<Expiry> expiries = new PriorityQueue<>(Comparator.comparingLong(Expiry::nanos));
@@ -18,7 +18,7 @@
     }
 
     Optional<LiveGrant> find(SlotToken token) {
-        return Optional.ofNullable(byToken.get(token));
+        return Optional.ofNullable(byToken.get(token.first()));
     }
 
     /** When the next slot may expire; {@link Long#MAX_VALUE} when none is in use. */
@@ -27,17 +27,18 @@
     }
 
     void add(LiveGrant grant) {
-        byToken.put(grant.token(), grant);
+        byToken.put(grant.token().first(), grant);
         grant.server().take();
         expiries.add(new Expiry(grant.token(), grant.expiryNanos()));
     }
 
-    /** Ends a grant and frees its slot; empty when it had ended before. */
+    /** Ends a use and frees its slot; empty when it had ended before or the slot was taken over. */
     Optional<LiveGrant> end(SlotToken token) {
-        LiveGrant grant = byToken.remove(token);
-        if (grant == null) {
+        LiveGrant grant = byToken.get(token.first());
+        if (grant == null || grant.token().use() > token.use()) {
             return Optional.empty();
         }
+        byToken.remove(token.first());
         grant.server().giveBack();
         return Optional.of(grant);
     }
@@ -46,8 +47,8 @@
     Optional<LiveGrant> endExpired(long nowNanos) {
         while (nextExpiryNanos() <= nowNanos) {
             SlotToken token = expiries.remove().token();
-            LiveGrant grant = byToken.get(token);
-            if (grant == null) {
+            LiveGrant grant = byToken.get(token.first());
+            if (grant == null || grant.token().use() != token.use()) {
                 continue;
             }
             if (grant.expiryNanos() <= nowNanos) {
--- a/src/main/java/org/arbutusfield/admission/HeldTable.java
+++ b/src/main/java/org/arbutusfield/admission/HeldTable.java
@@ -37,26 +37,25 @@
         return report;
     }
 
-    void add(Ask ask, SlotGrant grant) {
+    void add(Ask ask, SlotToken token, String upstream) {
         SlotRequest request = ask.request();
-        byRequest.put(
-                request.requestId(),
-                new Entry(grant.token(), request.requestClass(), grant.upstream(), ask.deadlineNanos()));
-        requests.put(grant.token(), request.requestId());
+        byRequest.put(request.requestId(), new Entry(token, request.requestClass(), upstream, ask.deadlineNanos()));
+        requests.put(token, request.requestId());
     }
 
     void extend(String requestId, long deadlineNanos) {
         byRequest.computeIfPresent(requestId, (id, e) -> new Entry(e.token, e.requestClass, e.upstream, deadlineNanos));
     }
 
-    Optional<SlotToken> remove(String requestId) {
+    Optional<Entry> remove(String requestId) {
         Entry entry = byRequest.remove(requestId);
         if (entry == null) {
             return Optional.empty();
         }
         requests.remove(entry.token);
-        return Optional.of(entry.token);
+        return Optional.of(entry);
     }
 
-    private record Entry(SlotToken token, String requestClass, String upstream, long deadlineNanos) {}
+    /** A slot in use. */
+    record Entry(SlotToken token, String requestClass, String upstream, long deadlineNanos) {}
 }
--- a/src/main/java/org/arbutusfield/admission/SlotBroker.java
+++ b/src/main/java/org/arbutusfield/admission/SlotBroker.java
@@ -28,6 +28,11 @@
  * if the work ahead of it, divided by the slots, leaves too little of its deadline; and later as soon as the same
  * becomes known because work of higher priority has come or the server got slower.
  *
+ * <p>Between the end of one request and the start of the next, release, grant and request travel one after the other,
+ * and the slot is idle. So the first waiting requests get permits: a host that ends a request runs its own permitted
+ * one on the same slot at once and tells the broker afterwards, if the server is near. The number of permits bounds how
+ * many places in the queue such a request skips, and a slot goes back to the broker after a few uses.
+ *
  * <p><b>Invariants.</b>
  *
  * <ul>
@@ -184,6 +189,7 @@
         }
         queue.add(waiting(request, nowNanos), nowNanos);
         dispatch(nowNanos, out);
+        permit(nowNanos, out);
         refuseHopeless(priority -> priority.compareTo(request.priority()) > 0, nowNanos, out);
         return out;
     }
@@ -196,11 +202,35 @@
      * @param nowNanos the time
      */
     public List<SlotDecision> release(SlotRelease release, long nowNanos) {
-        ended.put(release.token(), true, nowNanos);
+        ended.put(release.token().first(), true, nowNanos);
         grants.end(release.token()).ifPresent(grant -> learn(grant, release, nowNanos));
         return tick(nowNanos);
     }
 
+    /**
+     * Notes that a host runs a waiting request on a slot that another of its requests left. Idempotent.
+     *
+     * @param takeover the use that ended and the request that runs now
+     * @param nowNanos the time
+     */
+    public List<SlotDecision> takeOver(SlotTakeover takeover, long nowNanos) {
+        queue.takeOver(takeover.requestId(), nowNanos);
+        SlotToken before = takeover.release().token();
+        freeGranted(takeover.requestId(), nowNanos);
+        answered.put(takeover.requestId(), Optional.empty(), nowNanos);
+        Optional<LiveGrant> grant = grants.end(before);
+        if (grant.isPresent()) {
+            learn(grant.get(), takeover.release(), nowNanos);
+            grants.add(LiveGrant.of(
+                    before.next(),
+                    takeover.requestId(),
+                    takeover.requestClass(),
+                    grant.get().server(),
+                    nowNanos + takeover.remainingNanos() + settings.expirySlackNanos()));
+        }
+        return tick(nowNanos);
+    }
+
     /**
      * Ends a host's question that it withdrew before it saw a grant. A slot granted meanwhile is free again, for the
      * host starts nothing for a question that it cancelled.
@@ -210,11 +240,7 @@
      */
     public List<SlotDecision> cancel(String requestId, long nowNanos) {
         queue.remove(requestId);
-        Optional<SlotDecision> earlier = answered.find(requestId).flatMap(answer -> answer);
-        if (earlier.isPresent() && earlier.get() instanceof SlotGrant granted) {
-            ended.put(granted.token(), true, nowNanos);
-            grants.end(granted.token());
-        }
+        freeGranted(requestId, nowNanos);
         answered.put(requestId, Optional.empty(), nowNanos);
         return tick(nowNanos);
     }
@@ -264,12 +290,23 @@
             if (expired.isEmpty()) {
                 break;
             }
-            ended.put(expired.get().token(), true, nowNanos);
+            ended.put(expired.get().token().first(), true, nowNanos);
         }
         dispatch(nowNanos, out);
+        permit(nowNanos, out);
         return out;
     }
 
+    private void permit(long nowNanos, List<SlotDecision> out) {
+        if (!recovery.over(nowNanos)) {
+            return;
+        }
+        for (Waiting waiting : queue.permit(settings.permits())) {
+            out.add(new SlotPermit(
+                    waiting.request().requestId(), waiting.request().host()));
+        }
+    }
+
     private void dispatch(long nowNanos, List<SlotDecision> out) {
         if (!recovery.over(nowNanos)) {
             return;
@@ -301,7 +338,7 @@
 
     private SlotGrant grant(Waiting waiting, ServerState server, long nowNanos) {
         SlotRequest request = waiting.request();
-        SlotToken token = new SlotToken(name, epoch, nextSequence++);
+        SlotToken token = SlotToken.of(name, epoch, nextSequence++);
         long expiry = waiting.deadlineNanos() + settings.expirySlackNanos();
         grants.add(LiveGrant.of(token, request.requestId(), request.requestClass(), server, expiry));
         SlotGrant grant =
@@ -400,6 +437,15 @@
         }
     }
 
+    /** Frees a slot that was granted to a request whose host does not use it. */
+    private void freeGranted(String requestId, long nowNanos) {
+        Optional<SlotDecision> earlier = answered.find(requestId).flatMap(answer -> answer);
+        if (earlier.isPresent() && earlier.get() instanceof SlotGrant granted) {
+            ended.put(granted.token(), true, nowNanos);
+            grants.end(granted.token());
+        }
+    }
+
     private void adopt(HeldSlots.Held held, long nowNanos) {
         long expiry = nowNanos + held.remainingNanos() + settings.expirySlackNanos();
         Optional<LiveGrant> known = grants.find(held.token());
@@ -408,7 +454,7 @@
             return;
         }
         boolean own = held.token().broker().equals(name) && held.token().epoch() == epoch;
-        if (own || ended.contains(held.token())) {
+        if (own || ended.contains(held.token().first())) {
             return;
         }
         ServerState server = servers.computeIfAbsent(
--- a/src/main/java/org/arbutusfield/admission/SlotClient.java
+++ b/src/main/java/org/arbutusfield/admission/SlotClient.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,6 +40,7 @@
  */
 public final class SlotClient {
     private static final long UNKNOWN_EPOCH = Long.MIN_VALUE;
+    private static final int MAX_USES = 8;
 
     private final ClientSettings settings;
     private final String host;
@@ -160,8 +162,17 @@
     public List<ClientAction> finished(
             String requestId, SlotRelease.Outcome outcome, long serviceNanos, long nowNanos) {
         List<ClientAction> out = new ArrayList<>();
-        held.remove(requestId)
-                .ifPresent(token -> release(new SlotRelease(token, outcome, serviceNanos), nowNanos, out));
+        Optional<HeldTable.Entry> slot = held.remove(requestId);
+        if (slot.isEmpty()) {
+            return out;
+        }
+        SlotRelease release = new SlotRelease(slot.get().token(), outcome, serviceNanos);
+        Optional<Ask> next = successor(slot.get(), outcome);
+        if (next.isPresent()) {
+            takeOver(next.get(), slot.get(), release, nowNanos, out);
+        } else {
+            release(release, nowNanos, out);
+        }
         return out;
     }
 
@@ -277,6 +288,10 @@
     }
 
     private void settle(SlotDecision decision, long nowNanos, List<ClientAction> out) {
+        if (decision instanceof SlotPermit) {
+            Optional.ofNullable(asksById.get(decision.requestId())).ifPresent(Ask::permit);
+            return;
+        }
         Ask ask = asksById.remove(decision.requestId());
         if (ask != null) {
             asks.remove(ask.request().requestId());
@@ -291,10 +306,45 @@
             release(new SlotRelease(grant.token(), SlotRelease.Outcome.CANCELLED, 0), nowNanos, out);
             return;
         }
-        held.add(ask, grant);
+        held.add(ask, grant.token(), grant.upstream());
         out.add(new ClientAction.Start(ask.request().requestId(), grant.upstream()));
     }
 
+    /** The waiting request that may run on a slot that just became free; empty when the slot goes back. */
+    private Optional<Ask> successor(HeldTable.Entry slot, SlotRelease.Outcome outcome) {
+        SlotToken token = slot.token();
+        boolean mine = !fallback && token.broker().equals(broker) && token.epoch() == brokerEpoch;
+        if (!mine || outcome != SlotRelease.Outcome.COMPLETED || token.use() >= MAX_USES || !accepts(slot.upstream())) {
+            return Optional.empty();
+        }
+        return asks.values().stream()
+                .filter(Ask::permitted)
+                .filter(ask -> near(ask, slot.upstream()))
+                .min(Comparator.comparing(ask -> ask.request().priority()));
+    }
+
+    private boolean near(Ask ask, String upstream) {
+        String failureDomain = ask.request().failureDomain();
+        return servers.stream()
+                .anyMatch(
+                        s -> s.upstream().equals(upstream) && s.failureDomain().equals(failureDomain));
+    }
+
+    private boolean accepts(String upstream) {
+        return servers.stream().anyMatch(s -> s.upstream().equals(upstream) && !s.drained());
+    }
+
+    private void takeOver(Ask next, HeldTable.Entry slot, SlotRelease release, long nowNanos, List<ClientAction> out) {
+        SlotRequest request = next.request();
+        asks.remove(request.requestId());
+        asksById.remove(next.askId());
+        held.add(next, slot.token().next(), slot.upstream());
+        out.add(new ClientAction.Start(request.requestId(), slot.upstream()));
+        long remaining = next.deadlineNanos() - nowNanos;
+        out.add(new ClientAction.Send(
+                broker, new SlotTakeover(release, next.askId(), request.requestClass(), remaining)));
+    }
+
     /** Tells everyone who may count the slot: the broker that granted it, the present one and the own queue. */
     private void release(SlotRelease release, long nowNanos, List<ClientAction> out) {
         String granter = release.token().broker();
--- a/src/main/java/org/arbutusfield/admission/SlotDecision.java
+++ b/src/main/java/org/arbutusfield/admission/SlotDecision.java
@@ -1,9 +1,9 @@
 package org.arbutusfield.admission;
 
 /** A broker's message to the host that asked. */
-public sealed interface SlotDecision permits SlotGrant, SlotRefusal {
+public sealed interface SlotDecision permits SlotGrant, SlotRefusal, SlotPermit {
 
-    /** The request that was decided. */
+    /** The request concerned. */
     String requestId();
 
     /** The host to tell. */
--- a/src/main/java/org/arbutusfield/admission/WaitingQueue.java
+++ b/src/main/java/org/arbutusfield/admission/WaitingQueue.java
@@ -1,12 +1,15 @@
 package org.arbutusfield.admission;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Predicate;
 
@@ -16,7 +19,8 @@
     private final Map<String, Waiting> byRequest = new HashMap<>();
     private final PriorityQueue<Waiting> byLatestStart = new PriorityQueue<>(Waiting.BY_LATEST_START);
     private final int lowerClassInterval;
-    private long taken;
+    private final Set<String> permitted = new HashSet<>();
+    private int sinceLower;
 
     private WaitingQueue(int lowerClassInterval) {
         this.lowerClassInterval = lowerClassInterval;
@@ -98,15 +102,48 @@
      */
     Waiting take(String failureDomain, long nowNanos) {
         Line line = turn();
-        taken++;
+        sinceLower = sinceLower >= lowerClassInterval - 1 ? 0 : sinceLower + 1;
         Waiting next = line.choose(failureDomain);
         line.served(nowNanos);
         remove(next.request().requestId());
         return next;
     }
 
+    /** Removes a request that its host runs on a slot it had; empty when it does not wait. */
+    Optional<Waiting> takeOver(String requestId, long nowNanos) {
+        Waiting waiting = byRequest.get(requestId);
+        if (waiting != null) {
+            sinceLower = Math.min(sinceLower + 1, lowerClassInterval - 1);
+            lines.get(waiting.request().priority()).overtake(waiting, nowNanos);
+        }
+        return remove(requestId);
+    }
+
+    /**
+     * Marks and returns the requests among so many at the front of the highest priority that were not marked before.
+     * Leisure requests are not marked: one that takes over a slot would overtake the more urgent ones of other hosts.
+     */
+    List<Waiting> permit(int front) {
+        List<Waiting> fresh = new ArrayList<>();
+        int position = 0;
+        for (Waiting waiting : urgentFront()) {
+            if (++position > front) {
+                break;
+            }
+            if (permitted.add(waiting.request().requestId())) {
+                fresh.add(waiting);
+            }
+        }
+        return fresh;
+    }
+
+    private Collection<Waiting> urgentFront() {
+        boolean urgent = sizeUpTo(Priority.INTERACTIVE) > 0;
+        return urgent ? highest().requests : List.of();
+    }
+
     private Line turn() {
-        return (taken + 1) % lowerClassInterval == 0 ? longestUnserved() : highest();
+        return sinceLower >= lowerClassInterval - 1 ? longestUnserved() : highest();
     }
 
     Optional<Waiting> remove(String requestId) {
@@ -114,6 +151,7 @@
         if (waiting == null) {
             return Optional.empty();
         }
+        permitted.remove(requestId);
         lines.get(waiting.request().priority()).requests.remove(waiting);
         return Optional.of(waiting);
     }
@@ -197,6 +235,11 @@
             return requests.first();
         }
 
+        private void overtake(Waiting by, long nowNanos) {
+            overtaken = by.equals(requests.first()) ? 0 : overtaken + 1;
+            served(nowNanos);
+        }
+
         private void served(long nowNanos) {
             intervalNanos += GAIN * (nowNanos - anchorNanos - intervalNanos);
             anchorNanos = nowNanos;
--- a/src/main/java/org/arbutusfield/lab/admission/AdmissionExperiment.java
+++ b/src/main/java/org/arbutusfield/lab/admission/AdmissionExperiment.java
@@ -32,8 +32,9 @@
         long serviceNanos = Duration.ofMillis(number("service-ms", 50)).toNanos();
         this.workload = Workload.of(line.getOptionValue("user", "magnolia"), serviceNanos, line.hasOption("one-class"));
         boolean byDeadline = line.getOptionValue("order", "fifo").equals("edf");
-        this.settings =
-                BrokerSettings.defaults().withOrder(byDeadline ? QueueOrder.EARLIEST_DEADLINE : QueueOrder.FIFO);
+        BrokerSettings defaults = BrokerSettings.defaults();
+        this.settings = defaults.withOrder(byDeadline ? QueueOrder.EARLIEST_DEADLINE : QueueOrder.FIFO)
+                .withPermits((int) number("permits", defaults.permits()));
     }
 
     /**
@@ -53,6 +54,7 @@
         options.addOption(null, "service-ms", true, "mean service time in milliseconds");
         options.addOption(null, "order", true, "fifo or edf");
         options.addOption(null, "one-class", false, "all requests are interactive");
+        options.addOption(null, "permits", true, "waiting requests that may take over a slot of their host");
         options.addOption(null, "strategy", true, "only the strategies whose name contains this");
         new AdmissionExperiment(new DefaultParser().parse(options, args)).print();
     }
--- a/src/main/java/org/arbutusfield/lab/admission/BrokerHost.java
+++ b/src/main/java/org/arbutusfield/lab/admission/BrokerHost.java
@@ -17,6 +17,7 @@
 import org.arbutusfield.admission.SlotRelease;
 import org.arbutusfield.admission.SlotRelease.Outcome;
 import org.arbutusfield.admission.SlotRequest;
+import org.arbutusfield.admission.SlotTakeover;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 
@@ -163,6 +164,8 @@
             reply(broker.request(request, now()));
         } else if (message instanceof SlotRelease release) {
             reply(broker.release(release, now()));
+        } else if (message instanceof SlotTakeover takeover) {
+            reply(broker.takeOver(takeover, now()));
         } else if (message instanceof SlotCancel cancel) {
             reply(broker.cancel(cancel.requestId(), now()));
         } else if (message instanceof HeldSlots report) {
--- a/src/main/java/org/arbutusfield/lab/admission/IdealQueue.java
+++ b/src/main/java/org/arbutusfield/lab/admission/IdealQueue.java
@@ -8,6 +8,7 @@
 import org.arbutusfield.admission.SlotBroker;
 import org.arbutusfield.admission.SlotDecision;
 import org.arbutusfield.admission.SlotGrant;
+import org.arbutusfield.admission.SlotPermit;
 import org.arbutusfield.admission.SlotRelease;
 import org.arbutusfield.admission.SlotRequest;
 import org.arbutusfield.admission.SlotServer;
@@ -58,6 +59,9 @@
 
     private void carryOut(List<SlotDecision> decisions) {
         for (SlotDecision decision : decisions) {
+            if (decision instanceof SlotPermit) {
+                continue;
+            }
             Job job = jobs.remove(decision.requestId());
             if (decision instanceof SlotGrant grant) {
                 run(job, grant);
--- a/src/main/java/org/arbutusfield/lab/admission/OwnerStrategy.java
+++ b/src/main/java/org/arbutusfield/lab/admission/OwnerStrategy.java
@@ -12,6 +12,7 @@
 import org.arbutusfield.admission.SlotBroker;
 import org.arbutusfield.admission.SlotDecision;
 import org.arbutusfield.admission.SlotGrant;
+import org.arbutusfield.admission.SlotPermit;
 import org.arbutusfield.admission.SlotRelease;
 import org.arbutusfield.admission.SlotRelease.Outcome;
 import org.arbutusfield.admission.SlotRequest;
@@ -122,6 +123,9 @@
 
     private void carryOut(String owner, List<SlotDecision> decisions) {
         for (SlotDecision decision : decisions) {
+            if (decision instanceof SlotPermit) {
+                continue;
+            }
             Job job = jobs.remove(decision.requestId());
             if (decision instanceof SlotGrant grant) {
                 run(job, owner, grant);
--- a/src/test/java/org/arbutusfield/admission/BrokerAudit.java
+++ b/src/test/java/org/arbutusfield/admission/BrokerAudit.java
@@ -11,6 +11,7 @@
     private final int slots;
     private final List<String> violations;
     private final Map<SlotToken, SlotGrant> live = new HashMap<>();
+    private final Map<SlotToken, Integer> uses = new HashMap<>();
     private final Map<SlotToken, Long> expiries = new HashMap<>();
     private final Map<String, SlotToken> granted = new HashMap<>();
     private final Set<String> drained = new HashSet<>();
@@ -26,14 +27,29 @@
         servers.stream().filter(SlotServer::drained).forEach(server -> drained.add(server.upstream()));
     }
 
-    void received(BrokerMessage message) {
+    void received(BrokerMessage message, long now) {
         if (message instanceof SlotRelease release) {
-            live.remove(release.token());
+            end(release.token());
         } else if (message instanceof SlotCancel cancel && granted.containsKey(cancel.requestId())) {
-            live.remove(granted.get(cancel.requestId()));
+            end(granted.get(cancel.requestId()));
+        } else if (message instanceof SlotTakeover takeover) {
+            SlotToken before = takeover.release().token();
+            if (granted.containsKey(takeover.requestId())) {
+                end(granted.get(takeover.requestId()));
+            }
+            SlotGrant grant = end(before);
+            if (grant != null && expiries.get(before.first()) > now) {
+                live.put(before.first(), grant);
+                uses.put(before.first(), before.use() + 1);
+                expiries.put(before.first(), now + takeover.remainingNanos());
+            }
         }
     }
 
+    private SlotGrant end(SlotToken token) {
+        return uses.getOrDefault(token.first(), 0) > token.use() ? null : live.remove(token.first());
+    }
+
     void decided(SlotDecision decision, long now) {
         String id = decision.requestId();
         if (decision instanceof SlotRefusal) {
--- a/src/test/java/org/arbutusfield/admission/FaultyCluster.java
+++ b/src/test/java/org/arbutusfield/admission/FaultyCluster.java
@@ -164,11 +164,13 @@
                 audit = new BrokerAudit(SLOTS, violations);
                 configure(broker);
             }
-            audit.received(message);
+            audit.received(message, now());
             if (message instanceof SlotRequest request) {
                 deliver(() -> broker.request(request, now()));
             } else if (message instanceof SlotRelease release) {
                 deliver(() -> broker.release(release, now()));
+            } else if (message instanceof SlotTakeover takeover) {
+                deliver(() -> broker.takeOver(takeover, now()));
             } else if (message instanceof SlotCancel cancel) {
                 deliver(() -> broker.cancel(cancel.requestId(), now()));
             } else if (message instanceof HeldSlots report) {
--- a/src/test/java/org/arbutusfield/admission/SlotBrokerTest.java
+++ b/src/test/java/org/arbutusfield/admission/SlotBrokerTest.java
@@ -13,6 +13,7 @@
 
 class SlotBrokerTest {
     private static final long MS = 1_000_000;
+    private static final BrokerSettings PLAIN = BrokerSettings.defaults().withPermits(0);
     private static final SlotServer S1 = new SlotServer("s1", "a", 1, false);
     private static final SlotServer S2 = new SlotServer("s2", "b", 1, false);
 
@@ -39,6 +40,9 @@
     }
 
     private static String describe(SlotDecision decision) {
+        if (decision instanceof SlotPermit) {
+            return decision.requestId() + "?";
+        }
         return decision instanceof SlotGrant grant
                 ? grant.requestId() + "@" + grant.upstream()
                 : decision.requestId() + "!"
@@ -51,7 +55,7 @@
 
     @Test
     void grantsEachSlotOnceAndRepeatsTheFirstAnswer() {
-        SlotBroker broker = broker(BrokerSettings.defaults(), S1, S2);
+        SlotBroker broker = broker(PLAIN, S1, S2);
         List<SlotDecision> first = broker.request(ask("r1"), 0);
         out.addAll(first);
         out.addAll(broker.request(ask("r1"), 1));
@@ -67,7 +71,7 @@
 
     @Test
     void servesByPriorityAndLetsNoPriorityStarve() {
-        SlotBroker broker = broker(BrokerSettings.defaults(), S1);
+        SlotBroker broker = broker(PLAIN, S1);
         SlotDecision running = broker.request(ask("r0"), 0).get(0);
         broker.request(ask("leisure", Priority.LEISURE, 60_000), 1);
         for (int i = 0; i < 20; i++) {
@@ -85,7 +89,7 @@
 
     @Test
     void earliestDeadlineGoesFirstWhenSoOrdered() {
-        SlotBroker broker = broker(BrokerSettings.defaults().withOrder(QueueOrder.EARLIEST_DEADLINE), S1);
+        SlotBroker broker = broker(PLAIN.withOrder(QueueOrder.EARLIEST_DEADLINE), S1);
         SlotDecision running = broker.request(ask("r0"), 0).get(0);
         broker.request(ask("late", Priority.INTERACTIVE, 900), 1);
         broker.request(ask("soon", Priority.INTERACTIVE, 500), 2);
@@ -104,7 +108,7 @@
         "9, 1000, OVERLOADED",
     })
     void refusesAtOnceWhatCannotFinish(int waiting, long remainingMillis, String expected) {
-        SlotBroker broker = broker(BrokerSettings.defaults(), S1);
+        SlotBroker broker = broker(PLAIN, S1);
         SlotDecision grant = broker.request(ask("r0"), 0).get(0);
         broker.release(end(grant, Outcome.COMPLETED, 100), 100 * MS);
         broker.request(ask("r1"), 100 * MS);
@@ -117,7 +121,7 @@
 
     @Test
     void bookingsDisplaceLeisureAtOnceAndRetryAfterTracksTheBacklog() {
-        SlotBroker broker = broker(BrokerSettings.defaults(), S1);
+        SlotBroker broker = broker(PLAIN, S1);
         SlotDecision grant = broker.request(ask("r0"), 0).get(0);
         broker.release(end(grant, Outcome.COMPLETED, 100), 100 * MS);
         broker.request(ask("r1"), 100 * MS);
@@ -133,7 +137,7 @@
 
     @Test
     void refusesAWaitingRequestOnceItsLatestStartPassed() {
-        SlotBroker broker = broker(BrokerSettings.defaults(), S1);
+        SlotBroker broker = broker(PLAIN, S1);
         broker.request(ask("r0", Priority.INTERACTIVE, 60_000), 0);
         broker.request(ask("r1"), 0);
         assertThat(broker.nextWakeNanos(0)).isEqualTo(1000 * MS + 1);
@@ -143,7 +147,7 @@
 
     @Test
     void drainedAndWithdrawnServersGetNoGrant() {
-        SlotBroker broker = broker(BrokerSettings.defaults(), S1, S2);
+        SlotBroker broker = broker(PLAIN, S1, S2);
         SlotDecision r1 = broker.request(ask("r1"), 0).get(0);
         broker.configure(List.of(new SlotServer("s1", "a", 1, true), S2), 1);
         out.addAll(broker.request(ask("r2"), 2));
@@ -157,7 +161,7 @@
 
     @Test
     void aLostHostsSlotsAreHeldUntilTheDeadline() {
-        SlotBroker broker = broker(BrokerSettings.defaults(), S1);
+        SlotBroker broker = broker(PLAIN, S1);
         broker.request(ask("r1", Priority.INTERACTIVE, 100), 0);
         broker.request(ask("r2"), 0);
         out.addAll(broker.hostLost("h1", 1, 1));
@@ -169,9 +173,9 @@
 
     @Test
     void aNewBrokerCountsReportedSlotsBeforeItGrants() {
-        SlotBroker broker = SlotBroker.create(BrokerSettings.defaults(), "h0", 2, Set.of("h1", "h2"), 0);
+        SlotBroker broker = SlotBroker.create(PLAIN, "h0", 2, Set.of("h1", "h2"), 0);
         broker.configure(List.of(S1, S2), 0);
-        SlotToken old = new SlotToken("h9", 7, 3);
+        SlotToken old = SlotToken.of("h9", 7, 3);
         out.addAll(broker.request(ask("r1"), 1));
         out.addAll(broker.report(new HeldSlots("h1", 1, List.of()), 2));
         assertThat(answers()).isEmpty();
@@ -187,7 +191,7 @@
 
     @Test
     void aNewBrokerStopsWaitingAfterTheGraceTime() {
-        SlotBroker broker = SlotBroker.create(BrokerSettings.defaults(), "h0", 2, Set.of("h1", "h2"), 0);
+        SlotBroker broker = SlotBroker.create(PLAIN, "h0", 2, Set.of("h1", "h2"), 0);
         broker.configure(List.of(S1), 0);
         broker.request(ask("r1"), 1);
         assertThat(broker.nextWakeNanos(1)).isEqualTo(500 * MS);
@@ -197,7 +201,7 @@
 
     @Test
     void aShedLowersTheServerAndItRecoversStepByStep() {
-        SlotBroker broker = broker(BrokerSettings.defaults(), new SlotServer("s1", "a", 2, false));
+        SlotBroker broker = broker(PLAIN, new SlotServer("s1", "a", 2, false));
         SlotDecision r1 = broker.request(ask("r1"), 0).get(0);
         broker.request(ask("r2", Priority.INTERACTIVE, 60_000), 0);
         broker.request(ask("r3", Priority.INTERACTIVE, 60_000), 0);
@@ -210,7 +214,7 @@
 
     @Test
     void aCancelledQuestionIsNeitherQueuedNorGranted() {
-        SlotBroker broker = broker(BrokerSettings.defaults(), S1);
+        SlotBroker broker = broker(PLAIN, S1);
         broker.request(ask("r1"), 0);
         broker.request(ask("r2"), 0);
         broker.cancel("r2", 1);
@@ -220,4 +224,42 @@
         out.addAll(broker.cancel("r1", 3));
         assertThat(answers()).containsExactly("r4@s1");
     }
+
+    @Test
+    void aTakenOverSlotStaysTakenAndLateMessagesOfItsFirstUseChangeNothing() {
+        SlotBroker broker = broker(BrokerSettings.defaults().withPermits(1), S1);
+        SlotGrant first = (SlotGrant) broker.request(ask("r1"), 0).get(0);
+        out.addAll(broker.request(ask("r2"), 1));
+        out.addAll(broker.request(ask("r3"), 2));
+        SlotTakeover takeover = new SlotTakeover(end(first, Outcome.COMPLETED, 1), "r2", "class", 1000 * MS);
+        out.addAll(broker.takeOver(takeover, 3));
+        out.addAll(broker.takeOver(takeover, 4));
+        out.addAll(broker.release(end(first, Outcome.COMPLETED, 1), 5));
+        out.addAll(broker.request(ask("r2"), 6));
+        assertThat(answers()).containsExactly("r2?", "r3?");
+        assertThat(broker.inUse("s1")).isEqualTo(1);
+        out.addAll(broker.release(new SlotRelease(first.token().next(), Outcome.COMPLETED, 1), 7));
+        assertThat(answers()).containsExactly("r3@s1");
+    }
+
+    @Test
+    void aGrantThatCrossedATakeOverIsFreeAgain() {
+        SlotBroker broker = broker(PLAIN, S1, S2);
+        SlotGrant r1 = (SlotGrant) broker.request(ask("r1"), 0).get(0);
+        SlotDecision r2 = broker.request(ask("r2"), 0).get(0);
+        broker.request(ask("r3"), 1);
+        out.addAll(broker.release(end(r2, Outcome.COMPLETED, 1), 2));
+        broker.takeOver(new SlotTakeover(end(r1, Outcome.COMPLETED, 1), "r3", "class", 1000 * MS), 3);
+        out.addAll(broker.request(ask("r4"), 4));
+        assertThat(answers()).containsExactly("r3@s2", "r4@s2");
+    }
+
+    @Test
+    void leisureRequestsGetNoPermit() {
+        SlotBroker broker = broker(BrokerSettings.defaults(), S1);
+        broker.request(ask("r1"), 0);
+        out.addAll(broker.request(ask("l", Priority.LEISURE, 1000), 1));
+        out.addAll(broker.request(ask("i"), 2));
+        assertThat(answers()).containsExactly("i?");
+    }
 }
--- a/src/test/java/org/arbutusfield/admission/SlotClientTest.java
+++ b/src/test/java/org/arbutusfield/admission/SlotClientTest.java
@@ -9,11 +9,13 @@
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class SlotClientTest {
     private static final long MS = 1_000_000;
-    private static final SlotToken T1 = new SlotToken("h0", 1, 1);
-    private static final SlotToken T2 = new SlotToken("h0", 1, 2);
+    private static final SlotToken T1 = SlotToken.of("h0", 1, 1);
+    private static final SlotToken T2 = SlotToken.of("h0", 1, 2);
 
     private final SlotClient client = SlotClient.create(ClientSettings.defaults(), "h1", 1, "q/gulf/0", 0);
     private final List<ClientAction> out = new ArrayList<>();
@@ -103,4 +105,24 @@
                 .contains(new ClientAction.Refuse("r1", Failure.of(ErrorCode.DEADLINE_PASSED, "q")))
                 .contains(new ClientAction.Send("h0", new SlotCancel("r1")));
     }
+
+    @ParameterizedTest
+    @CsvSource({
+        "COMPLETED, a, false, 0, true",
+        "SHED, a, false, 0, false",
+        "COMPLETED, b, false, 0, false",
+        "COMPLETED, a, true, 0, false",
+        "COMPLETED, a, false, 8, false",
+    })
+    void takesOverOnlyANearHealthySlotThatIsNotDue(
+            Outcome outcome, String failureDomain, boolean drained, int use, boolean expected) {
+        joinBroker();
+        client.configure(List.of(new SlotServer("s9", failureDomain, 1, drained)), 0);
+        client.ask(ask("r1"), 1);
+        client.ask(ask("r2"), 2);
+        client.answered("h0", grant("r1", new SlotToken("h0", 1, 1, use)), 3);
+        client.answered("h0", new SlotPermit("r2", "h1"), 4);
+        out.addAll(client.finished("r1", outcome, 1, 5));
+        assertThat(out.contains(new ClientAction.Start("r2", "s9"))).isEqualTo(expected);
+    }
 }
