Control: bounded news in mass events, damaged deltas read whole, experiments

Cause: after a region had been apart, each host of a fleet of 1,000 sent 83 kB/s for half a minute, because every statement was passed on 24 times and each came with an extra round; a delta damaged so that it didn't apply was asked for again and again; one lost read held a change up for two seconds. Ruled out: larger messages (same bytes); passing every statement on with fewer rounds only (the tables then differ for long). Change: a bounded queue of statements, leaving first, each passed on once, no extra rounds while the queue is long, and the rest left to the comparison of tables in 512 buckets; any damaged delta is replaced by the whole content; reads are overdue after a second. Experiments over loopback and in virtual time, counters of bytes and frames.

--- /dev/null
+++ b/src/main/java/org/arbutusfield/lab/control/PureHost.java
@@ -0,0 +1,57 @@
+package org.arbutusfield.lab.control;
+
+import java.util.Optional;
+import org.arbutusfield.member.Announcement;
+import org.arbutusfield.member.Member;
+import org.arbutusfield.member.MemberTable;
+import org.arbutusfield.member.MembershipLimits;
+import org.arbutusfield.member.MembershipView;
+import org.arbutusfield.spread.PullPlan;
+import org.arbutusfield.spread.RootPointer;
+
+/** The pure state machines of one host in a {@link PureFleet}. */
+final class PureHost {
+    final Member member;
+    final int region;
+    MembershipView view;
+    PullPlan plan = PullPlan.idle();
+    Announcement installed = Announcement.NONE;
+    long installedNanos;
+    boolean dead;
+    boolean flushPending;
+
+    PureHost(Member member, int region, MemberTable table, MembershipLimits limits) {
+        this.member = member;
+        this.region = region;
+        this.view = MembershipView.start(member, table, limits, 0);
+    }
+
+    /** Installs what is newer. */
+    boolean install(Announcement offered, long nowNanos) {
+        if (offered.revision() <= installed.revision()) {
+            return false;
+        }
+        installed = offered;
+        installedNanos = nowNanos;
+        return true;
+    }
+
+    /** Takes an announcement in and starts the read that the plan asks for. */
+    Optional<PullPlan.Holder> announced(Member peer, Announcement announcement, long nowNanos) {
+        plan = plan.announced(
+                peer, new RootPointer(announcement.revision(), announcement.digest()), installed.revision());
+        return nextRead(nowNanos);
+    }
+
+    /** Ends a read and starts the next that the plan asks for. */
+    Optional<PullPlan.Holder> finished(PullPlan.Holder holder, boolean succeeded, long nowNanos) {
+        plan = plan.finished(holder, succeeded);
+        return nextRead(nowNanos);
+    }
+
+    private Optional<PullPlan.Holder> nextRead(long nowNanos) {
+        Optional<PullPlan.Holder> next = plan.next(installed.revision(), nowNanos);
+        next.ifPresent(holder -> plan = plan.started(holder, nowNanos));
+        return next;
+    }
+}
--- a/src/main/java/org/arbutusfield/lab/control/VirtualNetwork.java
+++ b/src/main/java/org/arbutusfield/lab/control/VirtualNetwork.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiPredicate;
+import java.util.function.UnaryOperator;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.timer.VirtualTimer;
@@ -22,6 +23,7 @@
     private final SplittableRandom random;
     private final Map<PeerAddress, VirtualHost> hosts = new HashMap<>();
     private BiPredicate<VirtualHost, VirtualHost> cut = (from, to) -> false;
+    private UnaryOperator<ControlMessage> tampering = message -> message;
     private double loss;
 
     private VirtualNetwork(VirtualTimer timer, long seed) {
@@ -39,6 +41,11 @@
         cut = links;
     }
 
+    /** Sets what becomes of each response on its way. */
+    public void tamper(UnaryOperator<ControlMessage> change) {
+        tampering = change;
+    }
+
     /** Sets the share of messages that are lost. */
     public void loss(double share) {
         loss = share;
@@ -70,7 +77,7 @@
             CompletableFuture<Either<Failure, ControlMessage>> answer) {
         to.handlers().answer(message.deepCopy()).thenAccept(response -> {
             if (!lost(to, from)) {
-                timer.after(DELAY, () -> from.clock().run(() -> answer.complete(response)));
+                timer.after(DELAY, () -> from.clock().run(() -> answer.complete(response.map(tampering))));
             }
         });
     }
--- a/src/main/java/org/arbutusfield/member/MemberTable.java
+++ b/src/main/java/org/arbutusfield/member/MemberTable.java
@@ -14,7 +14,7 @@
  */
 public final class MemberTable {
     /** Parts of the table that are compared and transferred on their own. */
-    public static final int BUCKETS = 64;
+    public static final int BUCKETS = 512;
 
     private static final MemberTable EMPTY = new MemberTable(HashMap.empty(), new long[BUCKETS], 0, 0);
 
--- a/src/main/java/org/arbutusfield/member/MembershipDraft.java
+++ b/src/main/java/org/arbutusfield/member/MembershipDraft.java
@@ -122,7 +122,9 @@
         table.find(heartbeat.name())
                 .filter(held -> contradicts(held, heartbeat))
                 .ifPresent(first::add);
-        reply = Optional.of(heartbeat(!known, news(first), announcement));
+        List<Rumour> news = news(first);
+        news.removeAll(heartbeat.rumours());
+        reply = Optional.of(heartbeat(!known, news, announcement));
     }
 
     void acknowledged(Heartbeat response) {
@@ -140,8 +142,8 @@
         if (held != null && contradicts(held, response)) {
             rumours = rumours.put(response.name(), 1);
         }
-        boolean settled = rumours.isEmpty() && response.rumours().isEmpty();
-        mismatches = settled && response.tableDigest() != table.digest() ? mismatches + 1 : 0;
+        boolean spreading = !rumours.isEmpty() && rumours.size() < limits.maxQueued();
+        mismatches = !spreading && response.tableDigest() != table.digest() ? mismatches + 1 : 0;
         if (mismatches >= MISMATCHES_BEFORE_SYNC
                 && nowNanos - lastSyncNanos >= limits.interval().toNanos()) {
             mismatches = 0;
@@ -150,22 +152,6 @@
         }
     }
 
-    void listed(Member member) {
-        Rumour held = table.find(member.name()).orElse(null);
-        if (held == null) {
-            if (member.state() == MemberState.ALIVE) {
-                merge(new Rumour(member, 0), true);
-            }
-            return;
-        }
-        boolean later = member.incarnation() > held.member().incarnation();
-        boolean leaves = member.state() == MemberState.LEAVING
-                && member.incarnation() == held.member().incarnation();
-        if (later || leaves) {
-            merge(new Rumour(member, leaves ? held.refutation() : 0), true);
-        }
-    }
-
     void leave() {
         replaceSelf(self.withState(MemberState.LEAVING));
     }
@@ -189,9 +175,10 @@
             return;
         }
         hold(rumour, held);
-        if (spread) {
+        boolean last = rumour.state() == MemberState.LEAVING;
+        if (spread && (last || rumours.size() < limits.maxQueued())) {
             rumours = rumours.put(name, limits.rumourRounds());
-            urgent |= pressing(rumour, held);
+            urgent |= last || (pressing(rumour, held) && rumours.size() <= limits.maxRumours());
         }
     }
 
@@ -228,9 +215,6 @@
     }
 
     private static boolean pressing(Rumour rumour, Rumour held) {
-        if (rumour.state() == MemberState.LEAVING) {
-            return true;
-        }
         return rumour.state() == MemberState.ALIVE && (held == null || held.state() != MemberState.ALIVE);
     }
 
@@ -284,15 +268,15 @@
         lastAckNanos = watched;
     }
 
+    /** What to pass on with the next message: the given statements, then members that leave, then other news. */
     private List<Rumour> news(List<Rumour> first) {
         List<Rumour> news = new ArrayList<>(first);
+        List<Rumour> others = new ArrayList<>();
         for (String name : rumours.keySet()) {
-            if (news.size() >= limits.maxRumours()) {
-                break;
-            }
-            table.find(name).ifPresent(news::add);
+            table.find(name).ifPresent(rumour -> (rumour.state() == MemberState.LEAVING ? news : others).add(rumour));
         }
-        return news;
+        news.addAll(others);
+        return new ArrayList<>(news.subList(0, Math.min(news.size(), limits.maxRumours())));
     }
 
     private void send(Rumour to, List<Rumour> news, Announcement announcement) {
--- a/src/main/java/org/arbutusfield/member/MembershipLimits.java
+++ b/src/main/java/org/arbutusfield/member/MembershipLimits.java
@@ -12,6 +12,7 @@
  * @param domainRings peers in the own failure domain
  * @param globalRings peers among all hosts
  * @param maxRumours statements in one heartbeat
+ * @param maxQueued statements that wait to be passed on; further ones are left to the comparison of tables
  * @param rumourRounds rounds of heartbeats that carry a statement
  */
 public record MembershipLimits(
@@ -22,10 +23,11 @@
         int domainRings,
         int globalRings,
         int maxRumours,
+        int maxQueued,
         int rumourRounds) {
 
     private static final MembershipLimits STANDARD = new MembershipLimits(
-            Duration.ofSeconds(1), Duration.ofSeconds(3), Duration.ofSeconds(4), Duration.ofHours(2), 5, 3, 32, 3);
+            Duration.ofSeconds(1), Duration.ofSeconds(3), Duration.ofSeconds(4), Duration.ofHours(2), 5, 3, 16, 64, 1);
 
     /** The limits of a daemon. */
     public static MembershipLimits standard() {
--- a/src/main/java/org/arbutusfield/member/MembershipView.java
+++ b/src/main/java/org/arbutusfield/member/MembershipView.java
@@ -186,11 +186,11 @@
         return draft.step();
     }
 
-    /** Takes in the platform's list of live and leaving hosts. */
+    /** Takes in the platform's list of live and leaving hosts; the order of statements settles contradictions. */
     public Step listed(List<Member> list, long nowNanos) {
         MembershipDraft draft = new MembershipDraft(this, nowNanos);
         for (Member member : list) {
-            draft.listed(member);
+            draft.merge(new Rumour(member, 0), true);
         }
         return draft.step();
     }
--- a/src/main/java/org/arbutusfield/spread/ConfigurationSpread.java
+++ b/src/main/java/org/arbutusfield/spread/ConfigurationSpread.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.member.Announcement;
 import org.arbutusfield.member.Member;
@@ -164,7 +165,7 @@
                 .thenAccept(answer -> {
                     Either<Failure, Boolean> installed =
                             answer.flatMap(received -> install(received.snapshot(), Origin.PEER, received.step()));
-                    boolean deltaFailed = installed.isLeft() && answer.isRight() && !full;
+                    boolean deltaFailed = !full && installed.isLeft() && damaged(installed.getLeft());
                     boolean behind =
                             running.announcement().revision() < holder.root().revision();
                     if (behind && (installed.isRight() || deltaFailed)) {
@@ -175,6 +176,10 @@
                 });
     }
 
+    private static boolean damaged(Failure failure) {
+        return failure.code() == ErrorCode.PEER_PROTOCOL || failure.code() == ErrorCode.STORE_CORRUPT;
+    }
+
     private void finished(PullPlan.Holder holder, boolean succeeded, Either<Failure, Boolean> outcome) {
         if (!succeeded && outcome.isLeft()) {
             LOG.warn(
--- a/src/main/java/org/arbutusfield/spread/ControlPlane.java
+++ b/src/main/java/org/arbutusfield/spread/ControlPlane.java
@@ -97,6 +97,11 @@
         return client;
     }
 
+    /** Answers other hosts. */
+    public ControlServer server() {
+        return server;
+    }
+
     /** Where further types of messages are registered. */
     public ControlHandlers handlers() {
         return handlers;
--- a/src/main/java/org/arbutusfield/spread/PullPlan.java
+++ b/src/main/java/org/arbutusfield/spread/PullPlan.java
@@ -18,7 +18,7 @@
  */
 public final class PullPlan {
     /** How long a read may take before another is started. */
-    public static final Duration READ_TIMEOUT = Duration.ofSeconds(5);
+    public static final Duration READ_TIMEOUT = Duration.ofSeconds(3);
 
     private static final int MAX_HOLDERS = 4;
     private static final PullPlan IDLE = new PullPlan(0, List.of(), Optional.empty(), 0);
--- a/src/main/java/org/arbutusfield/spread/SnapshotRead.java
+++ b/src/main/java/org/arbutusfield/spread/SnapshotRead.java
@@ -18,7 +18,7 @@
  * with the peer's new revision.
  */
 final class SnapshotRead {
-    private static final Duration PART_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration PART_TIMEOUT = Duration.ofSeconds(1);
     private static final int MAX_RESTARTS = 3;
 
     private final ControlTransport transport;
--- a/src/main/java/org/arbutusfield/wire/ControlClient.java
+++ b/src/main/java/org/arbutusfield/wire/ControlClient.java
@@ -21,6 +21,7 @@
     private final Bootstrap bootstrap;
     private final TimerService timer;
     private final ControlLimits limits;
+    private final Traffic traffic = new Traffic();
     private final Map<PeerAddress, PeerConnection> connections = new ConcurrentHashMap<>();
     private final TimerService.Subscription sweep;
 
@@ -66,6 +67,11 @@
         return connection(peer).send(message).map(queued -> peer);
     }
 
+    /** Counts of all its connections. */
+    public Traffic traffic() {
+        return traffic;
+    }
+
     /** How many peers have a connection or a queue. */
     public int peers() {
         return connections.size();
@@ -80,7 +86,8 @@
     }
 
     private PeerConnection connection(PeerAddress peer) {
-        return connections.computeIfAbsent(peer, address -> new PeerConnection(address, bootstrap, timer, limits));
+        return connections.computeIfAbsent(
+                peer, address -> new PeerConnection(address, bootstrap, traffic, timer, limits));
     }
 
     private void sweep() {
--- a/src/main/java/org/arbutusfield/wire/ControlServer.java
+++ b/src/main/java/org/arbutusfield/wire/ControlServer.java
@@ -27,6 +27,7 @@
     private final ControlLimits limits;
     private final ControlHandlers handlers;
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final Traffic traffic = new Traffic();
     private Channel listener;
 
     private ControlServer(ControlLimits limits, ControlHandlers handlers) {
@@ -70,6 +71,11 @@
         return ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
+    /** Counts of all its connections. */
+    public Traffic traffic() {
+        return traffic;
+    }
+
     /** Stops listening and closes every connection. */
     @Override
     public void close() {
@@ -95,7 +101,7 @@
         connections.add(channel);
         channel.pipeline()
                 .addLast(new IdleStateHandler(0, 0, limits.idleTimeout().toMillis(), TimeUnit.MILLISECONDS));
-        FrameCodec.install(channel.pipeline());
+        FrameCodec.install(channel.pipeline(), traffic);
         channel.pipeline().addLast(new ServerConnection(handlers, limits.maxInFlight()));
     }
 }
--- a/src/main/java/org/arbutusfield/wire/FrameCodec.java
+++ b/src/main/java/org/arbutusfield/wire/FrameCodec.java
@@ -13,8 +13,9 @@
 
     private FrameCodec() {}
 
-    /** Adds the decoder that cuts the stream into frames and drops their lengths. */
-    static void install(ChannelPipeline pipeline) {
+    /** Adds the counter, and the decoder that cuts the stream into frames and drops their lengths. */
+    static void install(ChannelPipeline pipeline, Traffic traffic) {
+        pipeline.addLast("traffic", traffic);
         pipeline.addLast(
                 "frames",
                 new LengthFieldBasedFrameDecoder(ControlLimits.MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
--- a/src/main/java/org/arbutusfield/wire/PeerConnection.java
+++ b/src/main/java/org/arbutusfield/wire/PeerConnection.java
@@ -50,7 +50,7 @@
     private long unansweredSinceNanos = NONE;
     private long lastUseNanos;
 
-    PeerConnection(PeerAddress peer, Bootstrap bootstrap, TimerService timer, ControlLimits limits) {
+    PeerConnection(PeerAddress peer, Bootstrap bootstrap, Traffic traffic, TimerService timer, ControlLimits limits) {
         this.peer = peer;
         this.bootstrap = bootstrap.clone();
         this.timer = timer;
@@ -60,7 +60,7 @@
         this.bootstrap.handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel opened) {
-                FrameCodec.install(opened.pipeline());
+                FrameCodec.install(opened.pipeline(), traffic);
                 opened.pipeline().addLast(new ClientConnection(PeerConnection.this));
             }
         });
--- a/src/test/java/org/arbutusfield/member/MembershipViewTest.java
+++ b/src/test/java/org/arbutusfield/member/MembershipViewTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -128,6 +129,40 @@
         assertThat(tick.view().acknowledged(answer, 13 * SECOND).view().alive()).hasSize(3);
     }
 
+    @Test
+    void aPeerWhoseTableStaysDifferentIsRead() {
+        MembershipView view = run(viewOf("self", "a"), 0, 5, List.of("a"));
+        Heartbeat other = new Heartbeat("a", 1, MemberState.ALIVE, 0, Announcement.NONE, 77, false, List.of());
+        List<String> read = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            Step step = view.acknowledged(other, 9 * SECOND);
+            step.syncWith().ifPresent(peer -> read.add(peer.name()));
+            view = step.view();
+        }
+        assertThat(read).containsExactly("a");
+    }
+
+    @Test
+    void inAFloodOfNewsTheQueueIsBoundedAndLeavingGoesFirst() {
+        MembershipView view = viewOf("self", "a");
+        for (int i = 0; i < 1000; i++) {
+            view = view.listed(List.of(member("h" + i, 1, MemberState.ALIVE)), 0)
+                    .view();
+        }
+        view = view.listed(List.of(member("h500", 1, MemberState.LEAVING)), 0).view();
+        Step step = view.flush(0, Announcement.NONE);
+        assertThat(step.outgoing()).allSatisfy(outgoing -> {
+            assertThat(outgoing.heartbeat().rumours()).hasSize(LIMITS.maxRumours());
+            assertThat(outgoing.heartbeat().rumours().get(0).member().name()).isEqualTo("h500");
+        });
+        int rounds = 0;
+        while (!step.outgoing().get(0).heartbeat().rumours().isEmpty()) {
+            step = step.view().flush(0, Announcement.NONE);
+            rounds++;
+        }
+        assertThat(rounds).isLessThanOrEqualTo(LIMITS.maxQueued() / LIMITS.maxRumours() + 1);
+    }
+
     @ParameterizedTest
     @CsvSource({"2", "18", "100", "1000", "6300"})
     void messagesPerRoundDoNotGrowWithTheFleet(int hosts) {
--- a/src/test/java/org/arbutusfield/spread/FleetMembershipTest.java
+++ b/src/test/java/org/arbutusfield/spread/FleetMembershipTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import org.arbutusfield.lab.control.VirtualHost;
 import org.arbutusfield.member.MemberState;
+import org.arbutusfield.member.MembershipLimits;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -33,6 +34,15 @@
         assertThat(fleet.holding(leaving.self().name(), MemberState.LEAVING)).isEqualTo(HOSTS - 1);
     }
 
+    @Test
+    void newsOfALeavingHostDoesNotWaitForTheRegularHeartbeat() {
+        VirtualFleet fleet = started(8);
+        VirtualHost leaving = fleet.host(2);
+        leaving.membership().leave();
+        fleet.run(MembershipLimits.standard().interval().dividedBy(2));
+        assertThat(fleet.holding(leaving.self().name(), MemberState.LEAVING)).isEqualTo(HOSTS - 1);
+    }
+
     @Test
     void aDeadHostIsFoundAndItsSuccessorComesBackByIncarnation() {
         VirtualFleet fleet = started(5);
--- a/src/test/java/org/arbutusfield/spread/SpreadTest.java
+++ b/src/test/java/org/arbutusfield/spread/SpreadTest.java
@@ -4,7 +4,9 @@
 
 import java.time.Duration;
 import org.arbutusfield.lab.control.VirtualHost;
+import org.arbutusfield.member.MembershipLimits;
 import org.arbutusfield.misc.Digests;
+import org.arbutusfield.wire.gen.ControlMessage;
 import org.junit.jupiter.api.Test;
 
 class SpreadTest {
@@ -27,6 +29,35 @@
         assertThat(fleet.settles(accepted.root(), TARGET)).isTrue();
     }
 
+    @Test
+    void newsDoesNotWaitForTheNextRegularHeartbeat() {
+        VirtualFleet fleet = started(7);
+        Snapshot accepted = fleet.store.accept(content(1));
+        fleet.store.down(true);
+        fleet.host(4).offer(accepted);
+        Duration regular = MembershipLimits.standard().interval();
+        assertThat(fleet.settles(accepted.root(), regular.dividedBy(2))).isTrue();
+    }
+
+    @Test
+    void aDeltaThatIsDamagedOnTheWayIsReplacedByTheWholeContent() {
+        VirtualFleet fleet = started(9);
+        assertThat(fleet.settles(fleet.store.accept(content(1)).root(), TARGET)).isTrue();
+        fleet.network.tamper(SpreadTest::damaged);
+        Snapshot accepted = fleet.store.accept(content(2));
+        fleet.store.down(true);
+        fleet.host(4).offer(accepted);
+        assertThat(fleet.settles(accepted.root(), TARGET)).isTrue();
+    }
+
+    private static ControlMessage damaged(ControlMessage message) {
+        if (message.isSetSnapshotChunk() && message.getSnapshotChunk().getBaseRevision() > 0) {
+            byte[] content = message.getSnapshotChunk().getContent();
+            content[content.length - 1] ^= 1;
+        }
+        return message;
+    }
+
     @Test
     void aHostThatStartsWhileTheStoreIsDownGetsTheRunningStateFromAPeer() {
         VirtualFleet fleet = started(3);
@@ -57,8 +88,11 @@
         VirtualFleet fleet = started(5);
         byte[] other = content(9);
         Snapshot forked = Snapshot.of(new RootPointer(1, Digests.sha256(other)), other);
+        fleet.store.down(true);
         fleet.host(2).offer(forked);
+        assertThat(fleet.settles(forked.root(), TARGET)).isTrue();
         Snapshot accepted = fleet.store.accept(content(1));
+        fleet.store.down(false);
         assertThat(fleet.settles(accepted.root(), Duration.ofSeconds(30))).isTrue();
     }
 
