--- a/src/main/java/org/arbutusfield/dispatch/SlotCodec.java
+++ b/src/main/java/org/arbutusfield/dispatch/SlotCodec.java
@@ -12,9 +12,11 @@
 import org.arbutusfield.admission.SlotCancel;
 import org.arbutusfield.admission.SlotDecision;
 import org.arbutusfield.admission.SlotGrant;
+import org.arbutusfield.admission.SlotPermit;
 import org.arbutusfield.admission.SlotRefusal;
 import org.arbutusfield.admission.SlotRelease;
 import org.arbutusfield.admission.SlotRequest;
+import org.arbutusfield.admission.SlotTakeover;
 import org.arbutusfield.admission.SlotToken;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
@@ -51,8 +53,14 @@
             return ControlMessage.slotRequest(request(group, request));
         }
         if (message instanceof SlotRelease release) {
-            return ControlMessage.slotRelease(new org.arbutusfield.wire.gen.SlotRelease(
-                    group, host, token(release.token()), OUTCOMES.indexOf(release.outcome()), release.serviceNanos()));
+            return ControlMessage.slotRelease(release(group, host, release));
+        }
+        if (message instanceof SlotTakeover takeover) {
+            return ControlMessage.slotTakeover(new org.arbutusfield.wire.gen.SlotTakeover(
+                    release(group, host, takeover.release()),
+                    takeover.requestId(),
+                    takeover.requestClass(),
+                    takeover.remainingNanos()));
         }
         if (message instanceof HeldSlots held) {
             return ControlMessage.heldSlots(
@@ -68,6 +76,9 @@
             return ControlMessage.slotGrant(new org.arbutusfield.wire.gen.SlotGrant(
                     group, grant.requestId(), grant.upstream(), token(grant.token()), grant.validNanos()));
         }
+        if (decision instanceof SlotPermit) {
+            return ControlMessage.slotPermit(new org.arbutusfield.wire.gen.SlotPermit(group, decision.requestId()));
+        }
         Failure failure = ((SlotRefusal) decision).failure();
         long retryMillis = failure.retryAfter().map(Duration::toMillis).orElse(-1L);
         return ControlMessage.slotRefusal(new org.arbutusfield.wire.gen.SlotRefusal(
@@ -84,6 +95,7 @@
         return switch (message.getSetField()) {
             case SLOT_REQUEST -> decode(message.getSlotRequest());
             case SLOT_RELEASE -> decode(message.getSlotRelease());
+            case SLOT_TAKEOVER -> decode(message.getSlotTakeover());
             case SLOT_CANCEL -> decode(message.getSlotCancel());
             case HELD_SLOTS -> decode(message.getHeldSlots());
             default -> malformed("message to a broker");
@@ -92,6 +104,10 @@
 
     /** Decodes a broker's decision for this host. */
     static Either<Failure, SlotDecision> decodeDecision(String self, ControlMessage message) {
+        if (message.isSetSlotPermit()) {
+            String requestId = message.getSlotPermit().getRequestId();
+            return requestId == null ? malformed("slot permit") : Either.right(new SlotPermit(requestId, self));
+        }
         if (message.isSetSlotGrant()) {
             org.arbutusfield.wire.gen.SlotGrant grant = message.getSlotGrant();
             Optional<SlotToken> token = token(grant.getToken());
@@ -151,6 +167,20 @@
         return Either.right(new ToBroker(release.getGroup(), release.getHost(), decoded));
     }
 
+    private static Either<Failure, ToBroker> decode(org.arbutusfield.wire.gen.SlotTakeover takeover) {
+        if (takeover.getRelease() == null || anyNull(takeover.getRequestId(), takeover.getRequestClass())) {
+            return malformed("slot takeover");
+        }
+        return decode(takeover.getRelease()).map(ended -> {
+            SlotTakeover decoded = new SlotTakeover(
+                    (SlotRelease) ended.message(),
+                    takeover.getRequestId(),
+                    takeover.getRequestClass(),
+                    takeover.getRemainingNanos());
+            return new ToBroker(ended.group(), ended.host(), decoded);
+        });
+    }
+
     private static Either<Failure, ToBroker> decode(org.arbutusfield.wire.gen.SlotCancel cancel) {
         if (anyNull(cancel.getGroup(), cancel.getHost(), cancel.getRequestId())) {
             return malformed("slot cancel");
@@ -199,14 +229,20 @@
                 .toList();
     }
 
+    private static org.arbutusfield.wire.gen.SlotRelease release(String group, String host, SlotRelease release) {
+        return new org.arbutusfield.wire.gen.SlotRelease(
+                group, host, token(release.token()), OUTCOMES.indexOf(release.outcome()), release.serviceNanos());
+    }
+
     private static org.arbutusfield.wire.gen.SlotToken token(SlotToken token) {
-        return new org.arbutusfield.wire.gen.SlotToken(token.broker(), token.epoch(), token.sequence());
+        return new org.arbutusfield.wire.gen.SlotToken(token.broker(), token.epoch(), token.sequence(), token.use());
     }
 
     private static Optional<SlotToken> token(org.arbutusfield.wire.gen.SlotToken token) {
         return token == null || token.getBroker() == null
                 ? Optional.empty()
-                : Optional.of(new SlotToken(token.getBroker(), token.getEpoch(), token.getSequence()));
+                : Optional.of(
+                        new SlotToken(token.getBroker(), token.getEpoch(), token.getSequence(), token.getUseNumber()));
     }
 
     private static boolean anyNull(String... fields) {
--- a/src/main/java/org/arbutusfield/dispatch/SlotExchange.java
+++ b/src/main/java/org/arbutusfield/dispatch/SlotExchange.java
@@ -47,9 +47,11 @@
         handlers.register(ControlMessage._Fields.SLOT_REQUEST, exchange::toBroker);
         handlers.register(ControlMessage._Fields.SLOT_RELEASE, exchange::toBroker);
         handlers.register(ControlMessage._Fields.SLOT_CANCEL, exchange::toBroker);
+        handlers.register(ControlMessage._Fields.SLOT_TAKEOVER, exchange::toBroker);
         handlers.register(ControlMessage._Fields.HELD_SLOTS, exchange::toBroker);
         handlers.register(ControlMessage._Fields.SLOT_GRANT, exchange::toClient);
         handlers.register(ControlMessage._Fields.SLOT_REFUSAL, exchange::toClient);
+        handlers.register(ControlMessage._Fields.SLOT_PERMIT, exchange::toClient);
         handlers.register(ControlMessage._Fields.BROKER_HEARTBEAT, exchange::heartbeat);
         return exchange;
     }
@@ -131,9 +133,12 @@
     }
 
     private CompletableFuture<Either<Failure, ControlMessage>> toClient(ControlMessage message) {
-        String key = message.isSetSlotGrant()
-                ? message.getSlotGrant().getGroup()
-                : message.getSlotRefusal().getGroup();
+        String key =
+                switch (message.getSetField()) {
+                    case SLOT_GRANT -> message.getSlotGrant().getGroup();
+                    case SLOT_PERMIT -> message.getSlotPermit().getGroup();
+                    default -> message.getSlotRefusal().getGroup();
+                };
         return done(SlotCodec.decodeDecision(self.name(), message).map(decision -> {
             find(key).ifPresent(group -> group.decided(decision));
             return message;
--- a/src/main/java/org/arbutusfield/dispatch/SlotGroup.java
+++ b/src/main/java/org/arbutusfield/dispatch/SlotGroup.java
@@ -22,6 +22,7 @@
 import org.arbutusfield.admission.SlotRelease;
 import org.arbutusfield.admission.SlotRequest;
 import org.arbutusfield.admission.SlotServer;
+import org.arbutusfield.admission.SlotTakeover;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.timer.TimerService;
 
@@ -222,6 +223,9 @@
         if (message instanceof SlotRelease release) {
             return broker.release(release, now);
         }
+        if (message instanceof SlotTakeover takeover) {
+            return broker.takeOver(takeover, now);
+        }
         if (message instanceof SlotCancel cancel) {
             return broker.cancel(cancel.requestId(), now);
         }
--- a/src/main/java/org/arbutusfield/wire/gen/ControlMessage.java
+++ b/src/main/java/org/arbutusfield/wire/gen/ControlMessage.java
@@ -22,6 +22,8 @@
   private static final org.apache.thrift.protocol.TField SLOT_CANCEL_FIELD_DESC = new org.apache.thrift.protocol.TField("slotCancel", org.apache.thrift.protocol.TType.STRUCT, (short)24);
   private static final org.apache.thrift.protocol.TField HELD_SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("heldSlots", org.apache.thrift.protocol.TType.STRUCT, (short)25);
   private static final org.apache.thrift.protocol.TField BROKER_HEARTBEAT_FIELD_DESC = new org.apache.thrift.protocol.TField("brokerHeartbeat", org.apache.thrift.protocol.TType.STRUCT, (short)26);
+  private static final org.apache.thrift.protocol.TField SLOT_PERMIT_FIELD_DESC = new org.apache.thrift.protocol.TField("slotPermit", org.apache.thrift.protocol.TType.STRUCT, (short)27);
+  private static final org.apache.thrift.protocol.TField SLOT_TAKEOVER_FIELD_DESC = new org.apache.thrift.protocol.TField("slotTakeover", org.apache.thrift.protocol.TType.STRUCT, (short)28);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -37,7 +39,9 @@
     SLOT_RELEASE((short)23, "slotRelease"),
     SLOT_CANCEL((short)24, "slotCancel"),
     HELD_SLOTS((short)25, "heldSlots"),
-    BROKER_HEARTBEAT((short)26, "brokerHeartbeat");
+    BROKER_HEARTBEAT((short)26, "brokerHeartbeat"),
+    SLOT_PERMIT((short)27, "slotPermit"),
+    SLOT_TAKEOVER((short)28, "slotTakeover");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -79,6 +83,10 @@
           return HELD_SLOTS;
         case 26: // BROKER_HEARTBEAT
           return BROKER_HEARTBEAT;
+        case 27: // SLOT_PERMIT
+          return SLOT_PERMIT;
+        case 28: // SLOT_TAKEOVER
+          return SLOT_TAKEOVER;
         default:
           return null;
       }
@@ -150,6 +158,10 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, HeldSlots.class)));
     tmpMap.put(_Fields.BROKER_HEARTBEAT, new org.apache.thrift.meta_data.FieldMetaData("brokerHeartbeat", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, BrokerHeartbeat.class)));
+    tmpMap.put(_Fields.SLOT_PERMIT, new org.apache.thrift.meta_data.FieldMetaData("slotPermit", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SlotPermit.class)));
+    tmpMap.put(_Fields.SLOT_TAKEOVER, new org.apache.thrift.meta_data.FieldMetaData("slotTakeover", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SlotTakeover.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ControlMessage.class, metaDataMap);
   }
@@ -248,6 +260,18 @@
     return x;
   }
 
+  public static ControlMessage slotPermit(SlotPermit value) {
+    ControlMessage x = new ControlMessage();
+    x.setSlotPermit(value);
+    return x;
+  }
+
+  public static ControlMessage slotTakeover(SlotTakeover value) {
+    ControlMessage x = new ControlMessage();
+    x.setSlotTakeover(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -317,6 +341,16 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type BrokerHeartbeat for field 'brokerHeartbeat', but got " + value.getClass().getSimpleName());
+      case SLOT_PERMIT:
+        if (value instanceof SlotPermit) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type SlotPermit for field 'slotPermit', but got " + value.getClass().getSimpleName());
+      case SLOT_TAKEOVER:
+        if (value instanceof SlotTakeover) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type SlotTakeover for field 'slotTakeover', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -457,6 +491,26 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case SLOT_PERMIT:
+          if (field.type == SLOT_PERMIT_FIELD_DESC.type) {
+            SlotPermit slotPermit;
+            slotPermit = new SlotPermit();
+            slotPermit.read(iprot);
+            return slotPermit;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case SLOT_TAKEOVER:
+          if (field.type == SLOT_TAKEOVER_FIELD_DESC.type) {
+            SlotTakeover slotTakeover;
+            slotTakeover = new SlotTakeover();
+            slotTakeover.read(iprot);
+            return slotTakeover;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -521,6 +575,14 @@
         BrokerHeartbeat brokerHeartbeat = (BrokerHeartbeat)value_;
         brokerHeartbeat.write(oprot);
         return;
+      case SLOT_PERMIT:
+        SlotPermit slotPermit = (SlotPermit)value_;
+        slotPermit.write(oprot);
+        return;
+      case SLOT_TAKEOVER:
+        SlotTakeover slotTakeover = (SlotTakeover)value_;
+        slotTakeover.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -596,6 +658,16 @@
           brokerHeartbeat = new BrokerHeartbeat();
           brokerHeartbeat.read(iprot);
           return brokerHeartbeat;
+        case SLOT_PERMIT:
+          SlotPermit slotPermit;
+          slotPermit = new SlotPermit();
+          slotPermit.read(iprot);
+          return slotPermit;
+        case SLOT_TAKEOVER:
+          SlotTakeover slotTakeover;
+          slotTakeover = new SlotTakeover();
+          slotTakeover.read(iprot);
+          return slotTakeover;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -659,6 +731,14 @@
         BrokerHeartbeat brokerHeartbeat = (BrokerHeartbeat)value_;
         brokerHeartbeat.write(oprot);
         return;
+      case SLOT_PERMIT:
+        SlotPermit slotPermit = (SlotPermit)value_;
+        slotPermit.write(oprot);
+        return;
+      case SLOT_TAKEOVER:
+        SlotTakeover slotTakeover = (SlotTakeover)value_;
+        slotTakeover.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -693,6 +773,10 @@
         return HELD_SLOTS_FIELD_DESC;
       case BROKER_HEARTBEAT:
         return BROKER_HEARTBEAT_FIELD_DESC;
+      case SLOT_PERMIT:
+        return SLOT_PERMIT_FIELD_DESC;
+      case SLOT_TAKEOVER:
+        return SLOT_TAKEOVER_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -884,6 +968,32 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.BROKER_HEARTBEAT");
   }
 
+  public SlotPermit getSlotPermit() {
+    if (getSetField() == _Fields.SLOT_PERMIT) {
+      return (SlotPermit)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'slotPermit' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setSlotPermit(SlotPermit value) {
+    setField_ = _Fields.SLOT_PERMIT;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.SLOT_PERMIT");
+  }
+
+  public SlotTakeover getSlotTakeover() {
+    if (getSetField() == _Fields.SLOT_TAKEOVER) {
+      return (SlotTakeover)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'slotTakeover' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setSlotTakeover(SlotTakeover value) {
+    setField_ = _Fields.SLOT_TAKEOVER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.SLOT_TAKEOVER");
+  }
+
   public boolean isSetRefusal() {
     return setField_ == _Fields.REFUSAL;
   }
@@ -949,6 +1059,16 @@
   }
 
 
+  public boolean isSetSlotPermit() {
+    return setField_ == _Fields.SLOT_PERMIT;
+  }
+
+
+  public boolean isSetSlotTakeover() {
+    return setField_ == _Fields.SLOT_TAKEOVER;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof ControlMessage) {
       return equals((ControlMessage)other);
--- a/src/main/thrift/control.thrift
+++ b/src/main/thrift/control.thrift
@@ -65,11 +65,12 @@
   7: binary content
 }
 
-// Names one grant of one broker.
+// Names one use of one grant of one broker.
 struct SlotToken {
   1: string broker
   2: i64 epoch
   3: i64 sequence
+  4: i32 useNumber
 }
 
 // Asks the broker of a group of servers for a slot. `group`: service and region. `priority`: 0 goes first.
@@ -111,6 +112,20 @@
   5: i64 serviceNanos
 }
 
+// The host may run the waiting request on a slot that another of its requests leaves.
+struct SlotPermit {
+  1: string group
+  2: string requestId
+}
+
+// The host ended one request and runs a waiting one on the same slot.
+struct SlotTakeover {
+  1: SlotRelease release
+  2: string requestId
+  3: string requestClass
+  4: i64 remainingNanos
+}
+
 struct SlotCancel {
   1: string group
   2: string host
@@ -154,6 +169,8 @@
   24: SlotCancel slotCancel
   25: HeldSlots heldSlots
   26: BrokerHeartbeat brokerHeartbeat
+  27: SlotPermit slotPermit
+  28: SlotTakeover slotTakeover
 }
 
 // One frame. `kind`: 0 one-way, 1 request, 2 response.
