--- /dev/null
+++ b/src/main/java/org/arbutusfield/shift/LinkBudget.java
@@ -0,0 +1,69 @@
+package org.arbutusfield.shift;
+
+import java.time.Duration;
+
+/**
+ * One host's share of a link between regions, as a bucket of bits.
+ *
+ * <p>The share is the link's rate divided by the most hosts that send on it, so that all hosts together stay under the
+ * rate with no word between them. Leisure traffic leaves a reserve in the bucket for interactive traffic. Not
+ * thread-safe: the owner serialises calls.
+ */
+public final class LinkBudget {
+    private static final double INTERACTIVE_RESERVE = 0.3;
+    private static final Duration DEPTH = Duration.ofMillis(100);
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final double bitsPerNano;
+    private final double depthBits;
+    private double bits;
+    private long lastNanos;
+
+    private LinkBudget(double bitsPerNano, long nowNanos) {
+        this.bitsPerNano = bitsPerNano;
+        this.depthBits = bitsPerNano * DEPTH.toNanos();
+        this.bits = 0;
+        this.lastNanos = nowNanos;
+    }
+
+    /**
+     * An empty bucket of one host.
+     *
+     * @param bitsPerSecond rate of the link
+     * @param hostCeiling the most hosts that send on it at once
+     * @param nowNanos monotonic time
+     */
+    public static LinkBudget of(long bitsPerSecond, int hostCeiling, long nowNanos) {
+        return new LinkBudget(bitsPerSecond / NANOS_PER_SECOND / Math.max(1, hostCeiling), nowNanos);
+    }
+
+    /** True when traffic of this sort may be sent now. */
+    public boolean permits(boolean interactive, long nowNanos) {
+        return level(nowNanos) > floor(interactive);
+    }
+
+    /**
+     * Charges bits that are being sent; the bucket may go below zero by the last chunk.
+     *
+     * @param count bits on the link
+     * @param nowNanos monotonic time
+     */
+    public void charge(long count, long nowNanos) {
+        bits = level(nowNanos) - count;
+        lastNanos = nowNanos;
+    }
+
+    /** Time until traffic of this sort may be sent, in nanoseconds; 0 when it may be now. */
+    public long waitNanos(boolean interactive, long nowNanos) {
+        double missing = floor(interactive) - level(nowNanos);
+        return missing < 0 ? 0 : (long) Math.ceil(missing / bitsPerNano) + 1;
+    }
+
+    private double level(long nowNanos) {
+        return Math.min(depthBits, bits + bitsPerNano * Math.max(0, nowNanos - lastNanos));
+    }
+
+    private double floor(boolean interactive) {
+        return interactive ? 0 : depthBits * INTERACTIVE_RESERVE;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/shift/SpillView.java
@@ -0,0 +1,39 @@
+package org.arbutusfield.shift;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * What a host knows when it chooses a region for a caller of its home region. Immutable.
+ *
+ * @param latencyWeight weight of latency in the service's objective
+ * @param headroomWeight weight of headroom in the service's objective
+ * @param home the home region, whose figures come from its own broker
+ * @param others regions that rules allow
+ */
+public record SpillView(double latencyWeight, double headroomWeight, Option home, List<Option> others) {
+    /** Copies the list so that the view stays immutable. */
+    public SpillView {
+        others = List.copyOf(others);
+    }
+
+    /**
+     * One region that could run the request.
+     *
+     * @param region the region
+     * @param preference of the movement rule; lower goes first at equal cost
+     * @param oneWayMillis delay of the link in one direction, in milliseconds; 0 for home
+     * @param headroom last figures; empty when none arrived yet
+     * @param drained whether a drain covers the region
+     * @param permitted whether caps and link budgets let one more request pass
+     * @param rampShare share of traffic that the region's caches allow
+     */
+    public record Option(
+            String region,
+            int preference,
+            double oneWayMillis,
+            Optional<RegionHeadroom> headroom,
+            boolean drained,
+            boolean permitted,
+            double rampShare) {}
+}
--- /dev/null
+++ b/src/test/java/org/arbutusfield/health/UpstreamHealthTest.java
@@ -0,0 +1,156 @@
+package org.arbutusfield.health;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import org.arbutusfield.health.UpstreamHealth.State;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class UpstreamHealthTest {
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+
+    @ParameterizedTest
+    @CsvSource({
+        "FAST, 100, HEALTHY",
+        "SHED, 500, SUSPECT",
+        "SILENT_CONNECTION, 500, SUSPECT",
+        "SLOW, 16, SUSPECT",
+        "SLOW, 17, EJECTED",
+        "TIMEOUT, 3, EJECTED",
+        "CONNECT_FAILURE, 2, SUSPECT",
+        "CONNECT_FAILURE, 3, EJECTED"
+    })
+    void signalsInARowLeadToState(Signal signal, int count, State expected) {
+        assertThat(repeat(healthy(), signal, count, 0).state()).isEqualTo(expected);
+    }
+
+    @Test
+    void ejectionEndsInProbingAndThreeGoodAnswersReturnAsSuspect() {
+        UpstreamHealth ejected = repeat(healthy(), Signal.CONNECT_FAILURE, 3, 0);
+        assertThat(ejected.share(SECOND)).isZero();
+        assertThat(ejected.after(Signal.FAST, SECOND).state()).isEqualTo(State.EJECTED);
+        UpstreamHealth probing = ejected.at(2 * SECOND);
+        assertThat(probing.state()).isEqualTo(State.PROBING);
+        assertThat(repeat(probing, Signal.FAST, 2, 2 * SECOND).state()).isEqualTo(State.PROBING);
+        UpstreamHealth back = repeat(probing, Signal.FAST, 3, 2 * SECOND);
+        assertThat(back.state()).isEqualTo(State.SUSPECT);
+        assertThat(back.share(2 * SECOND)).isLessThan(0.6);
+        assertThat(repeat(back, Signal.FAST, 1, 2 * SECOND).state()).isEqualTo(State.HEALTHY);
+    }
+
+    @Test
+    void flappingServerIsEjectedLongerEachTimeAndForgivenLater() {
+        UpstreamHealth health = healthy();
+        long now = 0;
+        List<Long> lengths = new ArrayList<>();
+        for (int flap = 0; flap < 8; flap++) {
+            health = repeat(health, Signal.CONNECT_FAILURE, 3, now);
+            lengths.add(health.ejectionNanos() / SECOND);
+            now += health.ejectionNanos();
+            health = repeat(health.at(now), Signal.FAST, 25, now);
+        }
+        assertThat(lengths).containsExactly(2L, 4L, 8L, 16L, 32L, 64L, 64L, 64L);
+        int counted = health.ejections();
+        assertThat(health.at(now + 61 * SECOND).ejections()).isEqualTo(counted - 1);
+    }
+
+    @Test
+    void silenceShrinksTheShare() {
+        UpstreamHealth health = healthy();
+        assertThat(health.share(9 * SECOND)).isEqualTo(1);
+        assertThat(health.share(11 * SECOND)).isEqualTo(0.5);
+    }
+
+    @Test
+    void grayServerIsEjectedAndItsPeersAreNot() {
+        Random random = new Random(5);
+        UpstreamHealth gray = healthy();
+        UpstreamHealth peer = healthy();
+        long median = 14_000_000;
+        for (int i = 0; i < 200; i++) {
+            double draw = -Math.log(1 - random.nextDouble());
+            peer = peer.answered((long) (draw * 20_000_000), median, i);
+            gray = gray.answered((long) (draw * 160_000_000), median, i);
+            assertThat(peer.state()).isNotEqualTo(State.EJECTED);
+        }
+        assertThat(gray.state()).isEqualTo(State.EJECTED);
+        assertThat(gray.hard()).isFalse();
+    }
+
+    @Test
+    void medianIgnoresTheSlowAndTheSilent() {
+        assertThat(GroupLatency.median(List.of(10L, 12L, 900L, 0L, 11L))).isEqualTo(11);
+        assertThat(GroupLatency.median(List.of(10L, 0L, 900L))).isZero();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {31, 32, 33, 34})
+    void healthDataNeverExcludeMoreThanHalf(long seed) {
+        Random random = new Random(seed);
+        List<Signal> signals = List.of(Signal.values());
+        for (int round = 0; round < 300; round++) {
+            Map<String, UpstreamHealth> group = new TreeMap<>();
+            int size = 1 + random.nextInt(18);
+            boolean allHard = random.nextBoolean();
+            for (int i = 0; i < size; i++) {
+                UpstreamHealth health = healthy();
+                for (int s = 0; s < 12; s++) {
+                    Signal signal = allHard ? Signal.CONNECT_FAILURE : signals.get(random.nextInt(signals.size()));
+                    health = health.after(signal, s * SECOND);
+                }
+                group.put("u" + i, health);
+            }
+            long usable = PanicFloor.shares(group, 12 * SECOND).values().stream()
+                    .filter(share -> share >= 0.2)
+                    .count();
+            assertThat(usable * 2).as("seed %d round %d", seed, round).isGreaterThanOrEqualTo(size);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 16, 200, 2_000})
+    void probesPerServerDoNotGrowWithTheFleet(int hosts) {
+        List<String> fleet = new ArrayList<>();
+        for (int i = 0; i < hosts; i++) {
+            fleet.add("h" + i);
+        }
+        List<String> upstreams = List.of("u1", "u2", "u3");
+        long probers = fleet.stream()
+                .filter(host -> ProbePlan.duties(host, fleet, upstreams).contains("u1"))
+                .count();
+        assertThat(probers).isEqualTo(Math.min(hosts, ProbePlan.PROBERS));
+        double perSecond = 2.0 * ProbePlan.PROBERS / ProbePlan.PERIOD.toSeconds();
+        assertThat(perSecond).isLessThanOrEqualTo(1);
+        long next = ProbePlan.nextNanos("h0", "u1", 100 * SECOND);
+        assertThat(next - 100 * SECOND).isBetween(1L, ProbePlan.PERIOD.toNanos());
+        assertThat(ProbePlan.nextNanos("h0", "u1", next) - next).isEqualTo(ProbePlan.PERIOD.toNanos());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true, 10, REPLACE", "true, 9, KEEP", "false, 999, KEEP"})
+    void connectionWithoutProgressIsReplaced(boolean awaiting, long idle, SilentConnection.Verdict verdict) {
+        assertThat(SilentConnection.judge(awaiting, 0, 10, idle)).isEqualTo(verdict);
+        assertThat(SilentConnection.blame(true)).isEqualTo(Signal.SILENT_CONNECTION);
+        assertThat(SilentConnection.blame(false).hard()).isTrue();
+    }
+
+    private static UpstreamHealth healthy() {
+        return repeat(UpstreamHealth.unknown(0), Signal.FAST, 30, 0);
+    }
+
+    private static UpstreamHealth repeat(UpstreamHealth health, Signal signal, int count, long now) {
+        UpstreamHealth current = health;
+        for (int i = 0; i < count; i++) {
+            current = current.after(signal, now);
+        }
+        return current;
+    }
+}
--- a/src/test/java/org/arbutusfield/shift/CapAllowanceTest.java
+++ b/src/test/java/org/arbutusfield/shift/CapAllowanceTest.java
@@ -161,6 +161,7 @@
         assertThat(lend(lender, 1, 10 * SECOND)).isZero();
         assertThat(lend(lender, 2, 11 * SECOND)).isEqualTo(100);
         assertThat(lend(lender, 3, 12 * SECOND)).isZero();
+        assertThat(lender.available(21 * SECOND + 7 * SECOND / 10)).isZero();
         assertThat(lend(lender, 4, 26 * SECOND)).isEqualTo(100);
         assertThat(lend(lender, 5, 40 * SECOND)).isZero();
         lender.renew(new PermitLender.Hold(1, 41 * SECOND, 30 * SECOND), 41 * SECOND);
