--- /dev/null
+++ b/src/main/java/org/arbutusfield/claim/ClaimShard.java
@@ -0,0 +1,215 @@
+package org.arbutusfield.claim;
+
+import io.vavr.control.Either;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+
+/**
+ * The claims of one shard of keys, and the rules by which they change. Pure and immutable.
+ *
+ * <p><b>Problem.</b> A caller whose answer is lost sends its request again with the same key, perhaps through another
+ * host, while the first host runs it, has run it, or is dead. Nobody can ask a dead host what it did.
+ *
+ * <p><b>Idea.</b> Before a request runs, its key is claimed in the store by compare-and-swap of the shard. A claim ends
+ * in one of three ways: removed, when the request certainly was not run; completed, with the first answer's status;
+ * unknown, which is also what a claim becomes whose holder said nothing for longer than any request may run.
+ *
+ * <p><b>Invariants.</b> A key is granted only while the shard has no live claim for it, so at most once within the
+ * window. Only the call that made a claim changes it. A claim leaves only by its own call's removal or by age; a full
+ * shard refuses new claims rather than forgetting old ones. Granting the same call again grants it again, so that a
+ * write whose answer was lost can be repeated.
+ *
+ * <p><b>Example.</b> Host a claims k and dies. Host b, asked for k within the run limit, answers that it is in
+ * progress; later, that its outcome is unknown; after the window, k is new.
+ */
+public final class ClaimShard {
+    /** Most claims that fit a value of the store. */
+    public static final int MAX_CLAIMS = 30_000;
+
+    private static final String SUBJECT = "claims";
+    private static final int MAX_HOLDERS = 1000;
+    private static final int MAX_HOLDER_BYTES = 100;
+    private static final int CLAIM_BYTES =
+            2 * Long.BYTES + 1 + Short.BYTES + Short.BYTES + Integer.BYTES + Integer.BYTES;
+    private static final ClaimShard EMPTY = new ClaimShard(Map.of());
+
+    private final Map<ClaimKey, Claim> claims;
+
+    private ClaimShard(Map<ClaimKey, Claim> claims) {
+        this.claims = claims;
+    }
+
+    /**
+     * What a batch of changes leads to.
+     *
+     * @param shard the claims after the changes
+     * @param verdicts one for each change, in order; changes other than {@code BEGIN} are always granted
+     * @param changed whether the shard differs from the one before
+     */
+    public record Result(ClaimShard shard, List<ClaimVerdict> verdicts, boolean changed) {
+        /** Copies the list so that the result stays immutable. */
+        public Result {
+            verdicts = List.copyOf(verdicts);
+        }
+    }
+
+    /** No claims. */
+    public static ClaimShard empty() {
+        return EMPTY;
+    }
+
+    /** Number of claims, expired ones that are still listed included. */
+    public int size() {
+        return claims.size();
+    }
+
+    /** The claim of a key. */
+    public Optional<Claim> find(ClaimKey key) {
+        return Optional.ofNullable(claims.get(key));
+    }
+
+    /**
+     * Works out a batch of changes; expired claims are dropped on the way.
+     *
+     * @param changes the changes in order
+     * @param nowSeconds the time in seconds of the wall clock
+     * @param settings window, run limit and room
+     */
+    public Result apply(List<ClaimChange> changes, long nowSeconds, ClaimSettings settings) {
+        Map<ClaimKey, Claim> next = new LinkedHashMap<>(claims);
+        boolean changed = next.values().removeIf(claim -> expired(claim, nowSeconds, settings));
+        Set<String> holders = new HashSet<>();
+        next.values().forEach(claim -> holders.add(claim.holder()));
+        List<ClaimVerdict> verdicts = new ArrayList<>();
+        for (ClaimChange change : changes) {
+            Claim before = next.get(change.key());
+            if (change.kind() == ClaimChange.Kind.BEGIN) {
+                verdicts.add(begin(next, holders, change, nowSeconds, settings));
+            } else {
+                finish(next, change);
+                verdicts.add(ClaimVerdict.of(ClaimVerdict.Kind.GRANTED));
+            }
+            changed |= !Objects.equals(before, next.get(change.key()));
+        }
+        return new Result(new ClaimShard(next), verdicts, changed);
+    }
+
+    /** Encodes the claims; at most one value of the store. */
+    public byte[] encode() {
+        Map<String, Integer> holders = new LinkedHashMap<>();
+        claims.values().forEach(claim -> holders.putIfAbsent(claim.holder(), holders.size()));
+        int holderBytes = holders.keySet().stream()
+                .mapToInt(h -> Short.BYTES + h.length())
+                .sum();
+        ByteBuffer out = ByteBuffer.allocate(2 * Integer.BYTES + holderBytes + claims.size() * CLAIM_BYTES);
+        out.putInt(holders.size());
+        for (String holder : holders.keySet()) {
+            byte[] name = holder.getBytes(StandardCharsets.US_ASCII);
+            out.putShort((short) name.length).put(name);
+        }
+        out.putInt(claims.size());
+        claims.forEach((key, claim) -> out.putLong(key.high())
+                .putLong(key.low())
+                .put(claim.state().code())
+                .putShort((short) claim.status())
+                .putShort(holders.get(claim.holder()).shortValue())
+                .putInt(claim.sequence())
+                .putInt((int) claim.claimedAtSeconds()));
+        return out.array();
+    }
+
+    /** Decodes claims, or {@code STORE_CORRUPT}. */
+    public static Either<Failure, ClaimShard> decode(byte[] bytes) {
+        try {
+            ByteBuffer in = ByteBuffer.wrap(bytes);
+            List<String> holders = new ArrayList<>();
+            int holderCount = bounded(in.getInt(), Short.MAX_VALUE);
+            for (int i = 0; i < holderCount; i++) {
+                byte[] name = new byte[bounded(in.getShort(), MAX_HOLDER_BYTES)];
+                in.get(name);
+                holders.add(new String(name, StandardCharsets.US_ASCII));
+            }
+            Map<ClaimKey, Claim> claims = new LinkedHashMap<>();
+            int claimCount = bounded(in.getInt(), bytes.length / CLAIM_BYTES);
+            for (int i = 0; i < claimCount; i++) {
+                claims.put(new ClaimKey(in.getLong(), in.getLong()), claim(in, holders));
+            }
+            return Either.right(new ClaimShard(claims));
+        } catch (BufferUnderflowException | IndexOutOfBoundsException | IllegalArgumentException e) {
+            return Either.left(Failure.of(ErrorCode.STORE_CORRUPT, SUBJECT, e.toString()));
+        }
+    }
+
+    private static Claim claim(ByteBuffer in, List<String> holders) {
+        Claim.State state = Claim.State.ofCode(in.get());
+        int status = in.getShort();
+        String holder = holders.get(in.getShort());
+        return new Claim(state, status, holder, in.getInt(), Integer.toUnsignedLong(in.getInt()));
+    }
+
+    private static int bounded(int number, int max) {
+        if (number < 0 || number > max) {
+            throw new IndexOutOfBoundsException(number);
+        }
+        return number;
+    }
+
+    private static ClaimVerdict begin(
+            Map<ClaimKey, Claim> claims,
+            Set<String> holders,
+            ClaimChange change,
+            long nowSeconds,
+            ClaimSettings settings) {
+        Claim claim = claims.get(change.key());
+        if (claim != null) {
+            return change.sameCall(claim) && claim.state() == Claim.State.RUNNING
+                    ? ClaimVerdict.of(ClaimVerdict.Kind.GRANTED)
+                    : verdictOn(claim, nowSeconds, settings);
+        }
+        holders.add(change.holder());
+        if (claims.size() >= settings.maxClaims() || holders.size() > MAX_HOLDERS) {
+            return ClaimVerdict.of(ClaimVerdict.Kind.FULL);
+        }
+        claims.put(change.key(), new Claim(Claim.State.RUNNING, 0, change.holder(), change.sequence(), nowSeconds));
+        return ClaimVerdict.of(ClaimVerdict.Kind.GRANTED);
+    }
+
+    private static ClaimVerdict verdictOn(Claim claim, long nowSeconds, ClaimSettings settings) {
+        if (claim.state() == Claim.State.COMPLETED) {
+            return new ClaimVerdict(ClaimVerdict.Kind.COMPLETED, claim.status());
+        }
+        boolean running = claim.state() == Claim.State.RUNNING
+                && nowSeconds - claim.claimedAtSeconds() <= settings.runLimit().toSeconds();
+        return ClaimVerdict.of(running ? ClaimVerdict.Kind.IN_PROGRESS : ClaimVerdict.Kind.OUTCOME_UNKNOWN);
+    }
+
+    private static void finish(Map<ClaimKey, Claim> claims, ClaimChange change) {
+        Claim claim = claims.get(change.key());
+        if (claim == null || !change.sameCall(claim) || claim.state() != Claim.State.RUNNING) {
+            return;
+        }
+        if (change.kind() == ClaimChange.Kind.REMOVE) {
+            claims.remove(change.key());
+            return;
+        }
+        Claim.State state = change.kind() == ClaimChange.Kind.COMPLETE ? Claim.State.COMPLETED : Claim.State.UNKNOWN;
+        claims.put(
+                change.key(),
+                new Claim(state, change.status(), claim.holder(), claim.sequence(), claim.claimedAtSeconds()));
+    }
+
+    private static boolean expired(Claim claim, long nowSeconds, ClaimSettings settings) {
+        return nowSeconds - claim.claimedAtSeconds() > settings.window().toSeconds();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/claim/WriteBudget.java
@@ -0,0 +1,35 @@
+package org.arbutusfield.claim;
+
+import java.time.Duration;
+import org.arbutusfield.timer.TimerService;
+
+/** This host's share of the store's writes, as a token bucket that holds one second's worth. Thread-safe. */
+final class WriteBudget {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final TimerService timer;
+    private final double perSecond;
+    private double tokens;
+    private long lastNanos;
+
+    private WriteBudget(TimerService timer, double perSecond) {
+        this.timer = timer;
+        this.perSecond = perSecond;
+        this.tokens = perSecond;
+        this.lastNanos = timer.nowNanos();
+    }
+
+    /** A full budget. */
+    static WriteBudget of(TimerService timer, double perSecond) {
+        return new WriteBudget(timer, perSecond);
+    }
+
+    /** Takes the token of one write, in debt if need be; tells how long to wait before the write may be sent. */
+    synchronized Duration take() {
+        long now = timer.nowNanos();
+        tokens = Math.min(perSecond, tokens + perSecond * (now - lastNanos) / NANOS_PER_SECOND);
+        lastNanos = now;
+        tokens--;
+        return tokens >= 0 ? Duration.ZERO : Duration.ofNanos((long) (-tokens / perSecond * NANOS_PER_SECOND));
+    }
+}
