Health of upstreams at the broker; idempotency keys claimed before requests run

Cause: a dead or slow upstream kept its slots until each request failed on it, and a key resent through another host could run twice. Change: the broker's host notes how each use of a slot ended and limits servers by PanicFloor's shares; latencies are compared per request class. The daemon claims keys through ClaimService. Ruled out: health per asking host, which sees a fraction of the outcomes.

--- a/src/main/java/org/arbutusfield/admission/SlotBroker.java
+++ b/src/main/java/org/arbutusfield/admission/SlotBroker.java
@@ -98,6 +98,13 @@
         return servers.containsKey(upstream) ? servers.get(upstream).inUse() : 0;
     }
 
+    /** What a slot is used for; empty when the use is not known or has ended. */
+    public Optional<SlotUse> useOf(SlotToken token) {
+        return grants.find(token)
+                .filter(grant -> grant.token().equals(token))
+                .map(grant -> new SlotUse(grant.server().upstream(), grant.requestClass()));
+    }
+
     /** Requests that wait. */
     public int backlog() {
         return queue.size();
--- a/src/main/java/org/arbutusfield/daemon/Daemon.java
+++ b/src/main/java/org/arbutusfield/daemon/Daemon.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.arbutusfield.claim.ClaimService;
+import org.arbutusfield.claim.ClaimSettings;
 import org.arbutusfield.dispatch.Dispatch;
 import org.arbutusfield.dispatch.HostIdentity;
 import org.arbutusfield.error.Failure;
@@ -31,6 +33,7 @@
 import org.arbutusfield.spread.Snapshot;
 import org.arbutusfield.spread.StoreRepair;
 import org.arbutusfield.store.HttpStore;
+import org.arbutusfield.store.Store;
 import org.arbutusfield.timer.SystemTimer;
 import org.arbutusfield.wire.ControlLimits;
 import org.arbutusfield.wire.PeerAddress;
@@ -49,6 +52,7 @@
     private final RunningState state = RunningState.create();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private volatile boolean leaving;
+    private Store store;
     private ControlPlane control;
     private Dispatch dispatch;
     private EntryServer entry;
@@ -106,7 +110,7 @@
     }
 
     private Either<Failure, Daemon> joinHosts() {
-        HttpStore store = HttpStore.create(
+        store = HttpStore.create(
                 HttpCaller.create(group, CONNECT_TIMEOUT), settings.storeAddress(), settings.storeTimeout());
         PlatformServices platform =
                 new PlatformServices(store, StoredSource.of(store), StoreRepair.none(), HostList.none(), state::check);
@@ -134,6 +138,7 @@
         EntryWiring wiring = EntryWiring.of(settings.region(), state::configuration)
                 .withPlacement(dispatch.placement(state::configuration))
                 .withRetries(dispatch.retries())
+                .withKeys(claims())
                 .withLocal(dispatch.desk())
                 .withPeers(dispatch::isHost);
         return EntryServer.bind(group, settings.callerAddress(), wiring).map(server -> {
@@ -152,6 +157,12 @@
                 });
     }
 
+    private ClaimService claims() {
+        String holder = self.name() + "/" + self.incarnation();
+        return ClaimService.create(
+                store, timer, () -> System.currentTimeMillis() / 1000, holder, ClaimSettings.standard());
+    }
+
     private HostStatus status() {
         RootPointer root = control.running().current().map(Snapshot::root).orElseGet(() -> new RootPointer(0, ""));
         return new HostStatus(
--- /dev/null
+++ b/src/main/java/org/arbutusfield/dispatch/GroupHealth.java
@@ -0,0 +1,85 @@
+package org.arbutusfield.dispatch;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.arbutusfield.admission.SlotRelease;
+import org.arbutusfield.admission.SlotServer;
+import org.arbutusfield.admission.SlotUse;
+import org.arbutusfield.health.GroupLatency;
+import org.arbutusfield.health.PanicFloor;
+import org.arbutusfield.health.Signal;
+import org.arbutusfield.health.UpstreamHealth;
+
+/**
+ * Health of the servers of one group, from the outcomes that all hosts report to the group's broker.
+ *
+ * <p>Latencies are compared as multiples of the usual latency of their request class, so that a server is not called
+ * slow for the downloads that it happened to get. Not thread-safe; its owner calls it under one lock.
+ */
+final class GroupHealth {
+    /** What a latency equal to its class's mean is recorded as, in nanoseconds. */
+    private static final long USUAL_NANOS = 1_000_000;
+
+    private static final double MEAN_STEP = 0.05;
+
+    private final Map<String, UpstreamHealth> servers = new TreeMap<>();
+    private final Map<String, Double> classMeans = new HashMap<>();
+
+    private GroupHealth() {}
+
+    /** Health of no servers yet. */
+    static GroupHealth create() {
+        return new GroupHealth();
+    }
+
+    /** Forgets servers that are no longer in the group. */
+    void retain(Set<String> upstreams) {
+        servers.keySet().retainAll(upstreams);
+    }
+
+    /** Notes how one use of a server ended. */
+    void note(SlotUse use, SlotRelease release, long nowNanos) {
+        UpstreamHealth before = servers.getOrDefault(use.upstream(), UpstreamHealth.unknown(nowNanos));
+        switch (release.outcome()) {
+            case COMPLETED -> servers.put(use.upstream(), answered(before, use, release.serviceNanos(), nowNanos));
+            case SHED -> servers.put(use.upstream(), before.after(Signal.SHED, nowNanos));
+            case FAILED -> servers.put(use.upstream(), before.after(Signal.CONNECT_FAILURE, nowNanos));
+            default -> {
+                // a cancelled request says nothing about the server
+            }
+        }
+    }
+
+    /**
+     * Most slots to use on a server by its health: all while nothing is known against it, one while it is probed.
+     *
+     * @param shares result of {@link #shares}
+     * @param server the server
+     */
+    static int limit(Map<String, Double> shares, SlotServer server) {
+        double share = shares.getOrDefault(server.upstream(), 1.0);
+        return (int) Math.ceil(share * server.slots());
+    }
+
+    /** Share of its usual work for each server with a history. */
+    Map<String, Double> shares(long nowNanos) {
+        Map<String, Double> shares = PanicFloor.shares(servers, nowNanos);
+        servers.forEach((name, health) -> {
+            if (health.ejections() == 0) {
+                shares.put(name, 1.0);
+            }
+        });
+        return shares;
+    }
+
+    private UpstreamHealth answered(UpstreamHealth before, SlotUse use, long serviceNanos, long nowNanos) {
+        double mean = classMeans.merge(
+                use.requestClass(), (double) serviceNanos, (old, latest) -> old + MEAN_STEP * (latest - old));
+        long relative = (long) (USUAL_NANOS * serviceNanos / Math.max(1, mean));
+        long median = GroupLatency.median(
+                servers.values().stream().map(UpstreamHealth::meanNanos).toList());
+        return before.answered(Math.max(1, relative), median, nowNanos);
+    }
+}
--- a/src/main/java/org/arbutusfield/dispatch/SlotGroup.java
+++ b/src/main/java/org/arbutusfield/dispatch/SlotGroup.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 import org.arbutusfield.admission.BrokerMessage;
 import org.arbutusfield.admission.BrokerSettings;
 import org.arbutusfield.admission.ClientAction;
@@ -46,6 +47,7 @@
     private final SlotClient client;
     private final Map<String, CompletableFuture<Either<Failure, String>>> waiting = new HashMap<>();
     private final Map<String, Long> heardNanos = new HashMap<>();
+    private final GroupHealth health = GroupHealth.create();
     private List<SlotServer> servers = List.of();
     private SlotBroker broker;
     private long brokerEpoch;
@@ -93,6 +95,7 @@
     void configure(Collection<SlotServer> to) {
         run(answers -> {
             servers = List.copyOf(to);
+            health.retain(servers.stream().map(SlotServer::upstream).collect(Collectors.toSet()));
             perform(client.configure(servers, timer.nowNanos()), answers);
             if (broker != null) {
                 deliver(broker.configure(servers, timer.nowNanos()), answers);
@@ -176,6 +179,7 @@
             return;
         }
         heartbeatNanos = now;
+        limitByHealth(now, answers);
         heardNanos.values().removeIf(heard -> now - heard > HEARD_LATELY_NANOS);
         for (String host : heardNanos.keySet()) {
             if (!host.equals(self.name())) {
@@ -221,9 +225,11 @@
             return broker.request(request, now);
         }
         if (message instanceof SlotRelease release) {
+            note(release, now);
             return broker.release(release, now);
         }
         if (message instanceof SlotTakeover takeover) {
+            note(takeover.release(), now);
             return broker.takeOver(takeover, now);
         }
         if (message instanceof SlotCancel cancel) {
@@ -232,6 +238,18 @@
         return broker.report((HeldSlots) message, now);
     }
 
+    private void note(SlotRelease release, long now) {
+        broker.useOf(release.token()).ifPresent(use -> health.note(use, release, now));
+    }
+
+    /** Lets health decide how many slots of each server the broker uses. */
+    private void limitByHealth(long now, List<Runnable> answers) {
+        Map<String, Double> shares = health.shares(now);
+        for (SlotServer server : servers) {
+            deliver(broker.limit(server.upstream(), GroupHealth.limit(shares, server), now), answers);
+        }
+    }
+
     private void deliver(List<SlotDecision> decisions, List<Runnable> answers) {
         for (SlotDecision decision : decisions) {
             if (decision.host().equals(self.name())) {
