Admission: token keeps three fields, take-over is off until the wire carries it

Change: the number of the use is part of the sequence, 16 numbers a grant. Defaults give no permits; BrokerSettings.withPermits(TAKE_OVER_PERMITS) switches them on once the codec carries SlotPermit and SlotTakeover. A late copy of an early use's release no longer hides a report of a later use from a new broker. Result: builds with the codec unchanged; the schedule test runs with permits.

--- a/src/main/java/org/arbutusfield/admission/SlotBroker.java
+++ b/src/main/java/org/arbutusfield/admission/SlotBroker.java
@@ -65,7 +65,7 @@
     private final ServiceTimes times = ServiceTimes.create();
     private final Map<String, Long> incarnations = new HashMap<>();
     private final RecentMap<String, Optional<SlotDecision>> answered;
-    private final RecentMap<SlotToken, Boolean> ended;
+    private final RecentMap<SlotToken, Integer> ended;
     private long nextSequence;
 
     private SlotBroker(BrokerSettings settings, String name, long epoch, Recovery recovery) {
@@ -202,7 +202,7 @@
      * @param nowNanos the time
      */
     public List<SlotDecision> release(SlotRelease release, long nowNanos) {
-        ended.put(release.token().first(), true, nowNanos);
+        noteEnded(release.token(), nowNanos);
         grants.end(release.token()).ifPresent(grant -> learn(grant, release, nowNanos));
         return tick(nowNanos);
     }
@@ -290,7 +290,7 @@
             if (expired.isEmpty()) {
                 break;
             }
-            ended.put(expired.get().token().first(), true, nowNanos);
+            noteEnded(expired.get().token(), nowNanos);
         }
         dispatch(nowNanos, out);
         permit(nowNanos, out);
@@ -441,7 +441,7 @@
     private void freeGranted(String requestId, long nowNanos) {
         Optional<SlotDecision> earlier = answered.find(requestId).flatMap(answer -> answer);
         if (earlier.isPresent() && earlier.get() instanceof SlotGrant granted) {
-            ended.put(granted.token(), true, nowNanos);
+            noteEnded(granted.token(), nowNanos);
             grants.end(granted.token());
         }
     }
@@ -454,7 +454,7 @@
             return;
         }
         boolean own = held.token().broker().equals(name) && held.token().epoch() == epoch;
-        if (own || ended.contains(held.token().first())) {
+        if (own || ended.find(held.token().first()).orElse(-1) >= held.token().use()) {
             return;
         }
         ServerState server = servers.computeIfAbsent(
@@ -462,6 +462,11 @@
         grants.add(LiveGrant.of(held.token(), held.requestId(), held.requestClass(), server, expiry));
     }
 
+    private void noteEnded(SlotToken token, long nowNanos) {
+        int latest = Math.max(token.use(), ended.find(token.first()).orElse(0));
+        ended.put(token.first(), latest, nowNanos);
+    }
+
     private boolean outdated(String host, long incarnation) {
         return incarnation < incarnations.getOrDefault(host, Long.MIN_VALUE);
     }
--- a/src/main/java/org/arbutusfield/admission/SlotToken.java
+++ b/src/main/java/org/arbutusfield/admission/SlotToken.java
@@ -5,23 +5,30 @@
  *
  * @param broker name of the host that runs the broker
  * @param epoch incarnation of the broker
- * @param sequence number of the grant within the epoch
- * @param use 0 for the request that the slot was granted to, then one more for each request that took it over
+ * @param sequence number of the use: {@link #USES} times the number of the grant within the epoch, plus 0 for the
+ *     request that the slot was granted to and one more for each request that took it over
  */
-public record SlotToken(String broker, long epoch, long sequence, int use) {
+public record SlotToken(String broker, long epoch, long sequence) {
+    /** Most uses of one grant. */
+    public static final int USES = 16;
 
     /** The first use of a grant. */
-    public static SlotToken of(String broker, long epoch, long sequence) {
-        return new SlotToken(broker, epoch, sequence, 0);
+    public static SlotToken of(String broker, long epoch, long grant) {
+        return new SlotToken(broker, epoch, grant * USES);
+    }
+
+    /** Which use of its grant this is, from 0. */
+    public int use() {
+        return (int) Math.floorMod(sequence, (long) USES);
     }
 
     /** The first use of the same grant. */
     public SlotToken first() {
-        return use == 0 ? this : new SlotToken(broker, epoch, sequence, 0);
+        return use() == 0 ? this : new SlotToken(broker, epoch, sequence - use());
     }
 
-    /** The next use of the same grant. */
+    /** The next use of the same grant; {@link #use()} must be below {@code USES - 1}. */
     public SlotToken next() {
-        return new SlotToken(broker, epoch, sequence, use + 1);
+        return new SlotToken(broker, epoch, sequence + 1);
     }
 }
--- a/src/main/java/org/arbutusfield/lab/admission/AdmissionExperiment.java
+++ b/src/main/java/org/arbutusfield/lab/admission/AdmissionExperiment.java
@@ -34,7 +34,7 @@
         boolean byDeadline = line.getOptionValue("order", "fifo").equals("edf");
         BrokerSettings defaults = BrokerSettings.defaults();
         this.settings = defaults.withOrder(byDeadline ? QueueOrder.EARLIEST_DEADLINE : QueueOrder.FIFO)
-                .withPermits((int) number("permits", defaults.permits()));
+                .withPermits((int) number("permits", BrokerSettings.TAKE_OVER_PERMITS));
     }
 
     /**
--- a/src/test/java/org/arbutusfield/admission/FaultyCluster.java
+++ b/src/test/java/org/arbutusfield/admission/FaultyCluster.java
@@ -19,7 +19,8 @@
 final class FaultyCluster {
     static final long MS = 1_000_000;
     private static final int SLOTS = 2;
-    private static final BrokerSettings SETTINGS = BrokerSettings.defaults();
+    private static final BrokerSettings SETTINGS =
+            BrokerSettings.defaults().withPermits(BrokerSettings.TAKE_OVER_PERMITS);
 
     final VirtualTimer timer = VirtualTimer.create();
     final SplittableRandom random;
--- a/src/test/java/org/arbutusfield/admission/SlotBrokerTest.java
+++ b/src/test/java/org/arbutusfield/admission/SlotBrokerTest.java
@@ -256,7 +256,7 @@
 
     @Test
     void leisureRequestsGetNoPermit() {
-        SlotBroker broker = broker(BrokerSettings.defaults(), S1);
+        SlotBroker broker = broker(PLAIN.withPermits(8), S1);
         broker.request(ask("r1"), 0);
         out.addAll(broker.request(ask("l", Priority.LEISURE, 1000), 1));
         out.addAll(broker.request(ask("i"), 2));
--- a/src/test/java/org/arbutusfield/admission/SlotClientTest.java
+++ b/src/test/java/org/arbutusfield/admission/SlotClientTest.java
@@ -120,7 +120,7 @@
         client.configure(List.of(new SlotServer("s9", failureDomain, 1, drained)), 0);
         client.ask(ask("r1"), 1);
         client.ask(ask("r2"), 2);
-        client.answered("h0", grant("r1", new SlotToken("h0", 1, 1, use)), 3);
+        client.answered("h0", grant("r1", new SlotToken("h0", 1, SlotToken.USES + use)), 3);
         client.answered("h0", new SlotPermit("r2", "h1"), 4);
         out.addAll(client.finished("r1", outcome, 1, 5));
         assertThat(out.contains(new ClientAction.Start("r2", "s9"))).isEqualTo(expected);
