--- a/src/main/java/org/arbutusfield/lab/control/VirtualHost.java
+++ b/src/main/java/org/arbutusfield/lab/control/VirtualHost.java
@@ -20,7 +20,6 @@
 
 /** One host's membership, lease and spread on a {@link VirtualNetwork}: the product's services without sockets. */
 public final class VirtualHost {
-    private static final int CANDIDATES = 2;
     private static final int CALLER_PORT = 8080;
 
     private final Member self;
@@ -104,6 +103,6 @@
     }
 
     private boolean candidate() {
-        return membership != null && membership.view().rankInDomain() < CANDIDATES;
+        return membership != null && membership.view().rankInDomain() < DomainLeader.CANDIDATES;
     }
 }
--- a/src/main/java/org/arbutusfield/member/MembershipDraft.java
+++ b/src/main/java/org/arbutusfield/member/MembershipDraft.java
@@ -8,7 +8,7 @@
 /** The next view of a {@link MembershipView} while one input is worked in. Lives for one step on one thread. */
 final class MembershipDraft {
     private static final int MISMATCHES_BEFORE_SYNC = 3;
-    private static final int PAUSED_INTERVALS = 3;
+    private static final int PAUSED_INTERVALS = 2;
 
     final MembershipLimits limits;
     Rumour self;
--- a/src/main/java/org/arbutusfield/spread/ControlPlane.java
+++ b/src/main/java/org/arbutusfield/spread/ControlPlane.java
@@ -14,8 +14,6 @@
 
 /** Everything by which one host takes part with the others: control server and client, membership, lease and spread. */
 public final class ControlPlane implements AutoCloseable {
-    private static final int CANDIDATES = 2;
-
     private final ControlServer server;
     private final ControlClient client;
     private final ControlHandlers handlers;
@@ -134,7 +132,7 @@
     }
 
     private boolean candidate() {
-        return membership != null && membership.view().rankInDomain() < CANDIDATES;
+        return membership != null && membership.view().rankInDomain() < DomainLeader.CANDIDATES;
     }
 
     private static Member withPort(Member self, int port) {
--- a/src/main/java/org/arbutusfield/spread/DomainLeader.java
+++ b/src/main/java/org/arbutusfield/spread/DomainLeader.java
@@ -23,6 +23,9 @@
  * <p>Only candidates, the few first hosts of the domain in an order that all agree on, ask for the lease.
  */
 public final class DomainLeader implements AutoCloseable {
+    /** How many hosts of a domain ask for a lease that they don't hold. */
+    public static final int CANDIDATES = 2;
+
     private static final Logger LOG = LogManager.getLogger(DomainLeader.class);
     private static final String KEY_PREFIX = "arbutusfield/leader/";
 
--- a/src/main/java/org/arbutusfield/spread/RunningRevision.java
+++ b/src/main/java/org/arbutusfield/spread/RunningRevision.java
@@ -15,7 +15,7 @@
  * The configuration in force on this host. Moves to a newer revision as a whole and never to an older one.
  *
  * <p>Subscribers are called in the order of the revisions, each once per revision, before {@link #install} returns.
- * They must not block and must not install.
+ * They must not block and must not install; one that throws is logged and doesn't keep the others from being called.
  */
 public final class RunningRevision {
     private static final Logger LOG = LogManager.getLogger(RunningRevision.class);
@@ -48,7 +48,7 @@
     public void subscribe(Consumer<Snapshot> subscriber) {
         synchronized (installing) {
             subscribers.add(subscriber);
-            current.ifPresent(subscriber);
+            current.ifPresent(snapshot -> tell(subscriber, snapshot));
         }
     }
 
@@ -74,11 +74,22 @@
                     snapshot.root().revision(),
                     snapshot.root().digest(),
                     origin);
-            subscribers.forEach(subscriber -> subscriber.accept(snapshot));
+            subscribers.forEach(subscriber -> tell(subscriber, snapshot));
             return Either.right(true);
         }
     }
 
+    private static void tell(Consumer<Snapshot> subscriber, Snapshot snapshot) {
+        try {
+            subscriber.accept(snapshot);
+        } catch (RuntimeException e) {
+            LOG.error(
+                    "event=revision_subscriber_failed revision={}",
+                    snapshot.root().revision(),
+                    e);
+        }
+    }
+
     private Either<Failure, Boolean> admit(RootPointer offered, Origin origin) {
         RootPointer running = current.map(Snapshot::root).orElse(null);
         if (running == null || offered.revision() > running.revision()) {
--- a/src/test/java/org/arbutusfield/spread/RunningRevisionTest.java
+++ b/src/test/java/org/arbutusfield/spread/RunningRevisionTest.java
@@ -57,6 +57,9 @@
     void subscribersSeeWhatIsInForceAndThenEachNewerRevisionOnce() {
         RunningRevision running = RunningRevision.create(SnapshotCheck.sha256());
         running.install(snapshot(1, "a"), Origin.STORE);
+        running.subscribe(snapshot -> {
+            throw new IllegalStateException("a faulty subscriber");
+        });
         List<Long> seen = new ArrayList<>();
         running.subscribe(snapshot -> seen.add(snapshot.root().revision()));
         for (long revision : new long[] {3, 2, 3, 5, 4}) {
