Health: usual latency of a request class is a median; permits on by default

Cause: a table case failed: a server twelve times slower than the others kept its slots, because its own answers raised the class's mean that they were compared with. Ruled out: a wider window of the mean (moves the same fault to larger groups). Change: the class's latency is tracked by steps of 2 % towards each sample, a running median. Brokers give permits by default.

--- a/src/main/java/org/arbutusfield/admission/BrokerSettings.java
+++ b/src/main/java/org/arbutusfield/admission/BrokerSettings.java
@@ -30,20 +30,19 @@
 
     private static final int MAX_QUEUED = 10_000;
     private static final int LOWER_CLASS_INTERVAL = 20;
-    private static final int PERMITS = 0;
     private static final long EXPIRY_SLACK_NANOS = Duration.ofMillis(50).toNanos();
     private static final long RECOVER_NANOS = Duration.ofSeconds(1).toNanos();
     private static final long GRACE_NANOS = Duration.ofMillis(500).toNanos();
     private static final long RETENTION_NANOS = Duration.ofSeconds(30).toNanos();
     private static final long MIN_RETRY_NANOS = Duration.ofMillis(250).toNanos();
 
-    /** The settings of a production broker, without permits to take over slots. */
+    /** The settings of a production broker. */
     public static BrokerSettings defaults() {
         return new BrokerSettings(
                 QueueOrder.FIFO,
                 MAX_QUEUED,
                 LOWER_CLASS_INTERVAL,
-                PERMITS,
+                TAKE_OVER_PERMITS,
                 EXPIRY_SLACK_NANOS,
                 RECOVER_NANOS,
                 GRACE_NANOS,
--- a/src/main/java/org/arbutusfield/dispatch/GroupHealth.java
+++ b/src/main/java/org/arbutusfield/dispatch/GroupHealth.java
@@ -19,13 +19,13 @@
  * slow for the downloads that it happened to get. Not thread-safe; its owner calls it under one lock.
  */
 final class GroupHealth {
-    /** What a latency equal to its class's mean is recorded as, in nanoseconds. */
+    /** What a latency equal to its class's median is recorded as, in nanoseconds. */
     private static final long USUAL_NANOS = 1_000_000;
 
-    private static final double MEAN_STEP = 0.05;
+    private static final double MEDIAN_STEP = 0.02;
 
     private final Map<String, UpstreamHealth> servers = new TreeMap<>();
-    private final Map<String, Double> classMeans = new HashMap<>();
+    private final Map<String, Double> classMedians = new HashMap<>();
 
     private GroupHealth() {}
 
@@ -75,11 +75,15 @@
     }
 
     private UpstreamHealth answered(UpstreamHealth before, SlotUse use, long serviceNanos, long nowNanos) {
-        double mean = classMeans.merge(
-                use.requestClass(), (double) serviceNanos, (old, latest) -> old + MEAN_STEP * (latest - old));
-        long relative = (long) (USUAL_NANOS * serviceNanos / Math.max(1, mean));
+        double usual = classMedians.merge(use.requestClass(), (double) serviceNanos, GroupHealth::stepTowards);
+        long relative = (long) (USUAL_NANOS * serviceNanos / Math.max(1, usual));
         long median = GroupLatency.median(
                 servers.values().stream().map(UpstreamHealth::meanNanos).toList());
         return before.answered(Math.max(1, relative), median, nowNanos);
     }
+
+    /** Moves an estimate of the median a fixed fraction towards a sample, so that far samples weigh no more. */
+    private static double stepTowards(double median, double sample) {
+        return sample > median ? median * (1 + MEDIAN_STEP) : median * (1 - MEDIAN_STEP);
+    }
 }
--- a/src/main/java/org/arbutusfield/dispatch/SlotCodec.java
+++ b/src/main/java/org/arbutusfield/dispatch/SlotCodec.java
@@ -235,14 +235,13 @@
     }
 
     private static org.arbutusfield.wire.gen.SlotToken token(SlotToken token) {
-        return new org.arbutusfield.wire.gen.SlotToken(token.broker(), token.epoch(), token.sequence(), token.use());
+        return new org.arbutusfield.wire.gen.SlotToken(token.broker(), token.epoch(), token.sequence());
     }
 
     private static Optional<SlotToken> token(org.arbutusfield.wire.gen.SlotToken token) {
         return token == null || token.getBroker() == null
                 ? Optional.empty()
-                : Optional.of(
-                        new SlotToken(token.getBroker(), token.getEpoch(), token.getSequence(), token.getUseNumber()));
+                : Optional.of(new SlotToken(token.getBroker(), token.getEpoch(), token.getSequence()));
     }
 
     private static boolean anyNull(String... fields) {
--- a/src/main/java/org/arbutusfield/wire/gen/SlotToken.java
+++ b/src/main/java/org/arbutusfield/wire/gen/SlotToken.java
@@ -13,7 +13,6 @@
   private static final org.apache.thrift.protocol.TField BROKER_FIELD_DESC = new org.apache.thrift.protocol.TField("broker", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField EPOCH_FIELD_DESC = new org.apache.thrift.protocol.TField("epoch", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField SEQUENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("sequence", org.apache.thrift.protocol.TType.I64, (short)3);
-  private static final org.apache.thrift.protocol.TField USE_NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("useNumber", org.apache.thrift.protocol.TType.I32, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new SlotTokenStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new SlotTokenTupleSchemeFactory();
@@ -21,14 +20,12 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String broker; // required
   private long epoch; // required
   private long sequence; // required
-  private int useNumber; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     BROKER((short)1, "broker"),
     EPOCH((short)2, "epoch"),
-    SEQUENCE((short)3, "sequence"),
-    USE_NUMBER((short)4, "useNumber");
+    SEQUENCE((short)3, "sequence");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -50,8 +47,6 @@
           return EPOCH;
         case 3: // SEQUENCE
           return SEQUENCE;
-        case 4: // USE_NUMBER
-          return USE_NUMBER;
         default:
           return null;
       }
@@ -97,7 +92,6 @@
   // isset id assignments
   private static final int __EPOCH_ISSET_ID = 0;
   private static final int __SEQUENCE_ISSET_ID = 1;
-  private static final int __USENUMBER_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -108,8 +102,6 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.SEQUENCE, new org.apache.thrift.meta_data.FieldMetaData("sequence", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.USE_NUMBER, new org.apache.thrift.meta_data.FieldMetaData("useNumber", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(SlotToken.class, metaDataMap);
   }
@@ -120,8 +112,7 @@
   public SlotToken(
     java.lang.String broker,
     long epoch,
-    long sequence,
-    int useNumber)
+    long sequence)
   {
     this();
     this.broker = broker;
@@ -129,8 +120,6 @@
     setEpochIsSet(true);
     this.sequence = sequence;
     setSequenceIsSet(true);
-    this.useNumber = useNumber;
-    setUseNumberIsSet(true);
   }
 
   /**
@@ -143,7 +132,6 @@
     }
     this.epoch = other.epoch;
     this.sequence = other.sequence;
-    this.useNumber = other.useNumber;
   }
 
   @Override
@@ -158,8 +146,6 @@
     this.epoch = 0;
     setSequenceIsSet(false);
     this.sequence = 0;
-    setUseNumberIsSet(false);
-    this.useNumber = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -233,29 +219,6 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SEQUENCE_ISSET_ID, value);
   }
 
-  public int getUseNumber() {
-    return this.useNumber;
-  }
-
-  public SlotToken setUseNumber(int useNumber) {
-    this.useNumber = useNumber;
-    setUseNumberIsSet(true);
-    return this;
-  }
-
-  public void unsetUseNumber() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __USENUMBER_ISSET_ID);
-  }
-
-  /** Returns true if field useNumber is set (has been assigned a value) and false otherwise */
-  public boolean isSetUseNumber() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __USENUMBER_ISSET_ID);
-  }
-
-  public void setUseNumberIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __USENUMBER_ISSET_ID, value);
-  }
-
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -283,14 +246,6 @@
       }
       break;
 
-    case USE_NUMBER:
-      if (value == null) {
-        unsetUseNumber();
-      } else {
-        setUseNumber((java.lang.Integer)value);
-      }
-      break;
-
     }
   }
 
@@ -307,9 +262,6 @@
     case SEQUENCE:
       return getSequence();
 
-    case USE_NUMBER:
-      return getUseNumber();
-
     }
     throw new java.lang.IllegalStateException();
   }
@@ -328,8 +280,6 @@
       return isSetEpoch();
     case SEQUENCE:
       return isSetSequence();
-    case USE_NUMBER:
-      return isSetUseNumber();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -374,15 +324,6 @@
         return false;
     }
 
-    boolean this_present_useNumber = true;
-    boolean that_present_useNumber = true;
-    if (this_present_useNumber || that_present_useNumber) {
-      if (!(this_present_useNumber && that_present_useNumber))
-        return false;
-      if (this.useNumber != that.useNumber)
-        return false;
-    }
-
     return true;
   }
 
@@ -398,8 +339,6 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sequence);
 
-    hashCode = hashCode * 8191 + useNumber;
-
     return hashCode;
   }
 
@@ -441,16 +380,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetUseNumber(), other.isSetUseNumber());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetUseNumber()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.useNumber, other.useNumber);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     return 0;
   }
 
@@ -490,10 +419,6 @@
     sb.append("sequence:");
     sb.append(this.sequence);
     first = false;
-    if (!first) sb.append(", ");
-    sb.append("useNumber:");
-    sb.append(this.useNumber);
-    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -565,14 +490,6 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 4: // USE_NUMBER
-            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-              struct.useNumber = iprot.readI32();
-              struct.setUseNumberIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -600,9 +517,6 @@
       oprot.writeFieldBegin(SEQUENCE_FIELD_DESC);
       oprot.writeI64(struct.sequence);
       oprot.writeFieldEnd();
-      oprot.writeFieldBegin(USE_NUMBER_FIELD_DESC);
-      oprot.writeI32(struct.useNumber);
-      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -631,10 +545,7 @@
       if (struct.isSetSequence()) {
         optionals.set(2);
       }
-      if (struct.isSetUseNumber()) {
-        optionals.set(3);
-      }
-      oprot.writeBitSet(optionals, 4);
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetBroker()) {
         oprot.writeString(struct.broker);
       }
@@ -644,15 +555,12 @@
       if (struct.isSetSequence()) {
         oprot.writeI64(struct.sequence);
       }
-      if (struct.isSetUseNumber()) {
-        oprot.writeI32(struct.useNumber);
-      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, SlotToken struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         struct.broker = iprot.readString();
         struct.setBrokerIsSet(true);
@@ -665,10 +573,6 @@
         struct.sequence = iprot.readI64();
         struct.setSequenceIsSet(true);
       }
-      if (incoming.get(3)) {
-        struct.useNumber = iprot.readI32();
-        struct.setUseNumberIsSet(true);
-      }
     }
   }
 
--- a/src/main/thrift/control.thrift
+++ b/src/main/thrift/control.thrift
@@ -65,12 +65,11 @@
   7: binary content
 }
 
-// Names one use of one grant of one broker.
+// Names one use of one grant of one broker; `sequence` numbers the uses.
 struct SlotToken {
   1: string broker
   2: i64 epoch
   3: i64 sequence
-  4: i32 useNumber
 }
 
 // Asks the broker of a group of servers for a slot. `group`: service and region. `priority`: 0 goes first.
--- a/src/test/java/org/arbutusfield/dispatch/SlotCodecTest.java
+++ b/src/test/java/org/arbutusfield/dispatch/SlotCodecTest.java
@@ -24,7 +24,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 class SlotCodecTest {
-    private static final SlotToken TOKEN = new SlotToken("h0", 7, 3, 2);
+    private static final SlotToken TOKEN = new SlotToken("h0", 7, 3);
     private static final SlotRelease RELEASE = new SlotRelease(TOKEN, SlotRelease.Outcome.SHED, 55);
 
     static Stream<BrokerMessage> messages() {
