Spill: fractions under caps, next region by cost after a refusal

Cause: with one region at 150 % the first region by cost took the whole fraction, its cap turned most of it away, and refused requests went home to a long queue although another region had slots.

Change: a fraction is bounded by what ramp and cap allow together (SpillView.Option.shareLimit); after the first choice the order goes by cost, home among the others; a refusal stands for 3 ms.

--- a/src/main/java/org/arbutusfield/lab/shift/SpillRun.java
+++ b/src/main/java/org/arbutusfield/lab/shift/SpillRun.java
@@ -227,8 +227,8 @@
         for (int i = 0; i < REGIONS; i++) {
             if (i != home) {
                 Optional<RegionHeadroom> figures = seen == null ? Optional.empty() : Optional.of(seen[i]);
-                double ramp = regions[i].ramps[home].share(timer.nowNanos());
-                others.add(new SpillView.Option("r" + i, 1, setup.oneWayMillis(), figures, false, true, ramp));
+                double limit = Math.min(setup.maxShare(), regions[i].ramps[home].share(timer.nowNanos()));
+                others.add(new SpillView.Option("r" + i, 1, setup.oneWayMillis(), figures, false, true, limit));
             }
         }
         SpillView.Option own =
--- a/src/main/java/org/arbutusfield/shift/SpillPolicy.java
+++ b/src/main/java/org/arbutusfield/shift/SpillPolicy.java
@@ -25,7 +25,7 @@
  *
  * <p><b>Invariants.</b> A drained region, one without permit and one that just refused is not in the order, except that
  * home stands in it until it is drained. The older a figure, the closer it is taken to a full region. The fraction
- * towards a region never exceeds what its caches allow, and fractions sum to at most 1.
+ * towards a region never exceeds what its caches and the caps allow, and fractions sum to at most 1.
  *
  * <p><b>Example.</b> Service time 30 ms. Weights 1 and 3, link 12 ms, the other region half loaded: it costs 24 + 22.5
  * = 46.5; home costs 90 x load squared and so spills from a load of about 0.8. Weights 3 and 1, link 35 ms: the other
@@ -67,10 +67,14 @@
             }
             point -= fraction;
         }
+        List<SpillView.Option> rest = new ArrayList<>(others);
         if (!view.home().drained()) {
+            rest.add(view.home());
+        }
+        if (order.isEmpty() && homeFirst) {
             order.add(view.home().region());
         }
-        for (SpillView.Option option : others) {
+        for (SpillView.Option option : byCost(view, rest, nowNanos)) {
             if (!order.contains(option.region())) {
                 order.add(option.region());
             }
@@ -93,7 +97,7 @@
         double left = 1;
         for (SpillView.Option option : byCost(view, view.others(), nowNanos)) {
             double next = step(state.fraction(option.region()), homeCost, cost(view, option, nowNanos));
-            double bounded = option.drained() ? 0 : Math.min(left, Math.min(next, option.rampShare()));
+            double bounded = option.drained() ? 0 : Math.min(left, Math.min(next, option.shareLimit()));
             left -= bounded;
             fractions.put(option.region(), bounded);
         }
--- a/src/main/java/org/arbutusfield/shift/SpillState.java
+++ b/src/main/java/org/arbutusfield/shift/SpillState.java
@@ -12,7 +12,7 @@
  * @param refusedUntilNanos regions not to be asked before the time
  */
 public record SpillState(Map<String, Double> fractions, Map<String, Long> refusedUntilNanos) {
-    private static final long REFUSAL_NANOS = Duration.ofMillis(10).toNanos();
+    private static final long REFUSAL_NANOS = Duration.ofMillis(3).toNanos();
 
     /** Copies the maps so that the state stays immutable. */
     public SpillState {
--- a/src/main/java/org/arbutusfield/shift/SpillView.java
+++ b/src/main/java/org/arbutusfield/shift/SpillView.java
@@ -26,7 +26,7 @@
      * @param headroom last figures; empty when none arrived yet
      * @param drained whether a drain covers the region
      * @param permitted whether caps and link budgets let one more request pass
-     * @param rampShare share of traffic that the region's caches allow
+     * @param shareLimit largest share of the home region's requests that cold caches and caps allow there, 0 to 1
      */
     public record Option(
             String region,
@@ -35,5 +35,5 @@
             Optional<RegionHeadroom> headroom,
             boolean drained,
             boolean permitted,
-            double rampShare) {}
+            double shareLimit) {}
 }
--- a/src/test/java/org/arbutusfield/shift/SpillPolicyTest.java
+++ b/src/test/java/org/arbutusfield/shift/SpillPolicyTest.java
@@ -84,7 +84,7 @@
             SpillState state = SpillState.initial();
             for (int step = 0; step < 20; step++) {
                 state = SpillPolicy.observe(view, state, 0);
-                assertThat(state.fraction("far")).isLessThanOrEqualTo(far.rampShare());
+                assertThat(state.fraction("far")).isLessThanOrEqualTo(far.shareLimit());
             }
             state = refused ? state.withRefusal("far", 0) : state;
             boolean may = !drained && permitted && !refused && !Double.isInfinite(load);
