Proxy: proofs of the request path, and four faults they found

Cause: the first path had no tests of smuggling, stops, hops, reuse, deadlines and bounds. Seen failing before the change: a broken chunk counted as a received body, so its refusal did not close; sending a body re-entered itself when a write made the connection writable and ended the body twice, seen as UPSTREAM_LOST on 3 MB uploads; a connection went back to its pool after the answer's flush, so that with a limit of one the next caller met CONNECTION_LIMIT; leaving closed a connection whose answer had promised to keep it. Ruled out for the upload: the stand-in closing, by its counters.

--- a/src/main/java/org/arbutusfield/lab/StandInConnection.java
+++ b/src/main/java/org/arbutusfield/lab/StandInConnection.java
@@ -36,6 +36,7 @@
     private StandInAnswer answer;
     private long sent;
     private long stopAt;
+    private boolean writing;
 
     private StandInConnection(UpstreamStandIn server) {
         this.server = server;
@@ -219,9 +220,10 @@
     }
 
     private void writeOn() {
-        if (answer == null || silent) {
+        if (answer == null || silent || writing) {
             return;
         }
+        writing = true;
         while (sent < stopAt && channel.isWritable()) {
             int count = (int) Math.min(WRITE_BYTES, stopAt - sent);
             ByteBuf part = Unpooled.wrappedBuffer(answer.body(sent, count));
@@ -230,6 +232,7 @@
             channel.flush();
         }
         channel.flush();
+        writing = false;
         if (sent >= stopAt) {
             answer = null;
             end();
--- a/src/main/java/org/arbutusfield/lab/UpstreamStandIn.java
+++ b/src/main/java/org/arbutusfield/lab/UpstreamStandIn.java
@@ -184,6 +184,11 @@
         connections.forEach(StandInConnection::silence);
     }
 
+    /** Closes the connections open now; new ones work. */
+    public void dropConnections() {
+        connections.forEach(StandInConnection::close);
+    }
+
     /** Takes no new connections; those open work on. */
     public void stopAccepting() {
         listener.close().awaitUninterruptibly();
--- /dev/null
+++ b/src/main/java/org/arbutusfield/lab/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** Measuring programs for the request path. */
+package org.arbutusfield.lab.proxy;
--- a/src/main/java/org/arbutusfield/proxy/Attempt.java
+++ b/src/main/java/org/arbutusfield/proxy/Attempt.java
@@ -38,6 +38,7 @@
     private ConnectionPool pool;
     private UpstreamConnection connection;
     private long sentNanos;
+    private boolean pumping;
     private boolean bodyEnded;
     private boolean discarding;
     private boolean over;
@@ -101,12 +102,14 @@
 
     /** Sends what the caller has delivered, as far as the connection takes it. */
     void pump() {
-        if (over || bodyEnded || connection == null) {
+        if (over || bodyEnded || connection == null || pumping) {
             return;
         }
+        pumping = true;
         while (body.hasUnsent() && connection.writable()) {
             connection.sendBody(body.next());
         }
+        pumping = false;
         if (body.hasUnsent() || !connection.writable()) {
             return;
         }
@@ -135,9 +138,9 @@
         connection.reading(true);
     }
 
-    /** Closes this try's connection, which went silent, and idle ones that may have gone silent with it. */
+    /** Closes this try's connection, which went silent, and idle ones that have shown no life since. */
     void closeSilent() {
-        long since = connection.lastReadNanos();
+        long since = lastProgressNanos();
         pool.closeIdle(other -> other.lastReadNanos() - since <= 0);
         cancel(onReusedConnection() ? Outcome.CANCELLED : Outcome.FAILED);
     }
--- a/src/main/java/org/arbutusfield/proxy/CallerConnection.java
+++ b/src/main/java/org/arbutusfield/proxy/CallerConnection.java
@@ -255,7 +255,7 @@
         if (!channel.isActive()) {
             return;
         }
-        if (!reusable || closeAfter || closing()) {
+        if (!reusable || closeAfter || draining) {
             linger();
             return;
         }
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -120,7 +120,7 @@
         }
         boolean broken = part.decoderResult().isFailure();
         body.add(part.content());
-        if (part instanceof LastHttpContent) {
+        if (part instanceof LastHttpContent && !broken) {
             body.end();
             streamedBodyEnded();
         }
--- a/src/main/java/org/arbutusfield/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/UpstreamConnection.java
@@ -29,8 +29,8 @@
  * closes it after the answer. After {@link #abandon()} or a loss the receiver is not called again.
  *
  * <p>Example: the upstream sends the same answer twice. The first copy goes to the receiver. The second is in the same
- * read, so the check at the end of that read finds it and closes the connection, or it arrives later and finds the
- * connection idle, which closes it too.
+ * read, so the decoder still holds its bytes when the first has ended and the connection is closed, or it arrives later
+ * and finds the connection idle, which closes it too.
  *
  * <p>What this cannot see is a stale answer that arrives after the next request was written. Against that stands the
  * request id: an upstream that echoes it proves whose answer it is, see {@link #echoed()}.
@@ -44,7 +44,6 @@
     private UpstreamReceiver receiver;
     private boolean reused;
     private boolean requestEnded;
-    private boolean answerEnded;
     private boolean keepAlive;
     private boolean informational;
     private boolean echoed;
@@ -85,7 +84,6 @@
     public void begin(HttpRequest head, UpstreamReceiver to) {
         receiver = to;
         requestEnded = false;
-        answerEnded = false;
         keepAlive = true;
         decoder.expectAnswerTo(head.method());
         if (head instanceof FullHttpRequest) {
@@ -135,7 +133,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         lastReadNanos = System.nanoTime();
-        if (receiver == null || answerEnded) {
+        if (receiver == null) {
             ReferenceCountUtil.release(message);
             keepAlive = false;
             channel.close();
@@ -157,10 +155,6 @@
         if (receiver != null) {
             receiver.batchEnded();
         }
-        if (answerEnded && receiver != null) {
-            receiver = null;
-            settle();
-        }
     }
 
     @Override
@@ -227,8 +221,12 @@
             channel.close();
             return;
         }
-        answerEnded = content instanceof LastHttpContent;
-        receiver.answerContent(content);
+        UpstreamReceiver to = receiver;
+        if (content instanceof LastHttpContent) {
+            receiver = null;
+            settle();
+        }
+        to.answerContent(content);
     }
 
     private void settle() {
@@ -243,7 +241,7 @@
     }
 
     private void lose(Loss loss) {
-        UpstreamReceiver told = answerEnded ? null : receiver;
+        UpstreamReceiver told = receiver;
         receiver = null;
         if (told != null) {
             told.lost(loss);
--- /dev/null
+++ b/src/test/java/org/arbutusfield/proxy/BadInputTest.java
@@ -0,0 +1,181 @@
+package org.arbutusfield.proxy;
+
+import static org.arbutusfield.proxy.ProxyBench.get;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.stream.Stream;
+import org.arbutusfield.proxy.RawCaller.Answer;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** What callers send by fault or with intent; none of it reaches an upstream. */
+class BadInputTest {
+    private static final String POST = "POST /desk/book HTTP/1.1\r\nhost: x\r\nx-request-id: s\r\n";
+    private static final String SMUGGLED = "GET /desk/smuggled HTTP/1.1\r\nhost: x\r\n\r\n";
+    private static final ProxyBench BENCH = ProxyBench.of(1, 64, wiring -> wiring.withLimits(limits()));
+
+    @AfterAll
+    static void stop() {
+        BENCH.close();
+    }
+
+    static ProxyLimits limits() {
+        ProxyLimits standard = ProxyLimits.standard();
+        return new ProxyLimits(
+                standard.callerConnections(),
+                standard.headBytes(),
+                1 << 20,
+                standard.replayBytes(),
+                standard.hostReplayBytes(),
+                standard.hostPendingBytes(),
+                Duration.ofMillis(300),
+                Duration.ofMillis(300),
+                Duration.ofSeconds(20),
+                Duration.ofSeconds(1),
+                standard.connectTimeout(),
+                standard.progressTimeout(),
+                Duration.ofMillis(500),
+                standard.attempts());
+    }
+
+    static Stream<Arguments> malformed() {
+        return Stream.of(
+                Arguments.of("both lengths", POST + "content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"),
+                Arguments.of("both, other order", POST + "transfer-encoding: chunked\r\ncontent-length: 4\r\n\r\nabcd"),
+                Arguments.of("two lengths", POST + "content-length: 4\r\ncontent-length: 5\r\n\r\nabcd"),
+                Arguments.of("equal lengths twice", POST + "content-length: 4\r\ncontent-length: 4\r\n\r\nabcd"),
+                Arguments.of("list of lengths", POST + "content-length: 4, 4\r\n\r\nabcd"),
+                Arguments.of("signed length", POST + "content-length: +4\r\n\r\nabcd"),
+                Arguments.of("negative length", POST + "content-length: -1\r\n\r\n"),
+                Arguments.of("hexadecimal length", POST + "content-length: 0x4\r\n\r\nabcd"),
+                Arguments.of("huge length", POST + "content-length: 99999999999999999999\r\n\r\n"),
+                Arguments.of("chunked twice", POST + "transfer-encoding: chunked, chunked\r\n\r\n0\r\n\r\n"),
+                Arguments.of(
+                        "two encodings", POST + "transfer-encoding: chunked\r\ntransfer-encoding: x\r\n\r\n0\r\n\r\n"),
+                Arguments.of("unknown encoding", POST + "transfer-encoding: identity\r\n\r\n"),
+                Arguments.of("disguised encoding", POST + "transfer-encoding: xchunked\r\n\r\n0\r\n\r\n"),
+                Arguments.of("quoted encoding", POST + "transfer-encoding: \"chunked\"\r\n\r\n0\r\n\r\n"),
+                Arguments.of("chunk size", POST + "transfer-encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n"),
+                Arguments.of("negative chunk", POST + "transfer-encoding: chunked\r\n\r\n-1\r\nabc\r\n0\r\n\r\n"),
+                Arguments.of("huge chunk", POST + "transfer-encoding: chunked\r\n\r\nfffffffff\r\nabc\r\n0\r\n\r\n"),
+                Arguments.of("folded line", POST + "x-note: a\r\n b\r\n\r\n"),
+                Arguments.of("folded length", POST + "content-length:\r\n 4\r\n\r\nabcd"),
+                Arguments.of("tab folded", POST + "x-note: a\r\n\tcontent-length: 4\r\n\r\n"),
+                Arguments.of("space before colon", POST + "content-length : 4\r\n\r\nabcd"),
+                Arguments.of("no colon", POST + "nonsense\r\n\r\n"),
+                Arguments.of("control byte", POST + "x-note: a\u0000b\r\n\r\n"),
+                Arguments.of("no host", "GET /desk/x HTTP/1.1\r\n\r\n"),
+                Arguments.of("two hosts", "GET /desk/x HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n"),
+                Arguments.of("version", "GET /desk/x HTTP/2.0\r\nhost: x\r\n\r\n"),
+                Arguments.of("chunked in 1.0", "POST /desk/x HTTP/1.0\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"),
+                Arguments.of("not HTTP", "\u0016\u0003\u0001\u0002\u0000 GET\r\n\r\n"));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("malformed")
+    void isRefusedAndClosed(String name, String bytes) {
+        long before = BENCH.upstream().received();
+        try (RawCaller caller = BENCH.caller()) {
+            Answer answer = caller.call(bytes + SMUGGLED);
+            assertThat(answer.status()).isEqualTo(400);
+            assertThat(answer.code()).isEqualTo("REQUEST_MALFORMED");
+            assertThat(answer.saysNotRun()).isTrue();
+            assertThat(answer.header("connection")).isEqualTo("close");
+            assertThat(caller.closedByPeer()).isTrue();
+        }
+        assertThat(BENCH.upstream().received()).isEqualTo(before);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"header", "line", "length", "chunked"})
+    void tooLargeIsRefused(String what) {
+        long runs = BENCH.runs("big");
+        try (RawCaller caller = BENCH.caller()) {
+            String head = "POST /desk/x HTTP/1.1\r\nhost: x\r\nx-request-id: big\r\n";
+            String bytes =
+                    switch (what) {
+                        case "header" -> head + "x-note: " + "a".repeat(20_000) + "\r\n\r\n";
+                        case "line" -> "GET /desk/" + "a".repeat(20_000) + " HTTP/1.1\r\nhost: x\r\n\r\n";
+                        case "length" -> head + "content-length: 2000000\r\n\r\n";
+                        default -> head + "transfer-encoding: chunked\r\n\r\n1e8480\r\n" + "a".repeat(1_500_000);
+                    };
+            Answer answer = caller.call(bytes);
+            assertThat(answer.status()).isIn(413, 400);
+            assertThat(answer.code()).isIn("REQUEST_TOO_LARGE", "REQUEST_BROKEN");
+            assertThat(answer.saysNotRun()).isEqualTo(answer.code().equals("REQUEST_TOO_LARGE"));
+        }
+        assertThat(BENCH.runs("big")).isEqualTo(runs);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "'GET /desk/x HTTP/1.1\r\nho',                                                     REQUEST_TIMEOUT, true",
+        "'POST /desk/book HTTP/1.1\r\nhost: x\r\nx-request-deadline-ms: 300\r\ncontent-length: 5\r\n\r\nab', "
+                + "REQUEST_TIMEOUT, true",
+        "'POST /desk/book HTTP/1.1\r\nhost: x\r\ncontent-length: 900000\r\n\r\nab',          REQUEST_BROKEN, false",
+    })
+    void slowCallersAreRefused(String bytes, String code, boolean notRun) {
+        try (RawCaller caller = BENCH.caller()) {
+            Answer answer = caller.call(bytes);
+            assertThat(answer.code()).isEqualTo(code);
+            assertThat(answer.saysNotRun()).isEqualTo(notRun);
+            assertThat(caller.closedByPeer()).isTrue();
+        }
+    }
+
+    @Test
+    void aClassIsNotDodgedByTheWayAPathIsWritten() throws InterruptedException {
+        for (String path : new String[] {"/desk/%62ook", "/desk//book", "/desk/x/../book", "/desk/./book/1"}) {
+            try (RawCaller caller = BENCH.caller()) {
+                BENCH.records.clear();
+                assertThat(caller.call(get(path, "p")).status()).isEqualTo(200);
+                assertThat(BENCH.nextRecord().requestClass()).isEqualTo("book");
+            }
+        }
+    }
+
+    @Test
+    void tooManyConnectionsAreRefused() {
+        ProxyLimits few = new ProxyLimits(
+                1,
+                1 << 14,
+                1 << 20,
+                1 << 16,
+                1 << 20,
+                1 << 20,
+                Duration.ofSeconds(5),
+                Duration.ofSeconds(5),
+                Duration.ofSeconds(5),
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(5),
+                2);
+        try (ProxyBench bench = ProxyBench.of(1, 64, wiring -> wiring.withLimits(few));
+                RawCaller first = bench.caller()) {
+            assertThat(first.call(get("/desk/x", "1")).status()).isEqualTo(200);
+            try (RawCaller second = bench.caller()) {
+                assertThat(second.call(get("/desk/x", "2")).code()).isEqualTo("CONNECTION_LIMIT");
+            }
+            assertThat(bench.runs("2")).isZero();
+            assertThat(first.call(get("/desk/x", "3")).status()).isEqualTo(200);
+        }
+    }
+
+    @Test
+    void aFloodOfTinyChunksIsServed() {
+        try (RawCaller caller = BENCH.caller()) {
+            StringBuilder chunks = new StringBuilder(POST).append("transfer-encoding: chunked\r\n\r\n");
+            for (int i = 0; i < 40_000; i++) {
+                chunks.append("1\r\na\r\n");
+            }
+            Answer answer = caller.call(chunks.append("0\r\n\r\n").toString());
+            assertThat(answer.text()).endsWith("a".repeat(40_000));
+        }
+    }
+}
--- a/src/test/java/org/arbutusfield/proxy/EntryServerTest.java
+++ b/src/test/java/org/arbutusfield/proxy/EntryServerTest.java
@@ -78,7 +78,9 @@
         try (RawCaller caller = bench.caller()) {
             caller.send("POST /desk/large HTTP/1.1\r\nhost: x\r\nx-request-id: l\r\ncontent-length: " + large.length
                     + "\r\n\r\n");
-            assertThat(caller.send(large).read(false).body().length).isGreaterThanOrEqualTo(1 << 20);
+            Answer stored = caller.send(large).read(false);
+            assertThat(stored.code()).isEmpty();
+            assertThat(stored.body().length).isGreaterThanOrEqualTo(1 << 20);
             Answer blob = caller.call(get("/desk/blob/5000000", "blob"));
             assertThat(blob.whole()).isTrue();
             assertThat(blob.body()).isEqualTo(Blobs.bytes("/blob/5000000", 5_000_000));
--- a/src/test/java/org/arbutusfield/proxy/RawCaller.java
+++ b/src/test/java/org/arbutusfield/proxy/RawCaller.java
@@ -130,6 +130,10 @@
         }
     }
 
+    void hangUp() {
+        close();
+    }
+
     @Override
     public void close() {
         try {
