Observe: request metrics, burn of service-level objectives, report burn

Cause: operators could not see what burns an objective, nor scrape a metric. Change: RequestMeter counts finished requests as Prometheus metrics and against objectives in minute slots over six hours; the admin port serves /burn and /metrics; arbutusctl report burn asks every host, counts no process twice, names hosts that did not answer, prints a table or JSON and writes an HTML page. Ruled out: merging histograms for the objective; good and bad counts need no quantile and add exactly.

--- a/src/main/java/org/arbutusfield/ctl/ArbutusCtl.java
+++ b/src/main/java/org/arbutusfield/ctl/ArbutusCtl.java
@@ -108,7 +108,7 @@
             case UNDRAIN ->
                 notes.drain(argument, false, invocation.noteId())
                         .map(next -> printRevision("undrained in revision ", next));
-            case REPORT_BURN -> Either.left(List.of(Failure.of(ErrorCode.USAGE, command.words(), "not in this build")));
+            case REPORT_BURN -> BurnCommand.of(hosts, printer).run(invocation.out());
             case VERSION -> {
                 printer.print("arbutusctl " + Version.RELEASE, Version.RELEASE);
                 yield Either.right(ExitCode.DONE);
--- /dev/null
+++ b/src/main/java/org/arbutusfield/ctl/BurnCommand.java
@@ -0,0 +1,109 @@
+package org.arbutusfield.ctl;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.observe.BurnCounts;
+import org.arbutusfield.observe.BurnPage;
+import org.arbutusfield.observe.BurnReport;
+import org.arbutusfield.observe.BurnRow;
+import org.arbutusfield.observe.BurnWindow;
+import org.arbutusfield.observe.HostBurn;
+
+/** The command {@code report burn}: asks every host, merges, prints, and writes the HTML page if asked to. */
+final class BurnCommand {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final HostQuery hosts;
+    private final Printer printer;
+
+    private BurnCommand(HostQuery hosts, Printer printer) {
+        this.hosts = hosts;
+        this.printer = printer;
+    }
+
+    /** A command that asks these hosts. */
+    static BurnCommand of(HostQuery hosts, Printer printer) {
+        return new BurnCommand(hosts, printer);
+    }
+
+    /** Runs the command; {@code UNREACHABLE} when a host did not answer, with the report of the others. */
+    Either<List<Failure>, ExitCode> run(Optional<String> page) {
+        BurnReport report = ask();
+        printer.print(table(report), report);
+        if (page.isPresent()) {
+            try {
+                Files.writeString(Path.of(page.get()), BurnPage.render(report));
+            } catch (IOException e) {
+                return Either.left(List.of(Failure.of(ErrorCode.USAGE, page.get(), e.toString())));
+            }
+        }
+        return Either.right(report.silent().isEmpty() ? ExitCode.DONE : ExitCode.UNREACHABLE);
+    }
+
+    private BurnReport ask() {
+        List<HostBurn> answers = new ArrayList<>();
+        List<String> silent = new ArrayList<>();
+        for (HostQuery.Reply reply : hosts.ask("/burn")) {
+            Optional<HostBurn> answer = reply.body().flatMap(BurnCommand::decode);
+            answer.ifPresentOrElse(answers::add, () -> silent.add(reply.address()));
+        }
+        return BurnReport.merge(answers, silent);
+    }
+
+    private static Optional<HostBurn> decode(JsonNode body) {
+        try {
+            return Optional.of(JSON.treeToValue(body, HostBurn.class));
+        } catch (JsonProcessingException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static String table(BurnReport report) {
+        TextTable table = TextTable.of(
+                "SERVICE",
+                "REGION",
+                "CLASS",
+                "OBJECTIVE",
+                "BURN 5m",
+                "BURN 1h",
+                "BURN 6h",
+                "GOOD 6h",
+                "BAD 6h",
+                "REASONS 6h",
+                "SINCE");
+        for (BurnRow row : report.rows()) {
+            BurnCounts all = row.counts(BurnWindow.SIX_HOURS);
+            table.row(
+                    row.key().service(),
+                    row.key().region(),
+                    row.key().requestClass(),
+                    String.format(Locale.ROOT, "%.4g %% in %d ms", row.target() * 100, row.latencyMillis()),
+                    burn(row, BurnWindow.FIVE_MINUTES),
+                    burn(row, BurnWindow.ONE_HOUR),
+                    burn(row, BurnWindow.SIX_HOURS),
+                    Long.toString(all.good()),
+                    Long.toString(all.totalBad()),
+                    BurnPage.reasons(all),
+                    row.burningForSeconds() < 0 ? "-" : row.burningForSeconds() + " s");
+        }
+        String silent = report.silent().isEmpty()
+                ? ""
+                : "no answer from " + String.join(", ", report.silent()) + "; their requests are missing\n";
+        return table + silent;
+    }
+
+    private static String burn(BurnRow row, BurnWindow window) {
+        return String.format(Locale.ROOT, "%.2f", row.counts(window).burnRate(row.target()));
+    }
+}
--- a/src/main/java/org/arbutusfield/daemon/AdminDesk.java
+++ b/src/main/java/org/arbutusfield/daemon/AdminDesk.java
@@ -11,6 +11,7 @@
 import org.arbutusfield.http.HttpCall;
 import org.arbutusfield.http.HttpListener;
 import org.arbutusfield.member.Member;
+import org.arbutusfield.observe.HostBurn;
 
 /** Answers on the admin port: liveness, readiness, status and members. Changes nothing. */
 final class AdminDesk implements HttpListener.Handler {
@@ -18,15 +19,27 @@
 
     private final Supplier<HostStatus> status;
     private final Supplier<List<Member>> members;
+    private final Supplier<HostBurn> burn;
+    private final Supplier<String> metrics;
 
-    private AdminDesk(Supplier<HostStatus> status, Supplier<List<Member>> members) {
+    private AdminDesk(
+            Supplier<HostStatus> status,
+            Supplier<List<Member>> members,
+            Supplier<HostBurn> burn,
+            Supplier<String> metrics) {
         this.status = status;
         this.members = members;
+        this.burn = burn;
+        this.metrics = metrics;
     }
 
     /** A desk that asks these for its answers. */
-    static AdminDesk of(Supplier<HostStatus> status, Supplier<List<Member>> members) {
-        return new AdminDesk(status, members);
+    static AdminDesk of(
+            Supplier<HostStatus> status,
+            Supplier<List<Member>> members,
+            Supplier<HostBurn> burn,
+            Supplier<String> metrics) {
+        return new AdminDesk(status, members, burn, metrics);
     }
 
     @Override
@@ -43,6 +56,8 @@
             case "/ready" -> readiness(status.get());
             case "/status" -> json(status.get());
             case "/members" -> json(members.get());
+            case "/burn" -> json(burn.get());
+            case "/metrics" -> HttpAnswer.text(200, metrics.get());
             default -> HttpAnswer.problem(Failure.of(ErrorCode.PATH_UNKNOWN, call.path()));
         };
     }
--- a/src/main/java/org/arbutusfield/daemon/Daemon.java
+++ b/src/main/java/org/arbutusfield/daemon/Daemon.java
@@ -1,5 +1,7 @@
 package org.arbutusfield.daemon;
 
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.vavr.control.Either;
@@ -22,6 +24,7 @@
 import org.arbutusfield.member.MemberState;
 import org.arbutusfield.member.MembershipLimits;
 import org.arbutusfield.member.MembershipSettings;
+import org.arbutusfield.observe.RequestMeter;
 import org.arbutusfield.proxy.EntryServer;
 import org.arbutusfield.proxy.EntryWiring;
 import org.arbutusfield.settings.HostSettings;
@@ -51,6 +54,8 @@
     private final EventLoopGroup group;
     private final RunningState state = RunningState.create();
     private final CountDownLatch stopped = new CountDownLatch(1);
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final RequestMeter meter;
     private volatile boolean leaving;
     private Store store;
     private ControlPlane control;
@@ -63,6 +68,8 @@
         this.group = new NioEventLoopGroup(settings.eventLoops());
         this.self = new HostIdentity(
                 settings.name(), System.currentTimeMillis(), settings.region(), settings.failureDomain());
+        this.meter = RequestMeter.create(
+                self.name(), self.incarnation(), self.region(), registry, state::configuration, timer);
     }
 
     /** Starts a host; on the left why it could not start, with nothing left running. */
@@ -139,6 +146,7 @@
                 .withPlacement(dispatch.placement(state::configuration))
                 .withRetries(dispatch.retries())
                 .withKeys(claims())
+                .withObserver(meter)
                 .withLocal(dispatch.desk())
                 .withPeers(dispatch::isHost);
         return EntryServer.bind(group, settings.callerAddress(), wiring).map(server -> {
@@ -149,7 +157,7 @@
 
     private Either<Failure, Daemon> openAdminPort() {
         AdminDesk desk =
-                AdminDesk.of(this::status, () -> control.membership().view().alive());
+                AdminDesk.of(this::status, () -> control.membership().view().alive(), meter::burn, registry::scrape);
         return HttpListener.bind(group, settings.adminAddress(), ADMIN_BODY_BYTES, desk)
                 .map(listener -> {
                     admin = listener;
--- /dev/null
+++ b/src/main/java/org/arbutusfield/observe/BurnCounts.java
@@ -0,0 +1,48 @@
+package org.arbutusfield.observe;
+
+import java.util.EnumMap;
+import java.util.Map;
+
+/**
+ * Requests counted against one objective.
+ *
+ * @param good answered whole and in time
+ * @param bad the others, by reason; reasons without a request may be missing
+ */
+public record BurnCounts(long good, Map<Badness, Long> bad) {
+    /** No requests. */
+    public static final BurnCounts NONE = new BurnCounts(0, Map.of());
+
+    /** Copies the map so that the counts stay immutable. */
+    public BurnCounts {
+        bad = Map.copyOf(bad);
+    }
+
+    /** The sum of two counts over different requests. */
+    public BurnCounts plus(BurnCounts other) {
+        Map<Badness, Long> sum = new EnumMap<>(Badness.class);
+        sum.putAll(bad);
+        other.bad.forEach((reason, count) -> sum.merge(reason, count, Long::sum));
+        return new BurnCounts(good + other.good, sum);
+    }
+
+    /** Bad requests of all reasons. */
+    public long totalBad() {
+        return bad.values().stream().mapToLong(Long::longValue).sum();
+    }
+
+    /** Good and bad requests. */
+    public long total() {
+        return good + totalBad();
+    }
+
+    /**
+     * How fast the budget burns: 1 uses it up exactly by the end of the objective's window, 0 when there were no
+     * requests.
+     *
+     * @param target share of requests that must be good, above 0 and below 1
+     */
+    public double burnRate(double target) {
+        return total() == 0 ? 0 : (double) totalBad() / total() / (1 - target);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/observe/BurnReport.java
@@ -0,0 +1,55 @@
+package org.arbutusfield.observe;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * The burn of all objectives over all hosts that answered.
+ *
+ * @param rows one for each objective and region, sorted
+ * @param hosts hosts that are counted
+ * @param silent admin addresses that did not answer; their requests are missing from the rows
+ */
+public record BurnReport(List<BurnRow> rows, List<String> hosts, List<String> silent) {
+    /** Copies the lists so that the report stays immutable. */
+    public BurnReport {
+        rows = List.copyOf(rows);
+        hosts = List.copyOf(hosts);
+        silent = List.copyOf(silent);
+    }
+
+    /**
+     * Merges the hosts' counts. A process that answered twice is counted once.
+     *
+     * @param answers counts as received
+     * @param silent addresses that did not answer
+     */
+    public static BurnReport merge(Collection<HostBurn> answers, List<String> silent) {
+        Set<String> processes = new HashSet<>();
+        List<String> hosts = new ArrayList<>();
+        Map<ObjectiveKey, BurnRow> rows = new TreeMap<>();
+        for (HostBurn answer : answers) {
+            if (!processes.add(answer.host() + "/" + answer.incarnation())) {
+                continue;
+            }
+            hosts.add(answer.host());
+            answer.rows().forEach(row -> rows.merge(row.key(), row, BurnReport::sum));
+        }
+        return new BurnReport(List.copyOf(rows.values()), hosts, silent);
+    }
+
+    private static BurnRow sum(BurnRow first, BurnRow second) {
+        Map<BurnWindow, BurnCounts> windows = new EnumMap<>(BurnWindow.class);
+        for (BurnWindow window : BurnWindow.values()) {
+            windows.put(window, first.counts(window).plus(second.counts(window)));
+        }
+        long burning = Math.max(first.burningForSeconds(), second.burningForSeconds());
+        return new BurnRow(first.key(), first.latencyMillis(), first.target(), first.windowDays(), windows, burning);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/observe/RequestMeter.java
@@ -0,0 +1,155 @@
+package org.arbutusfield.observe;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.arbutusfield.model.Configuration;
+import org.arbutusfield.model.Objective;
+import org.arbutusfield.model.Service;
+import org.arbutusfield.proxy.RequestObserver;
+import org.arbutusfield.proxy.RequestRecord;
+import org.arbutusfield.timer.TimerService;
+
+/**
+ * Counts finished requests, as metrics and against objectives. A request that the caller left is a metric but counts
+ * against no objective. Counters of one objective are a shard under their own lock.
+ */
+public final class RequestMeter implements RequestObserver {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final String host;
+    private final long incarnation;
+    private final String region;
+    private final MeterRegistry registry;
+    private final Supplier<Configuration> running;
+    private final TimerService timer;
+    private final Map<ObjectiveKey, BurnCounter> counters = new ConcurrentHashMap<>();
+
+    private RequestMeter(
+            String host,
+            long incarnation,
+            String region,
+            MeterRegistry registry,
+            Supplier<Configuration> running,
+            TimerService timer) {
+        this.host = host;
+        this.incarnation = incarnation;
+        this.region = region;
+        this.registry = registry;
+        this.running = running;
+        this.timer = timer;
+    }
+
+    /**
+     * A meter for one process.
+     *
+     * @param host name of the host
+     * @param incarnation the process
+     * @param region the host's region
+     * @param registry takes the metrics
+     * @param running the configuration in force, for its objectives
+     * @param timer monotonic time
+     */
+    public static RequestMeter create(
+            String host,
+            long incarnation,
+            String region,
+            MeterRegistry registry,
+            Supplier<Configuration> running,
+            TimerService timer) {
+        return new RequestMeter(host, incarnation, region, registry, running, timer);
+    }
+
+    @Override
+    public void finished(RequestRecord request) {
+        count(request);
+        objective(request.service(), request.requestClass()).ifPresent(objective -> burn(request, objective));
+    }
+
+    /** The counts of this process against all objectives of the configuration in force. */
+    public HostBurn burn() {
+        List<BurnRow> rows = running.get().items(Service.class).stream()
+                .flatMap(service -> service.objectives().stream().map(objective -> row(service.name(), objective)))
+                .toList();
+        return new HostBurn(host, incarnation, rows);
+    }
+
+    private void count(RequestRecord request) {
+        String failure = request.failure().map(Enum::name).orElse("none");
+        Counter.builder("arbutusfield.requests")
+                .tag("service", request.service())
+                .tag("class", request.requestClass())
+                .tag("outcome", request.outcome().name())
+                .tag("failure", failure)
+                .register(registry)
+                .increment();
+        Counter.builder("arbutusfield.retries")
+                .tag("service", request.service())
+                .register(registry)
+                .increment(request.retries());
+        if (request.outcome() == RequestRecord.Result.WHOLE) {
+            Timer.builder("arbutusfield.request.time")
+                    .tag("service", request.service())
+                    .tag("class", request.requestClass())
+                    .publishPercentileHistogram()
+                    .register(registry)
+                    .record(request.totalNanos(), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void burn(RequestRecord request, Objective objective) {
+        if (request.outcome() == RequestRecord.Result.CALLER_GONE) {
+            return;
+        }
+        BurnCounter counter = counter(new ObjectiveKey(request.service(), region, request.requestClass()));
+        boolean whole = request.outcome() == RequestRecord.Result.WHOLE;
+        boolean late = request.totalNanos() > objective.latencyMillis() * NANOS_PER_MILLI;
+        synchronized (counter) {
+            if (whole && !late) {
+                counter.good(nowSeconds());
+            } else {
+                counter.bad(whole ? Badness.LATE : Badness.of(request), nowSeconds());
+            }
+        }
+    }
+
+    private BurnRow row(String service, Objective objective) {
+        ObjectiveKey key = new ObjectiveKey(service, region, objective.requestClass());
+        BurnCounter counter = counter(key);
+        Map<BurnWindow, BurnCounts> windows = new EnumMap<>(BurnWindow.class);
+        synchronized (counter) {
+            for (BurnWindow window : BurnWindow.values()) {
+                windows.put(window, counter.counts(window, nowSeconds()));
+            }
+            return new BurnRow(
+                    key,
+                    objective.latencyMillis(),
+                    objective.target(),
+                    objective.windowDays(),
+                    windows,
+                    counter.burningForSeconds(nowSeconds()));
+        }
+    }
+
+    private BurnCounter counter(ObjectiveKey key) {
+        return counters.computeIfAbsent(key, k -> BurnCounter.create());
+    }
+
+    private Optional<Objective> objective(String service, String requestClass) {
+        return running.get().service(service).stream()
+                .flatMap(s -> s.objectives().stream())
+                .filter(objective -> objective.requestClass().equals(requestClass))
+                .findFirst();
+    }
+
+    private long nowSeconds() {
+        return TimeUnit.NANOSECONDS.toSeconds(timer.nowNanos());
+    }
+}
