--- a/src/main/java/org/arbutusfield/dispatch/SlotGroup.java
+++ b/src/main/java/org/arbutusfield/dispatch/SlotGroup.java
@@ -11,6 +11,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.arbutusfield.admission.BrokerMessage;
 import org.arbutusfield.admission.BrokerSettings;
 import org.arbutusfield.admission.ClientAction;
@@ -35,6 +37,7 @@
  * in which they were decided; answers to requests are completed after the lock was left.
  */
 final class SlotGroup {
+    private static final Logger LOG = LogManager.getLogger(SlotGroup.class);
     private static final long HEARTBEAT_NANOS = 25_000_000;
     private static final long HEARD_LATELY_NANOS = 2_000_000_000;
     private static final int EPOCH_BITS = 16;
@@ -47,6 +50,7 @@
     private final SlotClient client;
     private final Map<String, CompletableFuture<Either<Failure, String>>> waiting = new HashMap<>();
     private final Map<String, Long> heardNanos = new HashMap<>();
+    private final Map<String, Integer> limits = new HashMap<>();
     private final GroupHealth health = GroupHealth.create();
     private List<SlotServer> servers = List.of();
     private SlotBroker broker;
@@ -246,7 +250,12 @@
     private void limitByHealth(long now, List<Runnable> answers) {
         Map<String, Double> shares = health.shares(now);
         for (SlotServer server : servers) {
-            deliver(broker.limit(server.upstream(), GroupHealth.limit(shares, server), now), answers);
+            int limit = GroupHealth.limit(shares, server);
+            Integer before = limits.put(server.upstream(), limit);
+            if (before != null && before != limit) {
+                LOG.info("event=upstream_limited group={} upstream={} slots={}", key, server.upstream(), limit);
+            }
+            deliver(broker.limit(server.upstream(), limit, now), answers);
         }
     }
 
--- a/src/test/java/org/arbutusfield/dispatch/GroupHealthTest.java
+++ b/src/test/java/org/arbutusfield/dispatch/GroupHealthTest.java
@@ -60,6 +60,17 @@
         assertThat(limit("s1")).isEqualTo(3);
     }
 
+    @Test
+    void unevenAnswersOfAllServersMakeNoneOfThemSlow() {
+        healthyGroup();
+        for (int round = 0; round < 60; round++) {
+            for (String server : new String[] {"s1", "s2", "s3", "s4"}) {
+                note(server, "quote", Outcome.COMPLETED, round % 2 == 0 ? 50 : 400, 1);
+            }
+        }
+        assertThat(limit("s1") + limit("s2") + limit("s3") + limit("s4")).isEqualTo(12);
+    }
+
     @Test
     void anEjectedServerIsProbedWithOneSlotAndComesBack() {
         healthyGroup();
