Membership: reading a peer's table stays within a host's share of the network

Cause: while views converge after a region was apart, a host read whole tables of 1,500 records a second, always from the first bucket on. Change: 400 records every three seconds at most, from a bucket that differs with the asker's state.

--- a/src/main/java/org/arbutusfield/member/MemberTable.java
+++ b/src/main/java/org/arbutusfield/member/MemberTable.java
@@ -99,14 +99,25 @@
         }
         rumours.values()
                 .forEach(rumour -> byBucket.get(bucket(rumour.member().name())).add(rumour));
+        int first = firstBucket(digests);
         for (int i = 0; i < BUCKETS && found.size() < limit; i++) {
-            if (i >= digests.size() || digests.get(i) != buckets[i]) {
-                found.addAll(byBucket.get(i));
+            int bucket = (first + i) % BUCKETS;
+            if (bucket >= digests.size() || digests.get(bucket) != buckets[bucket]) {
+                found.addAll(byBucket.get(bucket));
             }
         }
         return found;
     }
 
+    /** Where to start, another for each state of the asker, so that the limit leaves no bucket out for ever. */
+    private static int firstBucket(List<Long> digests) {
+        long sum = 0;
+        for (long bucket : digests) {
+            sum += bucket;
+        }
+        return (int) Long.remainderUnsigned(Hashing.mix(sum), BUCKETS);
+    }
+
     private MemberTable replaced(String name, Rumour earlier, Rumour later, HashMap<String, Rumour> next) {
         long before = earlier == null ? 0 : earlier.fingerprint();
         long after = later == null ? 0 : later.fingerprint();
--- a/src/main/java/org/arbutusfield/member/MembershipDraft.java
+++ b/src/main/java/org/arbutusfield/member/MembershipDraft.java
@@ -145,7 +145,7 @@
         boolean spreading = !rumours.isEmpty() && rumours.size() < limits.maxQueued();
         mismatches = !spreading && response.tableDigest() != table.digest() ? mismatches + 1 : 0;
         if (mismatches >= MISMATCHES_BEFORE_SYNC
-                && nowNanos - lastSyncNanos >= limits.interval().toNanos()) {
+                && nowNanos - lastSyncNanos >= limits.suspectAfter().toNanos()) {
             mismatches = 0;
             lastSyncNanos = nowNanos;
             syncWith = table.find(response.name()).map(Rumour::member);
--- a/src/main/java/org/arbutusfield/member/MembershipService.java
+++ b/src/main/java/org/arbutusfield/member/MembershipService.java
@@ -24,7 +24,7 @@
 public final class MembershipService implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(MembershipService.class);
     private static final Duration FLUSH_DELAY = Duration.ofMillis(20);
-    private static final int SYNC_ROUNDS = 16;
+    private static final int SYNC_ROUNDS = 32;
 
     private final MembershipSettings settings;
     private final ControlTransport transport;
--- a/src/main/java/org/arbutusfield/member/MembershipView.java
+++ b/src/main/java/org/arbutusfield/member/MembershipView.java
@@ -38,7 +38,7 @@
  */
 public final class MembershipView {
     /** Largest number of statements in an answer to a request for a table. */
-    public static final int MAX_TABLE_RUMOURS = 1500;
+    public static final int MAX_TABLE_RUMOURS = 400;
 
     final MembershipLimits limits;
     final Rumour self;
