--- a/src/main/java/org/arbutusfield/proxy/CallerConnection.java
+++ b/src/main/java/org/arbutusfield/proxy/CallerConnection.java
@@ -360,6 +360,7 @@
     private void refuse(Failure failure) {
         closeAfter = true;
         lingering = true;
+        idleWatch.until(System.nanoTime() + context.limits().lingerTimeout().toNanos());
         String id = request == null ? ProxyHeaders.newRequestId() : ProxyHeaders.requestId(request.headers());
         writeWhole(HttpAnswer.problem(failure), id, Optional.of(failure));
         afterWrites(written -> linger());
--- a/src/main/java/org/arbutusfield/proxy/LocalExchange.java
+++ b/src/main/java/org/arbutusfield/proxy/LocalExchange.java
@@ -25,8 +25,9 @@
     private final HttpRequest request;
     private final String requestId;
     private final RequestBody body;
-    private final int maxBodyBytes;
+    private final ProxyLimits limits;
     private final Function<HttpCall, CompletableFuture<Either<Failure, HttpAnswer>>> handler;
+    private boolean answered;
     private boolean over;
 
     private LocalExchange(
@@ -39,8 +40,8 @@
         this.request = request;
         this.requestId = requestId;
         this.handler = handler;
-        maxBodyBytes = context.limits().replayBytes();
-        body = RequestBody.of(maxBodyBytes, context.replay());
+        limits = context.limits();
+        body = RequestBody.of(limits.replayBytes(), context.replay());
     }
 
     /** A request for the local handler. */
@@ -64,12 +65,13 @@
     }
 
     void start() {
+        caller.watch().until(System.nanoTime() + limits.bodyTimeout().toNanos());
         caller.demandBody(HttpUtil.is100ContinueExpected(request));
     }
 
     @Override
     public void bodyPart(HttpContent part) {
-        if (over) {
+        if (answered || over) {
             part.release();
             return;
         }
@@ -97,10 +99,16 @@
 
     @Override
     public void expired() {
-        refuse(ErrorCode.REQUEST_TIMEOUT);
+        if (answered) {
+            caller.reset();
+            end(false);
+        } else {
+            refuse(ErrorCode.REQUEST_TIMEOUT);
+        }
     }
 
     private void answer() {
+        caller.watch().clear();
         List<Header> headers = request.headers().entries().stream()
                 .map(field -> Header.of(field.getKey(), field.getValue()))
                 .toList();
@@ -125,15 +133,21 @@
             result.peek(answer -> caller.writeAnswer(answer, requestId))
                     .peekLeft(failure -> caller.writeProblem(failure, requestId, true));
         }
-        caller.afterWrites(written -> end(written));
+        flush(true);
     }
 
     private void refuse(ErrorCode code) {
-        if (over) {
+        if (answered || over) {
             return;
         }
         caller.writeProblem(Failure.of(code, "body"), requestId, false);
-        caller.afterWrites(written -> end(false));
+        flush(false);
+    }
+
+    private void flush(boolean reusable) {
+        answered = true;
+        caller.watch().until(System.nanoTime() + limits.writeTimeout().toNanos());
+        caller.afterWrites(written -> end(written && reusable));
     }
 
     private void end(boolean reusable) {
@@ -141,6 +155,7 @@
             return;
         }
         over = true;
+        caller.watch().clear();
         body.release();
         caller.exchangeDone(reusable);
     }
