--- a/src/main/java/org/arbutusfield/ctl/ArbutusCtl.java
+++ b/src/main/java/org/arbutusfield/ctl/ArbutusCtl.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.arbutusfield.Version;
 import org.arbutusfield.error.ErrorCode;
@@ -17,6 +18,7 @@
 import org.arbutusfield.model.Entity;
 import org.arbutusfield.model.Kind;
 import org.arbutusfield.note.ConfigurationRepository;
+import org.arbutusfield.note.HistoryEntry;
 import org.arbutusfield.store.HttpStore;
 
 /** The program {@code arbutusctl}: parse, choose the command, run it, print, exit with {@link ExitCode}. */
@@ -98,7 +100,7 @@
             case NOTE_CHECK -> notes.check(argument).map(next -> printRevision("valid; would be revision ", next));
             case NOTE_DIFF -> notes.diff(argument).map(this::printLines);
             case NOTE_APPLY -> notes.apply(argument).map(next -> printRevision("applied as revision ", next));
-            case NOTE_STATUS -> notes.running().map(this::printNoteStatus);
+            case NOTE_STATUS -> notes.find(argument).map(this::printNoteStatus);
             case NOTE_WAIT -> awaitRevision(argument);
             case SHOW -> notes.running().flatMap(this::show);
             case STATUS -> Either.right(printStatuses(hosts.statuses()));
@@ -126,14 +128,16 @@
         return ExitCode.DONE;
     }
 
-    private ExitCode printNoteStatus(Configuration state) {
-        boolean applied = state.noteId().equals(invocation.argument());
+    private ExitCode printNoteStatus(Optional<HistoryEntry> entry) {
+        if (entry.isEmpty()) {
+            printer.print("not applied, or longer ago than the history reaches", new Applied(0, ""));
+            return ExitCode.REFUSED;
+        }
+        long revision = entry.get().revision();
         printer.print(
-                applied
-                        ? "applied as revision " + state.revision()
-                        : "not the latest note; running is " + state.noteId(),
-                new Applied(state.revision(), state.noteId()));
-        return applied ? ExitCode.DONE : ExitCode.REFUSED;
+                "applied as revision " + revision,
+                new Applied(revision, entry.get().noteId()));
+        return ExitCode.DONE;
     }
 
     private Either<List<Failure>, ExitCode> show(Configuration state) {
--- a/src/main/java/org/arbutusfield/ctl/NoteCommands.java
+++ b/src/main/java/org/arbutusfield/ctl/NoteCommands.java
@@ -17,6 +17,7 @@
 import org.arbutusfield.model.Kind;
 import org.arbutusfield.note.ConfigurationRepository;
 import org.arbutusfield.note.EntityKey;
+import org.arbutusfield.note.HistoryEntry;
 import org.arbutusfield.note.NoteApplier;
 import org.arbutusfield.note.NoteReader;
 import org.arbutusfield.note.ReleaseNote;
@@ -66,6 +67,17 @@
                 }));
     }
 
+    /** The entry of an applied note, as far back as the store's history reaches. */
+    Either<List<Failure>, Optional<HistoryEntry>> find(String noteId) {
+        return repository
+                .history(Integer.MAX_VALUE)
+                .join()
+                .mapLeft(List::of)
+                .map(entries -> entries.stream()
+                        .filter(entry -> entry.noteId().equals(noteId))
+                        .findFirst());
+    }
+
     /** The state now running, as the store has it. */
     Either<List<Failure>, Configuration> running() {
         return repository.latest().join().mapLeft(List::of);
--- a/src/main/java/org/arbutusfield/note/NoteHistory.java
+++ b/src/main/java/org/arbutusfield/note/NoteHistory.java
@@ -108,8 +108,9 @@
     /** The latest entries, newest first. */
     CompletableFuture<Either<Failure, List<HistoryEntry>>> latest(RootState root, int limit) {
         int older = Math.max(0, limit - root.recent().size());
-        int runs = (older + RootState.SEGMENT_ENTRIES - 1) / RootState.SEGMENT_ENTRIES;
-        int skipped = Math.max(0, root.older().size() - runs);
+        int runs = older / RootState.SEGMENT_ENTRIES + 1;
+        int skipped =
+                older == 0 ? root.older().size() : Math.max(0, root.older().size() - runs);
         return read(root.older().subList(skipped, root.older().size()))
                 .thenApply(answer -> answer.map(entries -> {
                     List<HistoryEntry> all = new ArrayList<>(entries);
--- a/src/test/java/org/arbutusfield/ctl/ArbutusCtlTest.java
+++ b/src/test/java/org/arbutusfield/ctl/ArbutusCtlTest.java
@@ -79,6 +79,15 @@
         assertThat(printed()).isEqualTo("[{\"name\":\"gulf\",\"hostCeiling\":4}]\n");
     }
 
+    @Test
+    void theStatusOfAnOlderNoteIsFoundInTheHistory() throws IOException {
+        ctl("note", "apply", file(NOTE));
+        ctl("drain", "failure_domain:gulf-a");
+        assertThat(ctl("note", "status", "n1")).isEqualTo(ExitCode.DONE);
+        assertThat(printed()).isEqualTo("applied as revision 1\n");
+        assertThat(ctl("note", "status", "n9")).isEqualTo(ExitCode.REFUSED);
+    }
+
     @Test
     void aNoteAgainstAnOldRevisionIsAConflict() throws IOException {
         assertThat(ctl("note", "apply", file(NOTE))).isEqualTo(ExitCode.DONE);
