Request path: a request leaves the count in flight before its account is given; limits from the settings

Cause: DeadlineTest.aCallerThatLeavesFreesSlotAndUpstream failed once in a full run: the account reached the observer before the request was taken from those in flight. Two settings limited nothing, and a stopping host waited for lookupMaxAgeSeconds although callers may cache answers for 5 s. Ruled out: waiting in the test; the order was the fault.

--- a/src/main/java/org/arbutusfield/daemon/Daemon.java
+++ b/src/main/java/org/arbutusfield/daemon/Daemon.java
@@ -19,6 +19,7 @@
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.http.HttpCaller;
 import org.arbutusfield.http.HttpListener;
+import org.arbutusfield.lookup.LookupPolicy;
 import org.arbutusfield.member.HostList;
 import org.arbutusfield.member.Member;
 import org.arbutusfield.member.MemberState;
@@ -27,6 +28,7 @@
 import org.arbutusfield.observe.RequestMeter;
 import org.arbutusfield.proxy.EntryServer;
 import org.arbutusfield.proxy.EntryWiring;
+import org.arbutusfield.proxy.ProxyLimits;
 import org.arbutusfield.settings.HostSettings;
 import org.arbutusfield.spread.ControlPlane;
 import org.arbutusfield.spread.ControlPlaneSettings;
@@ -97,7 +99,7 @@
         LOG.info("event=host_leaving host={}", settings.name());
         control.leave();
         entry.leave();
-        pause(settings.lookupMaxAge());
+        pause(cachedAnswersLive());
         int unfinished = entry.drain(settings.drainLimit()).join();
         LOG.info("event=host_stopped host={} unfinished={}", settings.name(), unfinished);
         close();
@@ -116,6 +118,12 @@
         stopped.countDown();
     }
 
+    /** How long callers may still use a look-up answer that names this host. */
+    private Duration cachedAnswersLive() {
+        Duration handedOut = Duration.ofSeconds(LookupPolicy.MAX_AGE_SECONDS);
+        return handedOut.compareTo(settings.lookupMaxAge()) > 0 ? handedOut : settings.lookupMaxAge();
+    }
+
     private Either<Failure, Daemon> joinHosts() {
         store = HttpStore.create(
                 HttpCaller.create(group, CONNECT_TIMEOUT), settings.storeAddress(), settings.storeTimeout());
@@ -144,6 +152,8 @@
     private Either<Failure, Daemon> openCallerPort() {
         EntryWiring wiring = EntryWiring.of(settings.region(), state::configuration)
                 .withPlacement(dispatch.placement(state::configuration))
+                .withLimits(
+                        ProxyLimits.standard().withHost(settings.maxCallerConnections(), settings.maxBufferedBytes()))
                 .withRetries(dispatch.retries())
                 .withKeys(claims())
                 .withObserver(meter)
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -478,12 +478,11 @@
         caller.watch().clear();
         placing.finish(keyOutcome());
         long passed = relay == null ? 0 : relay.passed();
-        context.wiring()
-                .observer()
-                .finished(account.record(result, code, notRun, Math.max(0, tries - 1), body.received(), passed));
+        RequestRecord record = account.record(result, code, notRun, Math.max(0, tries - 1), body.received(), passed);
         boolean reusable = body.ended();
         body.release();
         caller.exchangeDone(reusable);
+        context.wiring().observer().finished(record);
     }
 
     private KeyOutcome keyOutcome() {
--- a/src/main/java/org/arbutusfield/proxy/ProxyLimits.java
+++ b/src/main/java/org/arbutusfield/proxy/ProxyLimits.java
@@ -36,6 +36,25 @@
         Duration writeTimeout,
         int attempts) {
 
+    /** The same limits with those that an operator sets for the host. */
+    public ProxyLimits withHost(int connections, long pendingBytes) {
+        return new ProxyLimits(
+                connections,
+                headBytes,
+                bodyBytes,
+                replayBytes,
+                hostReplayBytes,
+                pendingBytes,
+                headTimeout,
+                bodyTimeout,
+                idleTimeout,
+                lingerTimeout,
+                connectTimeout,
+                progressTimeout,
+                writeTimeout,
+                attempts);
+    }
+
     /** Limits for a small host. */
     public static ProxyLimits standard() {
         return new ProxyLimits(
