--- a/src/test/java/org/arbutusfield/proxy/BadInputTest.java
+++ b/src/test/java/org/arbutusfield/proxy/BadInputTest.java
@@ -113,10 +113,10 @@
                         default -> head + "transfer-encoding: chunked\r\n\r\n1e8480\r\n" + "a".repeat(1_500_000);
                     };
             Answer answer = caller.call(bytes);
-            boolean head = what.equals("header") || what.equals("line");
-            assertThat(answer.status()).isIn(head ? List.of(431) : List.of(413, 400));
+            boolean inHead = what.equals("header") || what.equals("line");
+            assertThat(answer.status()).isIn(inHead ? List.of(431) : List.of(413, 400));
             assertThat(answer.code())
-                    .isIn(head ? List.of("REQUEST_HEAD_TOO_LARGE") : List.of("REQUEST_TOO_LARGE", "REQUEST_BROKEN"));
+                    .isIn(inHead ? List.of("REQUEST_HEAD_TOO_LARGE") : List.of("REQUEST_TOO_LARGE", "REQUEST_BROKEN"));
             assertThat(answer.saysNotRun()).isEqualTo(!answer.code().equals("REQUEST_BROKEN"));
         }
         assertThat(BENCH.runs("big")).isEqualTo(runs);
