Objects have homes, planned by one host a service

Ruled out: a slot question per request (one round trip of 24 to 70 ms between regions for each request of 400 ms). Here a host asks once per object and refreshes in the background once a second.

Change: package home. The first live host by rendezvous plans a service: a new object goes to the least loaded upstream, reported loads move objects from full to empty upstreams, upstreams without objects get some. Hosts keep the answers; without a planner they fall back on hashing. Objects of routes with large answers are planned within the caller's region.

--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -18,6 +18,8 @@
 import org.arbutusfield.follow.StateBook;
 import org.arbutusfield.follow.SteeringState;
 import org.arbutusfield.follow.StoreFollower;
+import org.arbutusfield.home.HomeFinder;
+import org.arbutusfield.home.HomePlanner;
 import org.arbutusfield.http.HttpListener;
 import org.arbutusfield.misc.Addresses;
 import org.arbutusfield.model.Configuration;
@@ -34,6 +36,11 @@
 import org.arbutusfield.steer.SteeringPlacement;
 import org.arbutusfield.store.WatchedStore;
 import org.arbutusfield.timer.LoopTimer;
+import org.arbutusfield.wire.ControlClient;
+import org.arbutusfield.wire.ControlHandlers;
+import org.arbutusfield.wire.ControlLimits;
+import org.arbutusfield.wire.ControlServer;
+import org.arbutusfield.wire.PeerAddress;
 
 /** One running entry host that lives on the platform's store. All its work runs on one event loop. */
 public final class EdgeHost implements AutoCloseable {
@@ -53,6 +60,7 @@
     private volatile EdgeSettings settings;
     private volatile SteeringState state = SteeringState.empty();
     private volatile boolean leaving;
+    private HomeFinder homes;
     private RetryShare retries;
     private SteeringPlacement placement;
     private HostRegistrar registrar;
@@ -74,8 +82,10 @@
     public static Either<Failure, EdgeHost> start(
             EdgeSettings settings, EdgeFormats formats, Function<EdgeContext, WatchedStore> store) {
         EdgeHost host = new EdgeHost(settings, formats);
-        host.decide();
-        Either<Failure, EdgeHost> started = host.openCallerPort().flatMap(EdgeHost::openDesks);
+        Either<Failure, EdgeHost> started = host.joinHosts()
+                .map(EdgeHost::decide)
+                .flatMap(EdgeHost::openCallerPort)
+                .flatMap(EdgeHost::openDesks);
         if (started.isLeft()) {
             host.close();
             return started;
@@ -128,9 +138,23 @@
         stopped.countDown();
     }
 
-    private void decide() {
+    private Either<Failure, EdgeHost> joinHosts() {
+        HomePlanner planner = HomePlanner.create(() -> state, timer);
+        ControlHandlers handlers = ControlHandlers.create();
+        planner.register(handlers);
+        ControlClient client = ControlClient.start(group, timer, ControlLimits.standard());
+        homes = HomeFinder.start(settings.name(), () -> state, client, planner, timer);
+        PeerAddress address = new PeerAddress(
+                settings.controlAddress().getHostString(),
+                settings.controlAddress().getPort());
+        return ControlServer.start(group, address, handlers, ControlLimits.standard())
+                .map(server -> this);
+    }
+
+    private EdgeHost decide() {
         retries = RetryShare.create(settings.retries(), () -> state.hosts().size(), timer);
-        placement = SteeringPlacement.create(settings.name(), () -> state, retries, timer);
+        placement = SteeringPlacement.create(settings.name(), settings.region(), () -> state, homes, retries, timer);
+        return this;
     }
 
     private Either<Failure, EdgeHost> openCallerPort() {
@@ -175,7 +199,11 @@
 
     private void follow(WatchedStore store) {
         HostEntry self = new HostEntry(
-                settings.name(), settings.region(), settings.failureDomain(), Addresses.text(settings.callerAddress()));
+                settings.name(),
+                settings.region(),
+                settings.failureDomain(),
+                Addresses.text(settings.callerAddress()),
+                Addresses.text(settings.controlAddress()));
         StateBook book = StateBook.create(formats.items(), settings.regions());
         registrar = HostRegistrar.start(store, timer, self);
         StoreFollower.start(store, timer, book, this::install);
--- a/src/main/java/org/arbutusfield/edge/EdgeSetting.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeSetting.java
@@ -14,6 +14,7 @@
     CALLER_ADDRESS("callerAddress", Form.ADDRESS, "where callers connect"),
     READY_ADDRESS("readyAddress", Form.ADDRESS, "where the platform asks whether this host is ready"),
     LOOKUP_ADDRESS("lookupAddress", Form.ADDRESS, "where callers ask which hosts to use"),
+    CONTROL_ADDRESS("controlAddress", Form.ADDRESS, "where other hosts connect"),
     METRICS_ADDRESS("metricsAddress", Form.ADDRESS, "where metrics are read"),
     STORE_ADDRESS("storeAddress", Form.ADDRESS, "the platform's store"),
     REGIONS("regions", Form.TEXTS_BY_NAME, "region of each failure domain"),
--- a/src/main/java/org/arbutusfield/edge/EdgeSettings.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeSettings.java
@@ -14,6 +14,7 @@
  * @param callerAddress where callers connect
  * @param readyAddress where the platform asks whether it is ready
  * @param lookupAddress where callers ask which hosts to use
+ * @param controlAddress where other hosts connect
  * @param metricsAddress where its metrics are read
  * @param storeAddress the platform's store
  * @param regions region of each failure domain
@@ -29,6 +30,7 @@
         InetSocketAddress callerAddress,
         InetSocketAddress readyAddress,
         InetSocketAddress lookupAddress,
+        InetSocketAddress controlAddress,
         InetSocketAddress metricsAddress,
         InetSocketAddress storeAddress,
         Map<String, String> regions,
--- a/src/main/java/org/arbutusfield/edge/EdgeSettingsReader.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeSettingsReader.java
@@ -84,6 +84,7 @@
                 address(EdgeSetting.CALLER_ADDRESS),
                 address(EdgeSetting.READY_ADDRESS),
                 address(EdgeSetting.LOOKUP_ADDRESS),
+                address(EdgeSetting.CONTROL_ADDRESS),
                 address(EdgeSetting.METRICS_ADDRESS),
                 address(EdgeSetting.STORE_ADDRESS),
                 regions,
--- a/src/main/java/org/arbutusfield/follow/HostEntry.java
+++ b/src/main/java/org/arbutusfield/follow/HostEntry.java
@@ -7,5 +7,7 @@
  * @param region region that it stands in
  * @param failureDomain failure domain that it stands in
  * @param callerAddress IP:port where it takes callers
+ * @param controlAddress IP:port where it takes other hosts' messages
  */
-public record HostEntry(String name, String region, String failureDomain, String callerAddress) {}
+public record HostEntry(
+        String name, String region, String failureDomain, String callerAddress, String controlAddress) {}
--- a/src/main/java/org/arbutusfield/follow/HostEntryCodec.java
+++ b/src/main/java/org/arbutusfield/follow/HostEntryCodec.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.Addresses;
 
 /** How an entry host stands in the store: {@code hosts/NAME}, a JSON object. */
 public final class HostEntryCodec {
@@ -28,6 +29,7 @@
                 .put("region", entry.region())
                 .put("failureDomain", entry.failureDomain())
                 .put("callers", entry.callerAddress())
+                .put("control", entry.controlAddress())
                 .toString()
                 .getBytes(StandardCharsets.UTF_8);
     }
@@ -36,11 +38,17 @@
     public static Either<Failure, StateItem> decode(String key, byte[] value) {
         try {
             JsonNode node = JSON.readTree(value);
-            return Either.right(new StateItem.HostReport(new HostEntry(
+            HostEntry entry = new HostEntry(
                     key.substring(PREFIX.length()),
                     node.path("region").asText(),
                     node.path("failureDomain").asText(),
-                    node.path("callers").asText())));
+                    node.path("callers").asText(),
+                    node.path("control").asText());
+            boolean whole = Addresses.parse(entry.callerAddress()).isPresent()
+                    && Addresses.parse(entry.controlAddress()).isPresent();
+            return whole
+                    ? Either.right(new StateItem.HostReport(entry))
+                    : Either.left(Failure.of(ErrorCode.ITEM_UNREADABLE, key, "addresses"));
         } catch (IOException e) {
             return Either.left(Failure.of(ErrorCode.ITEM_UNREADABLE, key, "not JSON"));
         }
--- a/src/main/java/org/arbutusfield/follow/StoreFollower.java
+++ b/src/main/java/org/arbutusfield/follow/StoreFollower.java
@@ -29,8 +29,8 @@
 public final class StoreFollower {
     private static final Logger LOG = LogManager.getLogger(StoreFollower.class);
     private static final String EVERYTHING = "";
-    private static final Duration WATCH_WAIT = Duration.ofMillis(1500);
-    private static final Duration GATHER = Duration.ofMillis(100);
+    private static final Duration WATCH_WAIT = Duration.ofSeconds(2);
+    private static final Duration GATHER = Duration.ofMillis(250);
     private static final Duration FIRST_RETRY = Duration.ofMillis(150);
     private static final Duration LAST_RETRY = Duration.ofMillis(900);
     private static final Duration OUTAGE_TAIL = Duration.ofSeconds(1);
--- /dev/null
+++ b/src/main/java/org/arbutusfield/home/HomePlan.java
@@ -0,0 +1,243 @@
+package org.arbutusfield.home;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The homes of one service's objects.
+ *
+ * <p>Problem: an upstream that served an object lately needs a fraction of the time for it, so an object should stay at
+ * one upstream. Hashing alone gives some upstreams twice the mean load, and a heavy object can be too much for one.
+ *
+ * <p>Idea: a new object goes to the upstream with the least planned load. Hosts report how often and how long they used
+ * each object, which gives its load in busy slots. From time to time one object moves from the fullest upstream to the
+ * emptiest, if that lowers the larger of the two loads by more than the move costs.
+ *
+ * <p>Invariants: an object keeps its home while that upstream is a candidate, but for such moves. An object that was
+ * moved is left alone for a while. What isn't reported any more loses its load, and in the end its place.
+ *
+ * <p>Example: upstreams a and b with 3 slots. Objects 1 and 2 are new: 1 goes to a, 2 to b. Object 1 turns out to keep
+ * 2 slots busy and object 3, also at a, 0.5. Object 3 moves to b.
+ *
+ * <p>Time is given by the caller. Not thread-safe; its owner calls it on one thread.
+ */
+public final class HomePlan {
+    /** Load of an object that nobody has reported on, in busy slots. */
+    private static final double UNKNOWN_LOAD = 0.3;
+    /** Weight of the newest period in an object's load. */
+    private static final double NEWEST = 0.4;
+
+    private static final Duration PERIOD = Duration.ofSeconds(1);
+    private static final Duration SETTLE = Duration.ofSeconds(4);
+    private static final Duration FORGET = Duration.ofSeconds(30);
+    /** Share of its slots up to which an upstream is never relieved. */
+    private static final double COMFORTABLE = 0.45;
+    /** Least improvement of the fuller upstream for which an object moves, in shares of its slots. */
+    private static final double WORTH_MOVING = 0.12;
+
+    private final Map<Long, Placed> objects = new HashMap<>();
+    private long periodEndNanos;
+    private boolean started;
+
+    private HomePlan() {}
+
+    /** No objects yet. */
+    public static HomePlan create() {
+        return new HomePlan();
+    }
+
+    /**
+     * The home of an object.
+     *
+     * @param use what a host saw of it
+     * @param candidates upstreams that may serve it
+     * @param nowNanos the time
+     * @return the upstream, or none when there are no candidates
+     */
+    public Optional<Candidate> home(ObjectUse use, List<Candidate> candidates, long nowNanos) {
+        Placed placed = objects.get(use.key());
+        Optional<Candidate> kept = placed == null ? Optional.empty() : find(candidates, placed.upstream);
+        Optional<Candidate> home =
+                kept.or(() -> find(candidates, use.upstream())).or(() -> leastLoaded(candidates));
+        if (home.isEmpty()) {
+            return home;
+        }
+        if (placed == null) {
+            placed = new Placed(nowNanos);
+            objects.put(use.key(), placed);
+        }
+        if (!home.get().name().equals(placed.upstream)) {
+            placed.move(home.get().name(), nowNanos);
+        }
+        placed.used(use, candidates, nowNanos);
+        return home;
+    }
+
+    /** Ends a period when it is time: takes over the reported loads, forgets unused objects and moves one if useful. */
+    public void advance(List<Candidate> upstreams, long nowNanos) {
+        if (!started) {
+            started = true;
+            periodEndNanos = nowNanos + PERIOD.toNanos();
+            return;
+        }
+        if (periodEndNanos - nowNanos > 0) {
+            return;
+        }
+        double seconds = (nowNanos - periodEndNanos + PERIOD.toNanos()) / 1e9;
+        periodEndNanos = nowNanos + PERIOD.toNanos();
+        objects.values().removeIf(placed -> nowNanos - placed.usedNanos > FORGET.toNanos());
+        objects.values().forEach(placed -> placed.endPeriod(seconds));
+        relieve(upstreams, nowNanos);
+    }
+
+    /** Planned load of an upstream, in busy slots. */
+    double load(String upstream) {
+        return objects.values().stream()
+                .filter(placed -> upstream.equals(placed.upstream))
+                .mapToDouble(placed -> placed.load)
+                .sum();
+    }
+
+    /** Number of objects. */
+    int size() {
+        return objects.size();
+    }
+
+    private void relieve(List<Candidate> upstreams, long nowNanos) {
+        employIdle(upstreams, nowNanos);
+        Map<String, Double> loads = loads();
+        List<Candidate> fullestFirst = new ArrayList<>(upstreams);
+        fullestFirst.sort(
+                Comparator.comparingDouble((Candidate u) -> share(u, loads)).reversed());
+        for (Candidate full : fullestFirst) {
+            if (share(full, loads) < COMFORTABLE) {
+                return;
+            }
+            if (moveOne(full, upstreams, loads, nowNanos)) {
+                return;
+            }
+        }
+    }
+
+    /** Gives each upstream without objects the lightest one of the fullest upstream that has several. */
+    private void employIdle(List<Candidate> upstreams, long nowNanos) {
+        for (Candidate idle : upstreams) {
+            if (count(idle.name()) == 0) {
+                lightestSpare(idle, nowNanos).ifPresent(placed -> placed.move(idle.name(), nowNanos));
+            }
+        }
+    }
+
+    private Optional<Placed> lightestSpare(Candidate idle, long nowNanos) {
+        Map<String, Double> loads = loads();
+        return objects.values().stream()
+                .filter(placed -> placed.mayServe.contains(idle.name()) && count(placed.upstream) > 1)
+                .filter(placed -> nowNanos - placed.movedNanos >= SETTLE.toNanos())
+                .min(Comparator.comparingDouble((Placed placed) -> -loads.getOrDefault(placed.upstream, 0.0))
+                        .thenComparingDouble(placed -> placed.load));
+    }
+
+    private long count(String upstream) {
+        return objects.values().stream()
+                .filter(placed -> placed.upstream.equals(upstream))
+                .count();
+    }
+
+    private boolean moveOne(Candidate from, List<Candidate> upstreams, Map<String, Double> loads, long nowNanos) {
+        Placed best = null;
+        Candidate bestTo = null;
+        double bestPeak = share(from, loads) - WORTH_MOVING;
+        for (Placed placed : objects.values()) {
+            if (!from.name().equals(placed.upstream) || nowNanos - placed.movedNanos < SETTLE.toNanos()) {
+                continue;
+            }
+            for (Candidate to : upstreams) {
+                if (to.name().equals(from.name()) || !placed.mayServe.contains(to.name())) {
+                    continue;
+                }
+                double left = share(from, loads) - placed.load / from.slots();
+                double joined = share(to, loads) + placed.load / to.slots();
+                if (Math.max(left, joined) < bestPeak) {
+                    bestPeak = Math.max(left, joined);
+                    best = placed;
+                    bestTo = to;
+                }
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        best.move(bestTo.name(), nowNanos);
+        return true;
+    }
+
+    private Optional<Candidate> leastLoaded(List<Candidate> candidates) {
+        Map<String, Double> loads = loads();
+        return candidates.stream()
+                .min(Comparator.comparingDouble((Candidate u) -> share(u, loads))
+                        .thenComparing(Candidate::name));
+    }
+
+    private static double share(Candidate upstream, Map<String, Double> loads) {
+        return loads.getOrDefault(upstream.name(), 0.0) / upstream.slots();
+    }
+
+    private Map<String, Double> loads() {
+        Map<String, Double> loads = new HashMap<>();
+        objects.values().forEach(placed -> loads.merge(placed.upstream, placed.load, Double::sum));
+        return loads;
+    }
+
+    private static Optional<Candidate> find(List<Candidate> candidates, String name) {
+        return candidates.stream().filter(u -> u.name().equals(name)).findFirst();
+    }
+
+    /** One object in the plan. */
+    private static final class Placed {
+        private String upstream = "";
+        private double load = UNKNOWN_LOAD;
+        private double busySeconds;
+        private boolean reported;
+        private long movedNanos;
+        private long usedNanos;
+        private Set<String> mayServe = Set.of();
+
+        private Placed(long nowNanos) {
+            movedNanos = nowNanos;
+        }
+
+        private void move(String to, long nowNanos) {
+            upstream = to;
+            movedNanos = nowNanos;
+        }
+
+        private void used(ObjectUse use, List<Candidate> candidates, long nowNanos) {
+            usedNanos = nowNanos;
+            busySeconds += use.busyMicros() / 1e6;
+            reported |= use.requests() > 0;
+            if (!sameNames(candidates)) {
+                mayServe = new HashSet<>();
+                candidates.forEach(candidate -> mayServe.add(candidate.name()));
+            }
+        }
+
+        private boolean sameNames(List<Candidate> candidates) {
+            return mayServe.size() == candidates.size()
+                    && candidates.stream().allMatch(candidate -> mayServe.contains(candidate.name()));
+        }
+
+        private void endPeriod(double seconds) {
+            if (reported) {
+                load += NEWEST * (busySeconds / seconds - load);
+            }
+            busySeconds = 0;
+        }
+    }
+}
--- a/src/main/java/org/arbutusfield/platform/PlatformMain.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformMain.java
@@ -19,7 +19,7 @@
 public final class PlatformMain {
     private static final String SETTINGS_FILE = "ARBUTUSFIELD_NODE_FILE";
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
-    private static final Duration CALL_TIMEOUT = Duration.ofMillis(800);
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(600);
 
     private PlatformMain() {}
 
--- a/src/main/java/org/arbutusfield/route/RouteTable.java
+++ b/src/main/java/org/arbutusfield/route/RouteTable.java
@@ -14,16 +14,19 @@
     private final long version;
     private final CallerLimits limits;
     private final Map<String, List<Route>> routesByHost;
+    private final Map<String, Route> routesByName;
     private final Map<String, ServicePolicy> services;
 
     private RouteTable(
             long version,
             CallerLimits limits,
             Map<String, List<Route>> routesByHost,
+            Map<String, Route> routesByName,
             Map<String, ServicePolicy> services) {
         this.version = version;
         this.limits = limits;
         this.routesByHost = routesByHost;
+        this.routesByName = routesByName;
         this.services = services;
     }
 
@@ -38,7 +41,9 @@
     public static RouteTable of(
             long version, CallerLimits limits, Collection<Route> routes, Collection<ServicePolicy> services) {
         Map<String, List<Route>> byHost = new HashMap<>();
+        Map<String, Route> routesByName = new HashMap<>();
         for (Route route : routes) {
+            routesByName.put(route.name(), route);
             byHost.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
                     .add(route);
         }
@@ -48,7 +53,7 @@
         byHost.replaceAll((host, list) -> list.stream().sorted(longestFirst).toList());
         Map<String, ServicePolicy> byName = new HashMap<>();
         services.forEach(service -> byName.put(service.name(), service));
-        return new RouteTable(version, limits, Map.copyOf(byHost), Map.copyOf(byName));
+        return new RouteTable(version, limits, Map.copyOf(byHost), Map.copyOf(routesByName), Map.copyOf(byName));
     }
 
     /** The version of the configuration. */
@@ -66,6 +71,11 @@
         return routesByHost.values().stream().mapToInt(List::size).sum();
     }
 
+    /** The route with the name, if there is one. */
+    public Optional<Route> named(String name) {
+        return Optional.ofNullable(routesByName.get(name));
+    }
+
     /** The named service, if there is one. */
     public Optional<ServicePolicy> service(String name) {
         return Optional.ofNullable(services.get(name));
--- a/src/main/java/org/arbutusfield/steer/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steer/SteeringPlacement.java
@@ -16,6 +16,8 @@
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.follow.LiveUpstream;
 import org.arbutusfield.follow.SteeringState;
+import org.arbutusfield.home.HomeFinder;
+import org.arbutusfield.home.ObjectGroup;
 import org.arbutusfield.proxy.Outcome;
 import org.arbutusfield.proxy.Permit;
 import org.arbutusfield.proxy.Placed;
@@ -32,15 +34,25 @@
 public final class SteeringPlacement implements Placement {
     private static final Duration NO_UPSTREAM_WAIT = Duration.ofMillis(400);
 
+    private final String region;
     private final Supplier<SteeringState> state;
+    private final HomeFinder homes;
     private final TimerService timer;
     private final RetryShare retries;
     private final ColdShare cold;
     private final Suspicions suspicions = Suspicions.create();
     private final Map<String, Integer> inFlight = new HashMap<>();
 
-    private SteeringPlacement(String self, Supplier<SteeringState> state, RetryShare retries, TimerService timer) {
+    private SteeringPlacement(
+            String self,
+            String region,
+            Supplier<SteeringState> state,
+            HomeFinder homes,
+            RetryShare retries,
+            TimerService timer) {
+        this.region = region;
         this.state = state;
+        this.homes = homes;
         this.retries = retries;
         this.timer = timer;
         this.cold = ColdShare.of(self);
@@ -50,13 +62,20 @@
      * A placement for one host.
      *
      * @param self name of the host
+     * @param region region of the host
      * @param state what is known, as it changes
+     * @param homes knows which upstream serves an object
      * @param retries told of each caller's request
      * @param timer monotonic time
      */
     public static SteeringPlacement create(
-            String self, Supplier<SteeringState> state, RetryShare retries, TimerService timer) {
-        return new SteeringPlacement(self, state, retries, timer);
+            String self,
+            String region,
+            Supplier<SteeringState> state,
+            HomeFinder homes,
+            RetryShare retries,
+            TimerService timer) {
+        return new SteeringPlacement(self, region, state, homes, retries, timer);
     }
 
     @Override
@@ -64,12 +83,14 @@
         if (facts.tried().isEmpty()) {
             retries.requested(facts.service().name());
         }
-        SteeringState now = state.get();
-        Optional<LiveUpstream> chosen = choose(facts, now);
-        return CompletableFuture.completedFuture(chosen.map(upstream -> placed(upstream, now))
-                .orElseGet(() -> Either.left(
-                        Failure.of(ErrorCode.NO_UPSTREAM, facts.service().name(), "version " + now.version())
-                                .withRetryAfter(NO_UPSTREAM_WAIT))));
+        Optional<ObjectInGroup> object = objectOf(facts);
+        if (object.isEmpty()) {
+            return CompletableFuture.completedFuture(place(facts, object, Optional.empty()));
+        }
+        CompletableFuture<Either<Failure, Placed>> result = new CompletableFuture<>();
+        homes.find(object.get().group(), object.get().key())
+                .thenAccept(home -> complete(result, place(facts, object, home)));
+        return result;
     }
 
     /** Forgets what concerns upstreams that are no more. */
@@ -80,12 +101,47 @@
         cold.retain(names);
     }
 
-    private Optional<LiveUpstream> choose(RequestFacts facts, SteeringState now) {
+    private static void complete(CompletableFuture<Either<Failure, Placed>> result, Either<Failure, Placed> placed) {
+        if (!result.complete(placed) && placed.isRight()) {
+            placed.get().permit().release(Outcome.CANCELLED, 0);
+        }
+    }
+
+    private Either<Failure, Placed> place(RequestFacts facts, Optional<ObjectInGroup> object, Optional<String> home) {
+        SteeringState now = state.get();
+        return choose(facts, object, home, now)
+                .map(upstream -> placed(upstream, object, now))
+                .orElseGet(() -> Either.left(
+                        Failure.of(ErrorCode.NO_UPSTREAM, facts.service().name(), "version " + now.version())
+                                .withRetryAfter(NO_UPSTREAM_WAIT)));
+    }
+
+    /** The object of a request on a route where upstreams remember objects. Large answers are served near. */
+    private Optional<ObjectInGroup> objectOf(RequestFacts facts) {
+        if (facts.objectKey().isEmpty() || !facts.route().map(Route::affinity).orElse(false)) {
+            return Optional.empty();
+        }
+        Route route = facts.route().get();
+        String service = facts.service().name();
+        boolean near = route.largeAnswers()
+                && route.allows(region)
+                && state.get().upstreams(service).stream()
+                        .anyMatch(upstream -> upstream.region().equals(region));
+        ObjectGroup group = new ObjectGroup(service, route.name(), near ? region : "");
+        long key = ObjectAffinity.keyOf(
+                route.name() + group.region(), facts.objectKey().get());
+        return Optional.of(new ObjectInGroup(group, key));
+    }
+
+    private Optional<LiveUpstream> choose(
+            RequestFacts facts, Optional<ObjectInGroup> object, Optional<String> home, SteeringState now) {
+        String within = object.map(o -> o.group().region()).orElse("");
         List<LiveUpstream> allowed = new ArrayList<>();
         List<LiveUpstream> trusted = new ArrayList<>();
         long nanos = timer.nowNanos();
         for (LiveUpstream upstream : now.upstreams(facts.service().name())) {
-            if (!mayServe(facts, upstream) || !warmEnough(upstream, now, nanos)) {
+            boolean near = within.isEmpty() || upstream.region().equals(within);
+            if (!near || !mayServe(facts, upstream) || !warmEnough(upstream, now, nanos)) {
                 continue;
             }
             allowed.add(upstream);
@@ -94,16 +150,17 @@
             }
         }
         List<LiveUpstream> candidates = trusted.isEmpty() ? allowed : trusted;
-        Optional<String> object = facts.objectKey().filter(key -> hasAffinity(facts));
-        if (object.isPresent()) {
-            return ObjectAffinity.first(
-                    ObjectAffinity.keyOf(facts.requestClass().name(), object.get()), candidates);
+        if (object.isEmpty()) {
+            return lessBusyOfTwo(candidates);
         }
-        return lessBusyOfTwo(candidates);
+        return home.flatMap(name -> named(name, candidates))
+                .or(() -> ObjectAffinity.first(object.get().key(), candidates));
     }
 
-    private static boolean hasAffinity(RequestFacts facts) {
-        return facts.route().map(Route::affinity).orElse(false);
+    private static Optional<LiveUpstream> named(String name, List<LiveUpstream> candidates) {
+        return candidates.stream()
+                .filter(upstream -> upstream.name().equals(name))
+                .findFirst();
     }
 
     private static boolean mayServe(RequestFacts facts, LiveUpstream upstream) {
@@ -137,17 +194,29 @@
                 / upstream.upstream().slots();
     }
 
-    private Either<Failure, Placed> placed(LiveUpstream upstream, SteeringState now) {
+    private Either<Failure, Placed> placed(LiveUpstream upstream, Optional<ObjectInGroup> object, SteeringState now) {
         long nanos = timer.nowNanos();
         if (upstream.cold(nanos)) {
             cold.sent(upstream, coldRate(upstream, now), now.hosts(), nanos);
         }
         String name = upstream.name();
         inFlight.merge(name, 1, Integer::sum);
-        Permit permit = (outcome, serviceNanos) -> ended(name, outcome);
+        object.ifPresent(o -> homes.servedAt(o.group(), o.key(), name));
+        Permit permit = (outcome, serviceNanos) -> {
+            ended(name, outcome);
+            object.ifPresent(o -> objectEnded(o, name, outcome, serviceNanos));
+        };
         return Either.right(new Placed.AtUpstream(upstream.upstream(), permit));
     }
 
+    private void objectEnded(ObjectInGroup object, String name, Outcome outcome, long serviceNanos) {
+        if (outcome == Outcome.COMPLETED) {
+            homes.ended(object.group(), object.key(), serviceNanos);
+        } else if (outcome == Outcome.FAILED) {
+            homes.lost(object.group(), object.key(), name);
+        }
+    }
+
     private void ended(String name, Outcome outcome) {
         inFlight.computeIfPresent(name, (key, count) -> count > 1 ? count - 1 : null);
         switch (outcome) {
@@ -158,4 +227,12 @@
             }
         }
     }
+
+    /**
+     * An object.
+     *
+     * @param group the group it belongs to
+     * @param key its key
+     */
+    private record ObjectInGroup(ObjectGroup group, long key) {}
 }
--- a/src/main/java/org/arbutusfield/wire/gen/ControlMessage.java
+++ b/src/main/java/org/arbutusfield/wire/gen/ControlMessage.java
@@ -24,6 +24,8 @@
   private static final org.apache.thrift.protocol.TField BROKER_HEARTBEAT_FIELD_DESC = new org.apache.thrift.protocol.TField("brokerHeartbeat", org.apache.thrift.protocol.TType.STRUCT, (short)26);
   private static final org.apache.thrift.protocol.TField SLOT_PERMIT_FIELD_DESC = new org.apache.thrift.protocol.TField("slotPermit", org.apache.thrift.protocol.TType.STRUCT, (short)27);
   private static final org.apache.thrift.protocol.TField SLOT_TAKEOVER_FIELD_DESC = new org.apache.thrift.protocol.TField("slotTakeover", org.apache.thrift.protocol.TType.STRUCT, (short)28);
+  private static final org.apache.thrift.protocol.TField HOME_QUESTION_FIELD_DESC = new org.apache.thrift.protocol.TField("homeQuestion", org.apache.thrift.protocol.TType.STRUCT, (short)40);
+  private static final org.apache.thrift.protocol.TField HOME_ANSWER_FIELD_DESC = new org.apache.thrift.protocol.TField("homeAnswer", org.apache.thrift.protocol.TType.STRUCT, (short)41);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -41,7 +43,9 @@
     HELD_SLOTS((short)25, "heldSlots"),
     BROKER_HEARTBEAT((short)26, "brokerHeartbeat"),
     SLOT_PERMIT((short)27, "slotPermit"),
-    SLOT_TAKEOVER((short)28, "slotTakeover");
+    SLOT_TAKEOVER((short)28, "slotTakeover"),
+    HOME_QUESTION((short)40, "homeQuestion"),
+    HOME_ANSWER((short)41, "homeAnswer");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -87,6 +91,10 @@
           return SLOT_PERMIT;
         case 28: // SLOT_TAKEOVER
           return SLOT_TAKEOVER;
+        case 40: // HOME_QUESTION
+          return HOME_QUESTION;
+        case 41: // HOME_ANSWER
+          return HOME_ANSWER;
         default:
           return null;
       }
@@ -162,6 +170,10 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SlotPermit.class)));
     tmpMap.put(_Fields.SLOT_TAKEOVER, new org.apache.thrift.meta_data.FieldMetaData("slotTakeover", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SlotTakeover.class)));
+    tmpMap.put(_Fields.HOME_QUESTION, new org.apache.thrift.meta_data.FieldMetaData("homeQuestion", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, HomeQuestion.class)));
+    tmpMap.put(_Fields.HOME_ANSWER, new org.apache.thrift.meta_data.FieldMetaData("homeAnswer", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, HomeAnswer.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ControlMessage.class, metaDataMap);
   }
@@ -272,6 +284,18 @@
     return x;
   }
 
+  public static ControlMessage homeQuestion(HomeQuestion value) {
+    ControlMessage x = new ControlMessage();
+    x.setHomeQuestion(value);
+    return x;
+  }
+
+  public static ControlMessage homeAnswer(HomeAnswer value) {
+    ControlMessage x = new ControlMessage();
+    x.setHomeAnswer(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -351,6 +375,16 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type SlotTakeover for field 'slotTakeover', but got " + value.getClass().getSimpleName());
+      case HOME_QUESTION:
+        if (value instanceof HomeQuestion) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type HomeQuestion for field 'homeQuestion', but got " + value.getClass().getSimpleName());
+      case HOME_ANSWER:
+        if (value instanceof HomeAnswer) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type HomeAnswer for field 'homeAnswer', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -511,6 +545,26 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case HOME_QUESTION:
+          if (field.type == HOME_QUESTION_FIELD_DESC.type) {
+            HomeQuestion homeQuestion;
+            homeQuestion = new HomeQuestion();
+            homeQuestion.read(iprot);
+            return homeQuestion;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case HOME_ANSWER:
+          if (field.type == HOME_ANSWER_FIELD_DESC.type) {
+            HomeAnswer homeAnswer;
+            homeAnswer = new HomeAnswer();
+            homeAnswer.read(iprot);
+            return homeAnswer;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -583,6 +637,14 @@
         SlotTakeover slotTakeover = (SlotTakeover)value_;
         slotTakeover.write(oprot);
         return;
+      case HOME_QUESTION:
+        HomeQuestion homeQuestion = (HomeQuestion)value_;
+        homeQuestion.write(oprot);
+        return;
+      case HOME_ANSWER:
+        HomeAnswer homeAnswer = (HomeAnswer)value_;
+        homeAnswer.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -668,6 +730,16 @@
           slotTakeover = new SlotTakeover();
           slotTakeover.read(iprot);
           return slotTakeover;
+        case HOME_QUESTION:
+          HomeQuestion homeQuestion;
+          homeQuestion = new HomeQuestion();
+          homeQuestion.read(iprot);
+          return homeQuestion;
+        case HOME_ANSWER:
+          HomeAnswer homeAnswer;
+          homeAnswer = new HomeAnswer();
+          homeAnswer.read(iprot);
+          return homeAnswer;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -739,6 +811,14 @@
         SlotTakeover slotTakeover = (SlotTakeover)value_;
         slotTakeover.write(oprot);
         return;
+      case HOME_QUESTION:
+        HomeQuestion homeQuestion = (HomeQuestion)value_;
+        homeQuestion.write(oprot);
+        return;
+      case HOME_ANSWER:
+        HomeAnswer homeAnswer = (HomeAnswer)value_;
+        homeAnswer.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -777,6 +857,10 @@
         return SLOT_PERMIT_FIELD_DESC;
       case SLOT_TAKEOVER:
         return SLOT_TAKEOVER_FIELD_DESC;
+      case HOME_QUESTION:
+        return HOME_QUESTION_FIELD_DESC;
+      case HOME_ANSWER:
+        return HOME_ANSWER_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -994,6 +1078,32 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.SLOT_TAKEOVER");
   }
 
+  public HomeQuestion getHomeQuestion() {
+    if (getSetField() == _Fields.HOME_QUESTION) {
+      return (HomeQuestion)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'homeQuestion' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setHomeQuestion(HomeQuestion value) {
+    setField_ = _Fields.HOME_QUESTION;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.HOME_QUESTION");
+  }
+
+  public HomeAnswer getHomeAnswer() {
+    if (getSetField() == _Fields.HOME_ANSWER) {
+      return (HomeAnswer)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'homeAnswer' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setHomeAnswer(HomeAnswer value) {
+    setField_ = _Fields.HOME_ANSWER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.HOME_ANSWER");
+  }
+
   public boolean isSetRefusal() {
     return setField_ == _Fields.REFUSAL;
   }
@@ -1069,6 +1179,16 @@
   }
 
 
+  public boolean isSetHomeQuestion() {
+    return setField_ == _Fields.HOME_QUESTION;
+  }
+
+
+  public boolean isSetHomeAnswer() {
+    return setField_ == _Fields.HOME_ANSWER;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof ControlMessage) {
       return equals((ControlMessage)other);
--- a/src/main/thrift/control.thrift
+++ b/src/main/thrift/control.thrift
@@ -154,6 +154,26 @@
   3: i64 epoch
 }
 
+// One object of a route: what a host saw of it since its last question, and the upstream that serves it.
+struct ObjectHome {
+  1: i64 key
+  2: i32 requests
+  3: i64 busyMicros
+  4: string upstream
+}
+
+// A host asks the planner of a service which upstreams serve objects of a route.
+struct HomeQuestion {
+  1: string group
+  2: string route
+  3: string region
+  4: list<ObjectHome> objects
+}
+
+struct HomeAnswer {
+  1: list<ObjectHome> objects
+}
+
 union ControlMessage {
   1: Refusal refusal
   2: Heartbeat heartbeat
@@ -170,6 +190,8 @@
   26: BrokerHeartbeat brokerHeartbeat
   27: SlotPermit slotPermit
   28: SlotTakeover slotTakeover
+  40: HomeQuestion homeQuestion
+  41: HomeAnswer homeAnswer
 }
 
 // One frame. `kind`: 0 one-way, 1 request, 2 response.
