Platform: stand-in of its store, and tests of the path, the state, the shares and the plan

Ruled out: a mock of the store's interface; the stand-in speaks the published calls over a socket, so the codec and the timeouts are tested too. Change: lab.platform has the store with switches for its troubles; tests of a whole host on it (14), of items of other writers (17), of outages (11), of the sums over hosts (10) and of the plan (7). Conclusion: the classes of trouble of the store are covered but for slow answers and late execution, which come with the follower's own test.

--- a/src/main/java/org/arbutusfield/http/HttpCaller.java
+++ b/src/main/java/org/arbutusfield/http/HttpCaller.java
@@ -99,7 +99,9 @@
                 call.target(),
                 Unpooled.wrappedBuffer(call.body().bytes()));
         call.headers().forEach(h -> request.headers().add(h.name(), h.value()));
-        request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+        if (!request.headers().contains(HttpHeaderNames.HOST)) {
+            request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+        }
         request.headers().set(HttpHeaderNames.CONNECTION, "close");
         HttpUtil.setContentLength(request, call.body().length());
         Failure late = Failure.of(ErrorCode.PEER_TIMEOUT, address.toString());
--- a/src/main/java/org/arbutusfield/platform/PlatformMain.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformMain.java
@@ -35,7 +35,8 @@
         System.exit(EdgeRunner.run(() -> EdgeSettingsReader.read(path), PlatformMain::start));
     }
 
-    private static Either<Failure, EdgeHost> start(EdgeSettings settings) {
+    /** Starts a host with the platform's formats and store. */
+    static Either<Failure, EdgeHost> start(EdgeSettings settings) {
         return EdgeHost.start(settings, PlatformFormats.create(), PlatformMain::store);
     }
 
--- /dev/null
+++ b/src/test/java/org/arbutusfield/follow/StateBookTest.java
@@ -0,0 +1,136 @@
+package org.arbutusfield.follow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.http.Body;
+import org.arbutusfield.misc.Addresses;
+import org.arbutusfield.route.CallerLimits;
+import org.arbutusfield.route.RouteTable;
+import org.arbutusfield.store.ItemChange;
+import org.arbutusfield.store.StoreItem;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The state that a host keeps, through outages in which entries lapse, and with entries of other writers. */
+class StateBookTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    private final Map<String, StateItem> decoded = new HashMap<>();
+    private final StateBook book = StateBook.create(this::decode, Map.of("gulf-a", "gulf", "delta-a", "delta"));
+
+    private Either<Failure, StateItem> decode(String key, byte[] value) {
+        return decoded.containsKey(key)
+                ? Either.right(decoded.get(key))
+                : Either.left(Failure.of(ErrorCode.ITEM_UNREADABLE, key));
+    }
+
+    private StoreItem upstream(String id, long revision, boolean draining, Duration cold, long born) {
+        UpstreamEntry entry = new UpstreamEntry(
+                id, "desk", "gulf-a", Addresses.parse("127.0.0.1:9000").orElseThrow(), 3, draining, cold, born);
+        decoded.put("u/" + id, new StateItem.UpstreamReport(entry));
+        return new StoreItem("u/" + id, Body.empty(), revision);
+    }
+
+    private StoreItem ready(String id, long revision) {
+        return upstream(id, revision, false, Duration.ZERO, 1);
+    }
+
+    private List<String> names() {
+        return book.state(1).upstreams("desk").stream().map(LiveUpstream::name).toList();
+    }
+
+    private static List<ItemChange> written(StoreItem item) {
+        return List.of(new ItemChange(item.key(), item.revision(), Optional.of(item)));
+    }
+
+    private static List<ItemChange> removed(String key) {
+        return List.of(new ItemChange(key, 9, Optional.empty()));
+    }
+
+    /** After an outage a missing entry stays for 2 s, unless the upstream was leaving. */
+    @ParameterizedTest
+    @CsvSource({
+        "false, false, 0,    false",
+        "true,  false, 0,    true",
+        "true,  false, 1990, true",
+        "true,  false, 2010, false",
+        "true,  true,  0,    false",
+    })
+    void aMissingEntry(boolean afterOutage, boolean draining, long millisLater, boolean inUse) {
+        book.list(List.of(upstream("a", 2, draining, Duration.ZERO, 1)), false, 0);
+        book.list(List.of(), afterOutage, SECOND);
+        book.expire(SECOND + millisLater * 1_000_000);
+        assertThat(names().contains("a")).isEqualTo(inUse);
+    }
+
+    @Test
+    void anEntryThatComesBackWithinTheGraceStays() {
+        book.list(List.of(ready("a", 2)), false, 0);
+        book.change(removed("u/a"), true, SECOND);
+        book.change(written(ready("a", 10)), false, 2 * SECOND);
+        book.expire(10 * SECOND);
+        assertThat(names()).containsExactly("a");
+        assertThat(book.inGrace()).isFalse();
+    }
+
+    @Test
+    void anUnchangedEntryInANewListingEndsTheGraceWithoutWarmingItUpAnew() {
+        book.list(List.of(upstream("a", 2, false, Duration.ofSeconds(3), 1)), false, 0);
+        book.change(removed("u/a"), true, SECOND);
+        book.list(List.of(upstream("a", 2, false, Duration.ofSeconds(3), 1)), true, 2 * SECOND);
+        book.expire(10 * SECOND);
+        assertThat(names()).containsExactly("a");
+        LiveUpstream upstream = book.state(1).upstreams("desk").get(0);
+        assertThat(upstream.cold(2 * SECOND)).isTrue();
+        assertThat(upstream.cold(4 * SECOND)).isFalse();
+    }
+
+    @Test
+    void anEntryThatCannotBeReadNamesNoUpstream() {
+        StoreItem good = ready("a", 2);
+        book.list(List.of(good, ready("b", 3)), false, 0);
+        decoded.remove("u/a");
+        book.change(written(new StoreItem("u/a", Body.empty(), 4)), false, SECOND);
+        assertThat(names()).containsExactly("b");
+    }
+
+    @Test
+    void aDrainedDomainTakesItsUpstreamsOutUntilItIsTakenBack() {
+        decoded.put("d/gulf-a", new StateItem.DomainDrain("gulf-a"));
+        book.list(List.of(ready("a", 2)), false, 0);
+        book.change(written(new StoreItem("d/gulf-a", Body.empty(), 3)), false, 0);
+        assertThat(names()).isEmpty();
+        book.change(removed("d/gulf-a"), false, 0);
+        assertThat(names()).containsExactly("a");
+    }
+
+    @Test
+    void theVersionOfTheRoutesNeverDecreases() {
+        for (long version : new long[] {5, 3, 7, 6}) {
+            decoded.put("routes", new StateItem.Routes(table(version)));
+            book.change(written(new StoreItem("routes", Body.empty(), version)), false, 0);
+        }
+        assertThat(book.state(1).version()).isEqualTo(7);
+    }
+
+    @Test
+    void aRestartUnderTheSameIdCountsAsNew() {
+        book.list(List.of(ready("a", 2)), false, 0);
+        book.change(written(upstream("a", 3, false, Duration.ZERO, 2)), false, 5 * SECOND);
+        assertThat(book.state(1).upstreams("desk").get(0).joinedNanos()).isEqualTo(5 * SECOND);
+    }
+
+    private static RouteTable table(long version) {
+        CallerLimits limits = new CallerLimits(1, 1, Duration.ZERO, Duration.ZERO);
+        return RouteTable.of(version, limits, List.of(), List.of());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/arbutusfield/home/HomePlanTest.java
@@ -0,0 +1,119 @@
+package org.arbutusfield.home;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** Loads that hashing spreads badly: few objects for many upstreams, and objects of uneven weight. */
+class HomePlanTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final double SHARE_OF_MEAN = 1.5;
+
+    private static List<Candidate> upstreams(int count) {
+        List<Candidate> upstreams = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            upstreams.add(new Candidate("u" + i, 3));
+        }
+        return upstreams;
+    }
+
+    private static ObjectUse use(long key) {
+        return new ObjectUse(key, 0, 0, "");
+    }
+
+    /** The pattern at the start of a day: every object is cold, and 48 of them meet 16 upstreams. */
+    @Test
+    void newObjectsAreSpreadEvenly() {
+        HomePlan plan = HomePlan.create();
+        List<Candidate> upstreams = upstreams(16);
+        Map<String, Integer> objects = new HashMap<>();
+        for (long key = 0; key < 48; key++) {
+            objects.merge(plan.home(use(key), upstreams, 0).orElseThrow().name(), 1, Integer::sum);
+        }
+        assertThat(objects.values()).containsOnly(3);
+    }
+
+    @Test
+    void anObjectKeepsItsHome() {
+        HomePlan plan = HomePlan.create();
+        List<Candidate> upstreams = upstreams(4);
+        String home = plan.home(use(7), upstreams, 0).orElseThrow().name();
+        for (int i = 0; i < 100; i++) {
+            plan.home(use(100 + i), upstreams, i);
+            assertThat(plan.home(use(7), upstreams, i).orElseThrow().name()).isEqualTo(home);
+        }
+    }
+
+    @Test
+    void anObjectWhoseUpstreamLeavesGetsAnotherHomeForGood() {
+        HomePlan plan = HomePlan.create();
+        List<Candidate> upstreams = upstreams(3);
+        Candidate left = plan.home(use(7), upstreams, 0).orElseThrow();
+        List<Candidate> rest = upstreams.stream().filter(u -> !u.equals(left)).toList();
+        Candidate next = plan.home(use(7), rest, 1).orElseThrow();
+        assertThat(rest).contains(next);
+        assertThat(plan.home(use(7), upstreams, 2)).contains(next);
+    }
+
+    /** A new planner takes over the homes that hosts know. */
+    @Test
+    void aNewPlannerAdoptsWhatHostsKnow() {
+        HomePlan plan = HomePlan.create();
+        assertThat(plan.home(new ObjectUse(7, 3, 1000, "u2"), upstreams(4), 0)).contains(new Candidate("u2", 3));
+    }
+
+    /** The pattern of the busiest days: object weights are uneven, so equal counts overload some upstreams. */
+    @Test
+    void unevenObjectsAreLevelledOut() {
+        HomePlan plan = HomePlan.create();
+        List<Candidate> upstreams = upstreams(8);
+        Random random = new Random(3);
+        double[] busySlots = new double[40];
+        double total = 0;
+        for (int i = 0; i < busySlots.length; i++) {
+            busySlots[i] = 0.1 + 0.9 * Math.pow(random.nextDouble(), 2);
+            total += busySlots[i];
+        }
+        for (int second = 0; second < 60; second++) {
+            for (int i = 0; i < busySlots.length; i++) {
+                plan.home(new ObjectUse(i, 5, (long) (busySlots[i] * 1e6), ""), upstreams, second * SECOND);
+            }
+            plan.advance(upstreams, second * SECOND);
+        }
+        double mean = total / upstreams.size();
+        for (Candidate upstream : upstreams) {
+            assertThat(plan.load(upstream.name())).isLessThan(mean * SHARE_OF_MEAN);
+        }
+    }
+
+    /** The pattern of a growing service: upstreams that join get work. */
+    @Test
+    void joinedUpstreamsGetObjects() {
+        HomePlan plan = HomePlan.create();
+        List<Candidate> few = upstreams(4);
+        List<Candidate> more = upstreams(7);
+        for (int second = 0; second < 12; second++) {
+            List<Candidate> now = second < 6 ? few : more;
+            for (long key = 0; key < 24; key++) {
+                plan.home(new ObjectUse(key, 1, 50_000, ""), now, second * SECOND);
+            }
+            plan.advance(now, second * SECOND);
+        }
+        more.forEach(u -> assertThat(plan.load(u.name())).isPositive());
+    }
+
+    @Test
+    void unusedObjectsAreForgotten() {
+        HomePlan plan = HomePlan.create();
+        List<Candidate> upstreams = upstreams(2);
+        plan.home(use(1), upstreams, 0);
+        plan.advance(upstreams, 0);
+        plan.advance(upstreams, 40 * SECOND);
+        assertThat(plan.size()).isZero();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/arbutusfield/platform/PlatformItemsTest.java
@@ -0,0 +1,112 @@
+package org.arbutusfield.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.follow.StateItem;
+import org.arbutusfield.follow.UpstreamEntry;
+import org.arbutusfield.route.Route;
+import org.arbutusfield.route.RouteTable;
+import org.arbutusfield.route.Share;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Items of the platform's store as they may come, from their own writers and from others. */
+class PlatformItemsTest {
+    static final String SERVER = "{\"address\":\"10.128.0.9:8080\",\"born\":1790000000000,\"details\":{"
+            + "\"service\":\"desk\",\"version\":\"v1\",\"zone\":\"gulf-a\",\"slots\":3},"
+            + "\"status\":{\"state\":\"ready\",\"sequence\":4,\"cold_remaining\":\"1500ms\"}}";
+
+    private static Either<Failure, StateItem> decode(String key, String value) {
+        return PlatformItems.create().decode(key, value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void aServersEntry() {
+        StateItem item = decode("servers/i-1", SERVER).get();
+        UpstreamEntry entry = ((StateItem.UpstreamReport) item).entry();
+        assertThat(entry.id()).isEqualTo("i-1");
+        assertThat(entry.service()).isEqualTo("desk");
+        assertThat(entry.failureDomain()).isEqualTo("gulf-a");
+        assertThat(entry.address().getPort()).isEqualTo(8080);
+        assertThat(entry.slots()).isEqualTo(3);
+        assertThat(entry.draining()).isFalse();
+        assertThat(entry.coldFor()).isEqualTo(Duration.ofMillis(1500));
+        assertThat(entry.bornMillis()).isEqualTo(1_790_000_000_000L);
+    }
+
+    static Stream<Arguments> unreadable() {
+        return Stream.of(
+                Arguments.of("not JSON", "\u0000\u0001"),
+                Arguments.of("empty", ""),
+                Arguments.of("a list", "[]"),
+                Arguments.of("no details", SERVER.replace("details", "detail")),
+                Arguments.of("unknown state", SERVER.replace("ready", "resting")),
+                Arguments.of("slots as text", SERVER.replace("\"slots\":3", "\"slots\":\"3\"")),
+                Arguments.of("no slots", SERVER.replace("\"slots\":3", "\"slots\":0")),
+                Arguments.of("a name as address", SERVER.replace("10.128.0.9", "host")),
+                Arguments.of("start with a fraction", SERVER.replace("1790000000000", "1.5")),
+                Arguments.of("cold time without unit", SERVER.replace("1500ms", "1500")));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("unreadable")
+    void anUnreadableEntryIsAFailure(String name, String value) {
+        assertThat(decode("servers/i-1", value).getLeft().code()).isEqualTo(ErrorCode.ITEM_UNREADABLE);
+    }
+
+    @Test
+    void theConfiguration() {
+        String rule = "{\"name\":\"r-1\",\"route_type\":\"%s\",\"target_latency\":\"600ms\",\"priority\":1,"
+                + "\"session_affinity\":true,\"match\":{\"prefix\":\"%s\"},\"action\":{%s,\"timeout\":\"2s\","
+                + "\"attempts\":2,\"allowed_regions\":[\"gulf\"]}}";
+        String config = "{\"version\":\"r7\",\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
+                + "\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15s\"},\"listeners\":[{\"host\":\"a.example\","
+                + "\"policy\":["
+                + rule.formatted("non_idempotent", "/one/", "\"service\":\"desk\"")
+                        .replace("r-1", "r-0") + ","
+                + rule.formatted(
+                        "download",
+                        "/one/two/",
+                        "\"traffic_split\":[{\"service\":\"desk\",\"weight\":90},{\"service\":\"vault\",\"weight\":10}]")
+                + "]}],\"upstreams\":[{\"name\":\"desk\",\"health_path\":\"/health\",\"max_connections\":660,"
+                + "\"cold_start\":\"3s\",\"cold_per_s\":2.6}]}";
+        RouteTable table = ((StateItem.Routes) decode("op/config", config).get()).routes();
+        assertThat(table.version()).isEqualTo(7);
+        assertThat(table.limits().idleTimeout()).isEqualTo(Duration.ofSeconds(15));
+        Route once = table.match("A.example", "/one/x").orElseThrow();
+        assertThat(once.repeatable()).isFalse();
+        assertThat(once.allowedRegions()).isEqualTo(Set.of("gulf"));
+        assertThat(once.timeout()).isEqualTo(Duration.ofSeconds(2));
+        Route split = table.match("a.example", "/one/two/x").orElseThrow();
+        assertThat(split.repeatable()).isTrue();
+        assertThat(split.largeAnswers()).isTrue();
+        assertThat(split.shares()).containsExactly(new Share("desk", 90), new Share("vault", 10));
+        assertThat(split.serviceAt(0.89)).isEqualTo("desk");
+        assertThat(split.serviceAt(0.91)).isEqualTo("vault");
+        assertThat(table.match("a.example", "/on")).isEmpty();
+        assertThat(table.service("desk").orElseThrow().coldPerSecond()).isEqualTo(2.6);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"{}", "{\"version\":\"7\"}", "", "[1]"})
+    void anUnreadableConfigurationIsAFailure(String value) {
+        assertThat(decode("op/config", value).getLeft().code()).isEqualTo(ErrorCode.ITEM_UNREADABLE);
+    }
+
+    @Test
+    void otherItems() {
+        assertThat(decode("op/evacuate/gulf-a", "{}").get()).isEqualTo(new StateItem.DomainDrain("gulf-a"));
+        assertThat(decode("elsewhere/x", "?").get()).isEqualTo(new StateItem.Other());
+        assertThat(decode("hosts/h", "{\"callers\":\"x\"}").getLeft().code()).isEqualTo(ErrorCode.ITEM_UNREADABLE);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/arbutusfield/platform/PlatformPathTest.java
@@ -0,0 +1,233 @@
+package org.arbutusfield.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.vavr.control.Either;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import org.arbutusfield.edge.EdgeHost;
+import org.arbutusfield.edge.EdgeSettings;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.http.Body;
+import org.arbutusfield.http.Header;
+import org.arbutusfield.http.HttpAnswer;
+import org.arbutusfield.http.HttpCall;
+import org.arbutusfield.http.HttpCaller;
+import org.arbutusfield.http.HttpListener;
+import org.arbutusfield.lab.platform.KeyValueStandIn;
+import org.arbutusfield.lab.platform.KeyValueStandIn.StoreTrouble;
+import org.arbutusfield.misc.Addresses;
+import org.arbutusfield.steer.RetryBounds;
+import org.arbutusfield.timer.SystemTimer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A whole host on the stand-ins of the platform: store, servers and callers over sockets. */
+class PlatformPathTest {
+    private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    private static final Duration PATIENCE = Duration.ofSeconds(8);
+
+    private final EventLoopGroup group = new NioEventLoopGroup(2);
+    private final SystemTimer timer = SystemTimer.start();
+    private final HttpCaller caller = HttpCaller.create(group, Duration.ofSeconds(1));
+    private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+    private KeyValueStandIn store;
+    private EdgeHost host;
+    private EdgeSettings settings;
+
+    @BeforeEach
+    void start() {
+        store = KeyValueStandIn.bind(group, ANY, timer).get();
+        settings = new EdgeSettings(
+                "edge-1",
+                "gulf",
+                "gulf-a",
+                free(),
+                free(),
+                free(),
+                free(),
+                free(),
+                store.address(),
+                Map.of("gulf-a", "gulf"),
+                2_000,
+                Duration.ofSeconds(5),
+                Duration.ofSeconds(2),
+                new RetryBounds(0.2, Duration.ofSeconds(10), 112, 2));
+        host = PlatformMain.start(settings).get();
+    }
+
+    @AfterEach
+    void stop() {
+        host.close();
+        store.close();
+        timer.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private InetSocketAddress free() {
+        HttpListener probe = HttpListener.bind(group, ANY, 1, call -> new CompletableFuture<>())
+                .get();
+        InetSocketAddress address = probe.address();
+        probe.close();
+        return address;
+    }
+
+    /** A server that proves its answers, and sheds or misdirects what it should. */
+    private HttpListener server(String id, String what) {
+        return HttpListener.bind(group, ANY, 1 << 20, call -> CompletableFuture.completedFuture(answer(id, what, call)))
+                .get();
+    }
+
+    private HttpAnswer answer(String id, String what, HttpCall call) {
+        boolean meant = call.header("x-expect-instance").orElse("").equals(id);
+        if (!meant || what.equals("misdirected")) {
+            return new HttpAnswer(421, List.of(), Body.empty());
+        }
+        if (what.equals("shed")) {
+            return new HttpAnswer(503, List.of(Header.of("x-not-executed", "1")), Body.empty());
+        }
+        runs.computeIfAbsent(call.header("x-request-id").orElse(""), k -> new AtomicInteger())
+                .incrementAndGet();
+        List<Header> proof = what.equals("unproved") ? List.of() : List.of(Header.of("x-server-seal", "s"));
+        return new HttpAnswer(200, proof, Body.of(id + " " + call.target()));
+    }
+
+    private void enter(String id, InetSocketAddress address) {
+        String entry = PlatformItemsTest.SERVER
+                .replace("10.128.0.9:8080", Addresses.text(address))
+                .replace("1500ms", "0ms");
+        store.content().put("servers/" + id, entry.getBytes(StandardCharsets.UTF_8), 0);
+    }
+
+    private void configure(int version, String kind) {
+        String config = "{\"version\":\"r" + version + "\",\"limits\":{\"max_header_bytes\":16384,"
+                + "\"max_body_bytes\":1000000,\"header_timeout\":\"3s\",\"idle_timeout\":\"15s\"},\"listeners\":[{"
+                + "\"host\":\"a.example\",\"policy\":[{\"name\":\"r\",\"route_type\":\"" + kind + "\","
+                + "\"target_latency\":\"600ms\",\"priority\":1,\"session_affinity\":true,\"match\":{\"prefix\":\"/p/\"},"
+                + "\"action\":{\"service\":\"desk\",\"timeout\":\"2s\",\"attempts\":2,\"allowed_regions\":[]}}]}],"
+                + "\"upstreams\":[{\"name\":\"desk\",\"health_path\":\"/health\",\"max_connections\":660,"
+                + "\"cold_start\":\"3s\",\"cold_per_s\":2.6}]}";
+        store.content().put("op/config", config.getBytes(StandardCharsets.UTF_8), 0);
+    }
+
+    private HttpAnswer request(String id, String path) {
+        HttpCall call = new HttpCall(
+                "GET",
+                path,
+                List.of(
+                        Header.of("Host", "a.example"),
+                        Header.of("X-Request-Id", id),
+                        Header.of("X-Deadline-Ms", "3000"),
+                        Header.of("X-Affinity-Key", "17")),
+                Body.empty());
+        return caller.call(settings.callerAddress(), call, PATIENCE).join().get();
+    }
+
+    private HttpAnswer ask(InetSocketAddress address, String target) {
+        Either<Failure, HttpAnswer> answer =
+                caller.call(address, HttpCall.of("GET", target), PATIENCE).join();
+        return answer.get();
+    }
+
+    private static void eventually(BooleanSupplier condition) {
+        long end = System.nanoTime() + PATIENCE.toNanos();
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).as("in time").isLessThan(end);
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    void aHostWithoutConfigurationIsNotReadyAndRefusesWithoutRunning() {
+        assertThat(ask(settings.readyAddress(), "/ready").status()).isEqualTo(503);
+        HttpAnswer answer = request("1", "/p/x");
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(answer.header("retry-after")).isPresent();
+    }
+
+    @Test
+    void aRequestReachesTheServerOfItsRoute() {
+        configure(4, "idempotent");
+        enter("i-1", server("i-1", "answer").address());
+        eventually(() -> request("1", "/p/x?q=1").status() == 200);
+        HttpAnswer answer = request("2", "/p/x?q=1");
+        assertThat(answer.text()).isEqualTo("i-1 /p/x?q=1");
+        assertThat(answer.header("x-server-seal")).contains("s");
+        assertThat(request("3", "/other/x").status()).isEqualTo(404);
+        assertThat(ask(settings.readyAddress(), "/ready").status()).isEqualTo(200);
+    }
+
+    @Test
+    void lookUpsNameTheHost() {
+        eventually(() -> ask(settings.lookupAddress(), "/resolve?name=a&region=gulf&zone=gulf-a")
+                        .status()
+                == 200);
+        HttpAnswer answer = ask(settings.lookupAddress(), "/resolve?name=a&region=gulf&zone=gulf-a");
+        assertThat(answer.text())
+                .contains(Addresses.text(settings.callerAddress()))
+                .contains("\"ttl\":\"2000ms\"");
+        assertThat(ask(settings.lookupAddress(), "/resolve?name=a").status()).isEqualTo(400);
+    }
+
+    /** What one bad server does to a request, with a good server beside it. */
+    @ParameterizedTest
+    @CsvSource({
+        "shed,        idempotent,     200, 1",
+        "shed,        non_idempotent, 200, 1",
+        "misdirected, non_idempotent, 200, 1",
+        "unproved,    idempotent,     200, 2",
+        "unproved,    non_idempotent, 502, 1",
+    })
+    void aServerThatFails(String what, String kind, int status, int mostRuns) {
+        configure(4, kind);
+        enter("i-1", server("i-1", what).address());
+        enter("i-2", server("i-2", "answer").address());
+        eventually(() -> request("warm", "/p/x").status() != 503);
+        for (int i = 0; i < 5; i++) {
+            String id = "r" + i;
+            HttpAnswer answer = request(id, "/p/x" + i);
+            assertThat(answer.status()).isIn(200, status);
+            assertThat(runs.get(id).get()).isBetween(1, mostRuns);
+        }
+    }
+
+    /** The state stays in force through each trouble of the store, and a change made meanwhile is seen after it. */
+    @ParameterizedTest
+    @CsvSource({"SILENT", "BUSY", "LIMITED", "LOST_ANSWERS", "DEAF_WATCHES"})
+    void aTroubleOfTheStore(StoreTrouble trouble) throws InterruptedException {
+        configure(4, "idempotent");
+        enter("i-1", server("i-1", "answer").address());
+        eventually(() -> request("1", "/p/x").status() == 200);
+        store.trouble(trouble);
+        store.content().remove("servers/i-1");
+        enter("i-2", server("i-2", "answer").address());
+        store.content().compact();
+        Thread.sleep(200);
+        assertThat(request("2", "/p/x").status()).isEqualTo(200);
+        store.trouble(StoreTrouble.NONE);
+        eventually(() -> request("3", "/p/x").text().startsWith("i-2"));
+    }
+
+    @Test
+    void aStoppedHostLeavesTheLookUpsAndStopsInTime() {
+        eventually(() -> !store.content().list("hosts/", "", 10).isEmpty());
+        long start = System.nanoTime();
+        host.stopGracefully();
+        assertThat(store.content().list("hosts/", "", 10)).isEmpty();
+        assertThat(System.nanoTime() - start).isLessThan(settings.stopLimit().toNanos());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/arbutusfield/steer/ShareOverHostsTest.java
@@ -0,0 +1,126 @@
+package org.arbutusfield.steer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+import org.arbutusfield.follow.HostEntry;
+import org.arbutusfield.follow.LiveUpstream;
+import org.arbutusfield.lookup.Rendezvous;
+import org.arbutusfield.model.Service;
+import org.arbutusfield.model.Upstream;
+import org.arbutusfield.timer.VirtualTimer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Sums over all hosts that no host sees: repeated requests, and requests to a cold upstream. */
+class ShareOverHostsTest {
+    private static final Service DESK = new Service("desk", 0, 0, 0, List.of(), List.of());
+    private static final Duration STEP = Duration.ofMillis(10);
+
+    private static List<HostEntry> hosts(int count) {
+        List<HostEntry> hosts = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            hosts.add(new HostEntry("host-" + i, "gulf", "gulf-a", "127.0.0.1:1", "127.0.0.1:2"));
+        }
+        return hosts;
+    }
+
+    /** All hosts want to repeat every request for a minute; every window of the sum keeps to the budget. */
+    @ParameterizedTest
+    @CsvSource({"16, 5, 112", "20, 30, 120", "118, 2, 300"})
+    void repeatsKeepToTheBudgetInEveryWindow(int hosts, int requestsPerSecond, int slack) {
+        VirtualTimer timer = VirtualTimer.create();
+        RetryBounds bounds = new RetryBounds(0.2, Duration.ofSeconds(10), slack, 12);
+        List<RetryShare> shares = new ArrayList<>();
+        for (int i = 0; i < hosts; i++) {
+            shares.add(RetryShare.create(bounds, () -> hosts, timer));
+        }
+        Random random = new Random(5);
+        Deque<Long> repeats = new ArrayDeque<>();
+        Deque<Long> requests = new ArrayDeque<>();
+        for (int step = 0; step < 6_000; step++) {
+            timer.advance(STEP);
+            for (RetryShare share : shares) {
+                if (random.nextDouble() < requestsPerSecond * 0.01) {
+                    share.requested("desk");
+                    requests.add(timer.nowNanos());
+                    if (share.tryAcquire(DESK)) {
+                        repeats.add(timer.nowNanos());
+                    }
+                }
+            }
+            forget(repeats, timer);
+            forget(requests, timer);
+            assertThat((double) repeats.size()).isLessThanOrEqualTo(0.2 * requests.size() + slack);
+        }
+        assertThat(repeats).isNotEmpty();
+    }
+
+    /** A host that is cut off and sees itself alone does not take the others' part. */
+    @Test
+    void aHostThatSeesNoOtherTakesAFewRepeatsOnly() {
+        VirtualTimer timer = VirtualTimer.create();
+        RetryShare share = RetryShare.create(new RetryBounds(0.2, Duration.ofSeconds(10), 120, 12), () -> 1, timer);
+        int taken = 0;
+        while (share.tryAcquire(DESK)) {
+            taken++;
+        }
+        assertThat(taken).isLessThanOrEqualTo(120 / 12);
+    }
+
+    /** All hosts press on one cold upstream; every second of the sum keeps to the rate and its slack. */
+    @ParameterizedTest
+    @CsvSource({"16, 2.6", "2, 2.6", "118, 2.6", "20, 6.0", "16, 0.5"})
+    void aColdUpstreamIsSpared(int count, double perSecond) {
+        List<HostEntry> hosts = hosts(count);
+        Upstream model = new Upstream("u-1", "desk", "gulf-a", "127.0.0.1", 9000, 3, 100);
+        LiveUpstream upstream = new LiveUpstream(model, "gulf", Long.MAX_VALUE, 0, Rendezvous.hash("u-1"));
+        List<ColdShare> shares =
+                hosts.stream().map(host -> ColdShare.of(host.name())).toList();
+        Deque<Long> sent = new ArrayDeque<>();
+        int total = 0;
+        for (long now = 0; now < 10_000_000_000L; now += 10_000_000L) {
+            for (ColdShare share : shares) {
+                if (share.allows(upstream, perSecond, hosts, now)) {
+                    share.sent(upstream, perSecond, hosts, now);
+                    sent.add(now);
+                    total++;
+                }
+            }
+            while (!sent.isEmpty() && now - sent.peek() >= 1_000_000_000L) {
+                sent.remove();
+            }
+            assertThat((double) sent.size()).isLessThanOrEqualTo(perSecond * 1.5 + 5);
+        }
+        assertThat((double) total).isBetween(perSecond * 5, perSecond * 10 + 3);
+    }
+
+    /** Two halves of the hosts that know only themselves both send; the sum still keeps to the bound. */
+    @Test
+    void aColdUpstreamIsSparedByTwoHalvesThatDoNotKnowEachOther() {
+        List<HostEntry> all = hosts(16);
+        Upstream model = new Upstream("u-1", "desk", "gulf-a", "127.0.0.1", 9000, 3, 100);
+        LiveUpstream upstream = new LiveUpstream(model, "gulf", Long.MAX_VALUE, 0, Rendezvous.hash("u-1"));
+        int atOnce = 0;
+        for (int i = 0; i < all.size(); i++) {
+            List<HostEntry> half = i < 8 ? all.subList(0, 8) : all.subList(8, 16);
+            if (ColdShare.of(all.get(i).name()).allows(upstream, 2.6, half, 0)) {
+                atOnce++;
+            }
+        }
+        assertThat(atOnce).isLessThanOrEqualTo(8);
+    }
+
+    private static void forget(Deque<Long> times, VirtualTimer timer) {
+        while (!times.isEmpty()
+                && timer.nowNanos() - times.peek() >= Duration.ofSeconds(10).toNanos()) {
+            times.remove();
+        }
+    }
+}
