Homes: planner avoids upstreams out of line; homes are stored

Ruled out: probes, which take a slot and are priced; hashing with looser bounds, which finds only half of the objects where they were. Change: UpstreamConduct sums what all hosts report and takes objects from an upstream that is slow or fails against the others. HomeKeeper writes homes to the store, seldom; planners and hosts adopt them.

--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -19,6 +19,7 @@
 import org.arbutusfield.follow.SteeringState;
 import org.arbutusfield.follow.StoreFollower;
 import org.arbutusfield.home.HomeFinder;
+import org.arbutusfield.home.HomeKeeper;
 import org.arbutusfield.home.HomePlanner;
 import org.arbutusfield.http.HttpListener;
 import org.arbutusfield.misc.Addresses;
@@ -60,6 +61,7 @@
     private volatile EdgeSettings settings;
     private volatile SteeringState state = SteeringState.empty();
     private volatile boolean leaving;
+    private HomePlanner planner;
     private HomeFinder homes;
     private RetryShare retries;
     private SteeringPlacement placement;
@@ -121,7 +123,7 @@
         long left = limit.minus(STOP_MARGIN).toNanos() - (System.nanoTime() - start);
         int unfinished = entry.drain(Duration.ofNanos(Math.max(0, left))).join();
         LOG.info("event=host_stopped host={} unfinished={}", settings.name(), unfinished);
-        stopped.countDown();
+        close();
     }
 
     /** Waits until the host is closed. */
@@ -139,7 +141,7 @@
     }
 
     private Either<Failure, EdgeHost> joinHosts() {
-        HomePlanner planner = HomePlanner.create(() -> state, timer);
+        planner = HomePlanner.create(() -> state, timer);
         ControlHandlers handlers = ControlHandlers.create();
         planner.register(handlers);
         ControlClient client = ControlClient.start(group, timer, ControlLimits.standard());
@@ -205,6 +207,7 @@
                 Addresses.text(settings.callerAddress()),
                 Addresses.text(settings.controlAddress()));
         StateBook book = StateBook.create(formats.items(), settings.regions());
+        HomeKeeper.start(planner, store, timer);
         registrar = HostRegistrar.start(store, timer, self);
         StoreFollower.start(store, timer, book, this::install);
     }
--- a/src/main/java/org/arbutusfield/edge/EdgeRunner.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeRunner.java
@@ -76,6 +76,7 @@
     /** Ends the process with status 0 after a graceful stop, where the runtime would report the signal instead. */
     private static void stop(EdgeHost host) {
         host.stopGracefully();
+        LogManager.shutdown();
         Runtime.getRuntime().halt(EXIT_STOPPED);
     }
 }
--- a/src/main/java/org/arbutusfield/follow/StateBook.java
+++ b/src/main/java/org/arbutusfield/follow/StateBook.java
@@ -48,6 +48,7 @@
     private final Map<String, String> regions;
     private final Map<String, Known> upstreams = new TreeMap<>();
     private final Map<String, HostEntry> hosts = new TreeMap<>();
+    private final Map<String, Map<Long, String>> homes = new HashMap<>();
     private final Set<String> drains = new TreeSet<>();
     private Optional<RouteTable> routes = Optional.empty();
 
@@ -138,7 +139,12 @@
         byService.replaceAll((service, list) ->
                 list.stream().sorted(Comparator.comparing(LiveUpstream::name)).toList());
         return new SteeringState(
-                routes, Map.copyOf(byService), Set.copyOf(drained), List.copyOf(hosts.values()), revision);
+                routes,
+                Map.copyOf(byService),
+                Set.copyOf(drained),
+                List.copyOf(hosts.values()),
+                Map.copyOf(homes),
+                revision);
     }
 
     private void put(StoreItem item, long nowNanos) {
@@ -159,6 +165,8 @@
             }
         } else if (decoded instanceof StateItem.HostReport host) {
             hosts.put(item.key(), host.entry());
+        } else if (decoded instanceof StateItem.Homes stored) {
+            homes.put(stored.service(), stored.upstreams());
         } else if (decoded instanceof StateItem.UpstreamReport report) {
             report(item, report.entry(), nowNanos);
         }
--- a/src/main/java/org/arbutusfield/follow/StateItem.java
+++ b/src/main/java/org/arbutusfield/follow/StateItem.java
@@ -1,5 +1,6 @@
 package org.arbutusfield.follow;
 
+import java.util.Map;
 import org.arbutusfield.route.RouteTable;
 
 /** One decoded item of the store. */
@@ -33,6 +34,14 @@
      */
     record HostReport(HostEntry entry) implements StateItem {}
 
+    /**
+     * The homes of a service's objects, as a planner stored them.
+     *
+     * @param service the service
+     * @param upstreams names of upstreams by object key
+     */
+    record Homes(String service, Map<Long, String> upstreams) implements StateItem {}
+
     /** An item that this product has no use for. */
     record Other() implements StateItem {}
 }
--- a/src/main/java/org/arbutusfield/follow/SteeringState.java
+++ b/src/main/java/org/arbutusfield/follow/SteeringState.java
@@ -13,6 +13,7 @@
  * @param upstreams upstreams that may get requests, by service, sorted by name
  * @param drainedDomains failure domains whose upstreams get nothing
  * @param hosts entry hosts that are alive, sorted by name
+ * @param homes stored homes of objects by service: names of upstreams by object key
  * @param revision revision of the store that it reflects
  */
 public record SteeringState(
@@ -20,11 +21,12 @@
         Map<String, List<LiveUpstream>> upstreams,
         Set<String> drainedDomains,
         List<HostEntry> hosts,
+        Map<String, Map<Long, String>> homes,
         long revision) {
 
     /** Nothing known. */
     public static SteeringState empty() {
-        return new SteeringState(Optional.empty(), Map.of(), Set.of(), List.of(), 0);
+        return new SteeringState(Optional.empty(), Map.of(), Set.of(), List.of(), Map.of(), 0);
     }
 
     /** Version of the routes; 0 when there are none. */
@@ -36,4 +38,14 @@
     public List<LiveUpstream> upstreams(String service) {
         return upstreams.getOrDefault(service, List.of());
     }
+
+    /** True when the named upstream of the service may get requests. */
+    public boolean offers(String service, String upstream) {
+        for (LiveUpstream live : upstreams(service)) {
+            if (live.name().equals(upstream)) {
+                return true;
+            }
+        }
+        return false;
+    }
 }
--- a/src/main/java/org/arbutusfield/home/HomeFinder.java
+++ b/src/main/java/org/arbutusfield/home/HomeFinder.java
@@ -93,9 +93,15 @@
     public CompletableFuture<Optional<String>> find(ObjectGroup group, long key) {
         Known known = groups.computeIfAbsent(group, g -> new HashMap<>()).computeIfAbsent(key, k -> new Known());
         known.usedNanos = timer.nowNanos();
-        if (!known.upstream.isEmpty()) {
+        SteeringState now = state.get();
+        if (now.offers(group.service(), known.upstream)) {
             return CompletableFuture.completedFuture(Optional.of(known.upstream));
         }
+        known.upstream = "";
+        String stored = now.homes().getOrDefault(group.service(), Map.of()).getOrDefault(key, "");
+        if (now.offers(group.service(), stored)) {
+            return CompletableFuture.completedFuture(Optional.of(stored));
+        }
         if (paused(group.service())) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
@@ -116,19 +122,23 @@
     }
 
     /** Notes the end of a request for an object at an upstream that answered. */
-    public void ended(ObjectGroup group, long key, long busyNanos) {
+    public void ended(ObjectGroup group, long key, String upstream, long busyNanos) {
         Known known = groups.getOrDefault(group, Map.of()).get(key);
-        if (known != null) {
+        if (known != null && known.upstream.equals(upstream)) {
             known.requests++;
             known.busyMicros += busyNanos / 1000;
         }
     }
 
-    /** Forgets homes at an upstream, which the planner is then asked for again. */
-    public void lost(ObjectGroup group, long key, String upstream) {
+    /** Notes that an object's home did not answer or run a request; the planner learns of it at once. */
+    public void failed(ObjectGroup group, long key, String upstream) {
         Known known = groups.getOrDefault(group, Map.of()).get(key);
-        if (known != null && known.upstream.equals(upstream)) {
-            known.upstream = "";
+        if (known == null || !known.upstream.equals(upstream)) {
+            return;
+        }
+        known.failures++;
+        if (!paused(group.service())) {
+            ask(group, List.of(use(key, known)));
         }
     }
 
@@ -139,7 +149,7 @@
             group.getValue().values().removeIf(known -> now - known.usedNanos > FORGET.toNanos());
             List<ObjectHome> uses = new ArrayList<>();
             group.getValue().forEach((key, known) -> {
-                if (known.requests > 0) {
+                if (known.requests + known.failures > 0) {
                     uses.add(use(key, known));
                 }
             });
@@ -160,9 +170,10 @@
 
     /** Takes what is to be told of an object, which starts anew. */
     private static ObjectHome use(long key, Known known) {
-        ObjectHome use = new ObjectHome(key, known.requests, known.busyMicros, known.upstream);
+        ObjectHome use = new ObjectHome(key, known.requests, known.busyMicros, known.upstream, known.failures);
         known.requests = 0;
         known.busyMicros = 0;
+        known.failures = 0;
         return use;
     }
 
@@ -223,6 +234,7 @@
     private static final class Known {
         private String upstream = "";
         private int requests;
+        private int failures;
         private long busyMicros;
         private long usedNanos;
         private CompletableFuture<Optional<String>> asking;
--- a/src/main/java/org/arbutusfield/home/HomePlan.java
+++ b/src/main/java/org/arbutusfield/home/HomePlan.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.arbutusfield.lookup.Rendezvous;
 
 /**
  * The homes of one service's objects.
@@ -16,12 +17,14 @@
  * <p>Problem: an upstream that served an object lately needs a fraction of the time for it, so an object should stay at
  * one upstream. Hashing alone gives some upstreams twice the mean load, and a heavy object can be too much for one.
  *
- * <p>Idea: a new object goes to the upstream with the least planned load. Hosts report how often and how long they used
- * each object, which gives its load in busy slots. From time to time one object moves from the fullest upstream to the
- * emptiest, if that lowers the larger of the two loads by more than the move costs.
+ * <p>Idea: rendezvous hashing with bounded loads. A new object goes to the first upstream in its order whose planned
+ * load is not above the mean. Homes that were stored before, or that a host knows, are adopted. Hosts report how often
+ * and how long they used each object, which gives its load in busy slots. From time to time one object moves from the
+ * fullest upstream to the emptiest, if that lowers the larger of the two loads by more than the move costs.
  *
- * <p>Invariants: an object keeps its home while that upstream is a candidate, but for such moves. An object that was
- * moved is left alone for a while. What isn't reported any more loses its load, and in the end its place.
+ * <p>Invariants: an object keeps its home while that upstream is a candidate that does well, but for such moves. An
+ * object that was moved is left alone for a while. What isn't reported any more loses its load, and in the end its
+ * place.
  *
  * <p>Example: upstreams a and b with 3 slots. Objects 1 and 2 are new: 1 goes to a, 2 to b. Object 1 turns out to keep
  * 2 slots busy and object 3, also at a, 0.5. Object 3 moves to b.
@@ -42,15 +45,31 @@
     /** Least improvement of the fuller upstream for which an object moves, in shares of its slots. */
     private static final double WORTH_MOVING = 0.12;
 
+    private final Map<Long, String> stored;
     private final Map<Long, Placed> objects = new HashMap<>();
+    private final UpstreamConduct conduct = new UpstreamConduct();
     private long periodEndNanos;
     private boolean started;
 
-    private HomePlan() {}
+    private HomePlan(Map<Long, String> stored) {
+        this.stored = stored;
+    }
 
-    /** No objects yet. */
+    /** No objects yet, and none stored. */
     public static HomePlan create() {
-        return new HomePlan();
+        return new HomePlan(Map.of());
+    }
+
+    /** No objects yet; those that were stored are adopted when they are asked for. */
+    public static HomePlan after(Map<Long, String> stored) {
+        return new HomePlan(stored);
+    }
+
+    /** The homes of all objects. */
+    public Map<Long, String> homes() {
+        Map<Long, String> homes = new HashMap<>();
+        objects.forEach((key, placed) -> homes.put(key, placed.upstream));
+        return homes;
     }
 
     /**
@@ -62,22 +81,27 @@
      * @return the upstream, or none when there are no candidates
      */
     public Optional<Candidate> home(ObjectUse use, List<Candidate> candidates, long nowNanos) {
+        conduct.report(use, nowNanos);
+        List<Candidate> usable = conduct.usable(candidates, nowNanos);
         Placed placed = objects.get(use.key());
-        Optional<Candidate> kept = placed == null ? Optional.empty() : find(candidates, placed.upstream);
-        Optional<Candidate> home =
-                kept.or(() -> find(candidates, use.upstream())).or(() -> leastLoaded(candidates));
-        if (home.isEmpty()) {
-            return home;
-        }
-        if (placed == null) {
-            placed = new Placed(nowNanos);
-            objects.put(use.key(), placed);
-        }
-        if (!home.get().name().equals(placed.upstream)) {
-            placed.move(home.get().name(), nowNanos);
+        Optional<Candidate> home = Optional.<Placed>ofNullable(placed)
+                .flatMap(known -> find(usable, known.upstream))
+                .or(() -> placed == null ? adopted(use, usable) : Optional.empty())
+                .or(() -> firstWithRoom(use.key(), usable));
+        home.ifPresent(upstream -> settle(use, upstream, candidates, nowNanos));
+        return home;
+    }
+
+    private Optional<Candidate> adopted(ObjectUse use, List<Candidate> usable) {
+        return find(usable, use.upstream()).or(() -> find(usable, stored.getOrDefault(use.key(), "")));
+    }
+
+    private void settle(ObjectUse use, Candidate home, List<Candidate> candidates, long nowNanos) {
+        Placed placed = objects.computeIfAbsent(use.key(), key -> new Placed(nowNanos));
+        if (!home.name().equals(placed.upstream)) {
+            placed.move(home.name(), nowNanos);
         }
         placed.used(use, candidates, nowNanos);
-        return home;
     }
 
     /** Ends a period when it is time: takes over the reported loads, forgets unused objects and moves one if useful. */
@@ -94,7 +118,10 @@
         periodEndNanos = nowNanos + PERIOD.toNanos();
         objects.values().removeIf(placed -> nowNanos - placed.usedNanos > FORGET.toNanos());
         objects.values().forEach(placed -> placed.endPeriod(seconds));
-        relieve(upstreams, nowNanos);
+        Set<String> names = new HashSet<>();
+        upstreams.forEach(upstream -> names.add(upstream.name()));
+        conduct.endPeriod(names, nowNanos);
+        relieve(conduct.usable(upstreams, nowNanos), nowNanos);
     }
 
     /** Planned load of an upstream, in busy slots. */
@@ -178,11 +205,20 @@
         return true;
     }
 
-    private Optional<Candidate> leastLoaded(List<Candidate> candidates) {
+    /** The first upstream in the object's order whose load would not exceed the mean with the object. */
+    private Optional<Candidate> firstWithRoom(long key, List<Candidate> candidates) {
         Map<String, Double> loads = loads();
+        double total = UNKNOWN_LOAD;
+        double slots = 0;
+        for (Candidate candidate : candidates) {
+            total += loads.getOrDefault(candidate.name(), 0.0);
+            slots += candidate.slots();
+        }
+        double mean = slots == 0 ? 0 : total / slots;
         return candidates.stream()
-                .min(Comparator.comparingDouble((Candidate u) -> share(u, loads))
-                        .thenComparing(Candidate::name));
+                .filter(candidate -> share(candidate, loads) <= mean * candidates.size() / (candidates.size() + 1))
+                .max(Comparator.comparingDouble(u -> Rendezvous.score(u.nameHash(), key, u.slots())))
+                .or(() -> candidates.stream().min(Comparator.comparingDouble(u -> share(u, loads))));
     }
 
     private static double share(Candidate upstream, Map<String, Double> loads) {
--- a/src/main/java/org/arbutusfield/home/HomePlanner.java
+++ b/src/main/java/org/arbutusfield/home/HomePlanner.java
@@ -1,6 +1,7 @@
 package org.arbutusfield.home;
 
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -24,9 +25,12 @@
  * that comes first for the service. Runs on one event loop.
  */
 public final class HomePlanner {
+    private static final Duration CURRENT = Duration.ofSeconds(3);
+
     private final Supplier<SteeringState> state;
     private final TimerService timer;
     private final Map<String, HomePlan> plans = new HashMap<>();
+    private final Map<String, Long> askedNanos = new HashMap<>();
 
     private HomePlanner(Supplier<SteeringState> state, TimerService timer) {
         this.state = state;
@@ -47,20 +51,39 @@
         });
     }
 
+    /** The homes that this host plans, by service; those of services that no host asks for any more are left out. */
+    public Map<String, Map<Long, String>> homes() {
+        Map<String, Map<Long, String>> homes = new HashMap<>();
+        long nanos = timer.nowNanos();
+        plans.forEach((service, plan) -> {
+            if (nanos - askedNanos.getOrDefault(service, nanos) < CURRENT.toNanos()) {
+                homes.put(service, plan.homes());
+            }
+        });
+        return homes;
+    }
+
     /** Answers one question; objects without a home are left out. */
     HomeAnswer answer(HomeQuestion question) {
         SteeringState now = state.get();
         long nanos = timer.nowNanos();
-        HomePlan plan = plans.computeIfAbsent(question.getGroup(), service -> HomePlan.create());
+        HomePlan plan = plans.computeIfAbsent(
+                question.getGroup(), service -> HomePlan.after(now.homes().getOrDefault(service, Map.of())));
+        askedNanos.put(question.getGroup(), nanos);
         plan.advance(candidates(question.getGroup(), now, Optional.empty(), "", nanos), nanos);
         Optional<Route> route = now.routes().flatMap(table -> table.named(question.getRoute()));
         List<Candidate> candidates = candidates(question.getGroup(), now, route, question.getRegion(), nanos);
         List<ObjectHome> homes = new ArrayList<>();
         for (ObjectHome object : question.getObjects()) {
-            ObjectUse use =
-                    new ObjectUse(object.getKey(), object.getRequests(), object.getBusyMicros(), object.getUpstream());
+            ObjectUse use = new ObjectUse(
+                    question.getRoute(),
+                    object.getKey(),
+                    object.getRequests(),
+                    object.getFailures(),
+                    object.getBusyMicros(),
+                    object.getUpstream());
             plan.home(use, candidates, nanos)
-                    .ifPresent(home -> homes.add(new ObjectHome(object.getKey(), 0, 0, home.name())));
+                    .ifPresent(home -> homes.add(new ObjectHome(object.getKey(), 0, 0, home.name(), 0)));
         }
         return new HomeAnswer(homes);
     }
@@ -76,6 +99,6 @@
     }
 
     private static Candidate candidate(LiveUpstream upstream) {
-        return new Candidate(upstream.name(), upstream.upstream().slots());
+        return new Candidate(upstream.name(), upstream.upstream().slots(), upstream.nameHash());
     }
 }
--- a/src/main/java/org/arbutusfield/home/ObjectUse.java
+++ b/src/main/java/org/arbutusfield/home/ObjectUse.java
@@ -1,11 +1,13 @@
 package org.arbutusfield.home;
 
 /**
- * What a host saw of an object since it last told.
+ * What a host saw of an object at its home since it last told.
  *
+ * @param route route that the object belongs to
  * @param key the object's key; objects of different routes have different keys
- * @param requests requests that ended
- * @param busyMicros time that upstreams spent on them, in microseconds
+ * @param requests requests that the home answered
+ * @param failures requests that the home did not answer, or did not run
+ * @param busyMicros time until the answers, in microseconds
  * @param upstream the home that the host knows; empty if none
  */
-public record ObjectUse(long key, int requests, long busyMicros, String upstream) {}
+public record ObjectUse(String route, long key, int requests, int failures, long busyMicros, String upstream) {}
--- a/src/main/java/org/arbutusfield/platform/PlatformItems.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformItems.java
@@ -13,6 +13,7 @@
 import java.util.TreeSet;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.follow.HomesCodec;
 import org.arbutusfield.follow.HostEntryCodec;
 import org.arbutusfield.follow.ItemDecoder;
 import org.arbutusfield.follow.StateItem;
@@ -43,6 +44,9 @@
         if (key.startsWith(HostEntryCodec.PREFIX)) {
             return HostEntryCodec.decode(key, value);
         }
+        if (key.startsWith(HomesCodec.PREFIX)) {
+            return HomesCodec.decode(key, value);
+        }
         if (key.startsWith(EVACUATION)) {
             return Either.right(new StateItem.DomainDrain(key.substring(EVACUATION.length())));
         }
--- a/src/main/java/org/arbutusfield/steer/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steer/SteeringPlacement.java
@@ -210,10 +210,12 @@
     }
 
     private void objectEnded(ObjectInGroup object, String name, Outcome outcome, long serviceNanos) {
-        if (outcome == Outcome.COMPLETED) {
-            homes.ended(object.group(), object.key(), serviceNanos);
-        } else if (outcome == Outcome.FAILED) {
-            homes.lost(object.group(), object.key(), name);
+        switch (outcome) {
+            case COMPLETED -> homes.ended(object.group(), object.key(), name, serviceNanos);
+            case FAILED, SHED -> homes.failed(object.group(), object.key(), name);
+            default -> {
+                // A cancelled request says nothing about its upstream.
+            }
         }
     }
 
--- a/src/main/java/org/arbutusfield/wire/gen/ObjectHome.java
+++ b/src/main/java/org/arbutusfield/wire/gen/ObjectHome.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField REQUESTS_FIELD_DESC = new org.apache.thrift.protocol.TField("requests", org.apache.thrift.protocol.TType.I32, (short)2);
   private static final org.apache.thrift.protocol.TField BUSY_MICROS_FIELD_DESC = new org.apache.thrift.protocol.TField("busyMicros", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField UPSTREAM_FIELD_DESC = new org.apache.thrift.protocol.TField("upstream", org.apache.thrift.protocol.TType.STRING, (short)4);
+  private static final org.apache.thrift.protocol.TField FAILURES_FIELD_DESC = new org.apache.thrift.protocol.TField("failures", org.apache.thrift.protocol.TType.I32, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ObjectHomeStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ObjectHomeTupleSchemeFactory();
@@ -22,13 +23,15 @@
   private int requests; // required
   private long busyMicros; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String upstream; // required
+  private int failures; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     KEY((short)1, "key"),
     REQUESTS((short)2, "requests"),
     BUSY_MICROS((short)3, "busyMicros"),
-    UPSTREAM((short)4, "upstream");
+    UPSTREAM((short)4, "upstream"),
+    FAILURES((short)5, "failures");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -52,6 +55,8 @@
           return BUSY_MICROS;
         case 4: // UPSTREAM
           return UPSTREAM;
+        case 5: // FAILURES
+          return FAILURES;
         default:
           return null;
       }
@@ -98,6 +103,7 @@
   private static final int __KEY_ISSET_ID = 0;
   private static final int __REQUESTS_ISSET_ID = 1;
   private static final int __BUSYMICROS_ISSET_ID = 2;
+  private static final int __FAILURES_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -110,6 +116,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.UPSTREAM, new org.apache.thrift.meta_data.FieldMetaData("upstream", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.FAILURES, new org.apache.thrift.meta_data.FieldMetaData("failures", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ObjectHome.class, metaDataMap);
   }
@@ -121,7 +129,8 @@
     long key,
     int requests,
     long busyMicros,
-    java.lang.String upstream)
+    java.lang.String upstream,
+    int failures)
   {
     this();
     this.key = key;
@@ -131,6 +140,8 @@
     this.busyMicros = busyMicros;
     setBusyMicrosIsSet(true);
     this.upstream = upstream;
+    this.failures = failures;
+    setFailuresIsSet(true);
   }
 
   /**
@@ -144,6 +155,7 @@
     if (other.isSetUpstream()) {
       this.upstream = other.upstream;
     }
+    this.failures = other.failures;
   }
 
   @Override
@@ -160,6 +172,8 @@
     setBusyMicrosIsSet(false);
     this.busyMicros = 0;
     this.upstream = null;
+    setFailuresIsSet(false);
+    this.failures = 0;
   }
 
   public long getKey() {
@@ -256,6 +270,29 @@
     }
   }
 
+  public int getFailures() {
+    return this.failures;
+  }
+
+  public ObjectHome setFailures(int failures) {
+    this.failures = failures;
+    setFailuresIsSet(true);
+    return this;
+  }
+
+  public void unsetFailures() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __FAILURES_ISSET_ID);
+  }
+
+  /** Returns true if field failures is set (has been assigned a value) and false otherwise */
+  public boolean isSetFailures() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __FAILURES_ISSET_ID);
+  }
+
+  public void setFailuresIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FAILURES_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -291,6 +328,14 @@
       }
       break;
 
+    case FAILURES:
+      if (value == null) {
+        unsetFailures();
+      } else {
+        setFailures((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -310,6 +355,9 @@
     case UPSTREAM:
       return getUpstream();
 
+    case FAILURES:
+      return getFailures();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -330,6 +378,8 @@
       return isSetBusyMicros();
     case UPSTREAM:
       return isSetUpstream();
+    case FAILURES:
+      return isSetFailures();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -383,6 +433,15 @@
         return false;
     }
 
+    boolean this_present_failures = true;
+    boolean that_present_failures = true;
+    if (this_present_failures || that_present_failures) {
+      if (!(this_present_failures && that_present_failures))
+        return false;
+      if (this.failures != that.failures)
+        return false;
+    }
+
     return true;
   }
 
@@ -400,6 +459,8 @@
     if (isSetUpstream())
       hashCode = hashCode * 8191 + upstream.hashCode();
 
+    hashCode = hashCode * 8191 + failures;
+
     return hashCode;
   }
 
@@ -451,6 +512,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetFailures(), other.isSetFailures());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetFailures()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.failures, other.failures);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -494,6 +565,10 @@
       sb.append(this.upstream);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("failures:");
+    sb.append(this.failures);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -573,6 +648,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // FAILURES
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.failures = iprot.readI32();
+              struct.setFailuresIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -603,6 +686,9 @@
         oprot.writeString(struct.upstream);
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(FAILURES_FIELD_DESC);
+      oprot.writeI32(struct.failures);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -634,7 +720,10 @@
       if (struct.isSetUpstream()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetFailures()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetKey()) {
         oprot.writeI64(struct.key);
       }
@@ -647,12 +736,15 @@
       if (struct.isSetUpstream()) {
         oprot.writeString(struct.upstream);
       }
+      if (struct.isSetFailures()) {
+        oprot.writeI32(struct.failures);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ObjectHome struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.key = iprot.readI64();
         struct.setKeyIsSet(true);
@@ -669,6 +761,10 @@
         struct.upstream = iprot.readString();
         struct.setUpstreamIsSet(true);
       }
+      if (incoming.get(4)) {
+        struct.failures = iprot.readI32();
+        struct.setFailuresIsSet(true);
+      }
     }
   }
 
--- a/src/main/thrift/control.thrift
+++ b/src/main/thrift/control.thrift
@@ -160,6 +160,7 @@
   2: i32 requests
   3: i64 busyMicros
   4: string upstream
+  5: i32 failures
 }
 
 // A host asks the planner of a service which upstreams serve objects of a route.
--- a/src/test/java/org/arbutusfield/home/HomePlanTest.java
+++ b/src/test/java/org/arbutusfield/home/HomePlanTest.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Loads that hashing spreads badly: few objects for many upstreams, and objects of uneven weight. */
 class HomePlanTest {
@@ -17,13 +19,13 @@
     private static List<Candidate> upstreams(int count) {
         List<Candidate> upstreams = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            upstreams.add(new Candidate("u" + i, 3));
+            upstreams.add(Candidate.of("u" + i, 3));
         }
         return upstreams;
     }
 
     private static ObjectUse use(long key) {
-        return new ObjectUse(key, 0, 0, "");
+        return new ObjectUse("r", key, 0, 0, 0, "");
     }
 
     /** The pattern at the start of a day: every object is cold, and 48 of them meet 16 upstreams. */
@@ -64,7 +66,8 @@
     @Test
     void aNewPlannerAdoptsWhatHostsKnow() {
         HomePlan plan = HomePlan.create();
-        assertThat(plan.home(new ObjectUse(7, 3, 1000, "u2"), upstreams(4), 0)).contains(new Candidate("u2", 3));
+        assertThat(plan.home(new ObjectUse("r", 7, 3, 0, 1000, "u2"), upstreams(4), 0))
+                .contains(Candidate.of("u2", 3));
     }
 
     /** The pattern of the busiest days: object weights are uneven, so equal counts overload some upstreams. */
@@ -81,7 +84,7 @@
         }
         for (int second = 0; second < 60; second++) {
             for (int i = 0; i < busySlots.length; i++) {
-                plan.home(new ObjectUse(i, 5, (long) (busySlots[i] * 1e6), ""), upstreams, second * SECOND);
+                plan.home(new ObjectUse("r", i, 5, 0, (long) (busySlots[i] * 1e6), ""), upstreams, second * SECOND);
             }
             plan.advance(upstreams, second * SECOND);
         }
@@ -100,13 +103,71 @@
         for (int second = 0; second < 12; second++) {
             List<Candidate> now = second < 6 ? few : more;
             for (long key = 0; key < 24; key++) {
-                plan.home(new ObjectUse(key, 1, 50_000, ""), now, second * SECOND);
+                plan.home(new ObjectUse("r", key, 1, 0, 50_000, ""), now, second * SECOND);
             }
             plan.advance(now, second * SECOND);
         }
         more.forEach(u -> assertThat(plan.load(u.name())).isPositive());
     }
 
+    /** The pattern after a loss of all hosts: a planner that starts anew finds stored objects where they are warm. */
+    @Test
+    void aNewPlannerFindsStoredObjectsWhereTheyWere() {
+        List<Candidate> upstreams = upstreams(16);
+        HomePlan before = HomePlan.create();
+        for (long key = 0; key < 48; key++) {
+            before.home(use(key), upstreams, 0);
+        }
+        HomePlan after = HomePlan.after(before.homes());
+        for (long key = 47; key >= 0; key--) {
+            assertThat(after.home(use(key), upstreams, 0)).isEqualTo(before.home(use(key), upstreams, 0));
+        }
+    }
+
+    /** The pattern of slow and dead upstreams: hosts together see that one is out of line and take its objects away. */
+    @ParameterizedTest
+    @CsvSource({"slow, 4, 0, 5000", "dead, 0, 3, 0", "partly failing, 3, 3, 600"})
+    void anUpstreamOutOfLineLosesItsObjects(String trouble, int answered, int failed, long millis) {
+        HomePlan plan = HomePlan.create();
+        List<Candidate> upstreams = upstreams(8);
+        for (int second = 0; second < 4; second++) {
+            for (long key = 0; key < 24; key++) {
+                String home = plan.home(use(key), upstreams, second * SECOND)
+                        .orElseThrow()
+                        .name();
+                ObjectUse seen = home.equals("u3")
+                        ? new ObjectUse("r", key, answered, failed, millis * 1000, home)
+                        : new ObjectUse("r", key, 4, 0, 800_000, home);
+                plan.home(seen, upstreams, second * SECOND);
+            }
+            plan.advance(upstreams, second * SECOND);
+        }
+        for (long key = 0; key < 24; key++) {
+            assertThat(plan.home(use(key), upstreams, 4 * SECOND - 1)
+                            .orElseThrow()
+                            .name())
+                    .isNotEqualTo("u3");
+        }
+    }
+
+    /** When all are slow, for instance overloaded, none is out of line. */
+    @Test
+    void noUpstreamIsAvoidedWhenAllAreAlike() {
+        HomePlan plan = HomePlan.create();
+        List<Candidate> upstreams = upstreams(4);
+        Map<Long, String> first = new HashMap<>();
+        for (int second = 0; second < 3; second++) {
+            for (long key = 0; key < 8; key++) {
+                String home = plan.home(use(key), upstreams, second * SECOND)
+                        .orElseThrow()
+                        .name();
+                first.putIfAbsent(key, home);
+                assertThat(home).isEqualTo(first.get(key));
+                plan.home(new ObjectUse("r", key, 0, 5, 0, home), upstreams, second * SECOND);
+            }
+        }
+    }
+
     @Test
     void unusedObjectsAreForgotten() {
         HomePlan plan = HomePlan.create();
