--- a/src/main/java/org/arbutusfield/home/HomePlan.java
+++ b/src/main/java/org/arbutusfield/home/HomePlan.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.arbutusfield.lookup.Rendezvous;
 
 /**
@@ -32,6 +34,7 @@
  * <p>Time is given by the caller. Not thread-safe; its owner calls it on one thread.
  */
 public final class HomePlan {
+    private static final Logger LOG = LogManager.getLogger(HomePlan.class);
     /** Load of an object that nobody has reported on, in busy slots. */
     private static final double UNKNOWN_LOAD = 0.3;
     /** Weight of the newest period in an object's load. */
@@ -99,6 +102,7 @@
     private void settle(ObjectUse use, Candidate home, List<Candidate> candidates, long nowNanos) {
         Placed placed = objects.computeIfAbsent(use.key(), key -> new Placed(nowNanos));
         if (!home.name().equals(placed.upstream)) {
+            log("placed", use.key(), placed, home.name());
             placed.move(home.name(), nowNanos);
         }
         placed.used(use, candidates, nowNanos);
@@ -179,9 +183,11 @@
 
     private boolean moveOne(Candidate from, List<Candidate> upstreams, Map<String, Double> loads, long nowNanos) {
         Placed best = null;
+        long bestKey = 0;
         Candidate bestTo = null;
         double bestPeak = share(from, loads) - WORTH_MOVING;
-        for (Placed placed : objects.values()) {
+        for (Map.Entry<Long, Placed> object : objects.entrySet()) {
+            Placed placed = object.getValue();
             if (!from.name().equals(placed.upstream) || nowNanos - placed.movedNanos < SETTLE.toNanos()) {
                 continue;
             }
@@ -194,6 +200,7 @@
                 if (Math.max(left, joined) < bestPeak) {
                     bestPeak = Math.max(left, joined);
                     best = placed;
+                    bestKey = object.getKey();
                     bestTo = to;
                 }
             }
@@ -201,6 +208,7 @@
         if (best == null) {
             return false;
         }
+        log("relieved", bestKey, best, bestTo.name());
         best.move(bestTo.name(), nowNanos);
         return true;
     }
@@ -221,6 +229,16 @@
                 .or(() -> candidates.stream().min(Comparator.comparingDouble(u -> share(u, loads))));
     }
 
+    private static void log(String reason, long key, Placed placed, String to) {
+        LOG.info(
+                "event=home_chosen reason={} object={} from={} to={} load={}",
+                reason,
+                Long.toHexString(key),
+                placed.upstream.isEmpty() ? "-" : placed.upstream,
+                to,
+                placed.load);
+    }
+
     private static double share(Candidate upstream, Map<String, Double> loads) {
         return loads.getOrDefault(upstream.name(), 0.0) / upstream.slots();
     }
--- a/src/main/java/org/arbutusfield/home/ObjectUse.java
+++ b/src/main/java/org/arbutusfield/home/ObjectUse.java
@@ -6,7 +6,7 @@
  * @param route route that the object belongs to
  * @param key the object's key; objects of different routes have different keys
  * @param requests requests that the home answered
- * @param failures requests that the home did not answer, or did not run
+ * @param failures requests that the home did not answer
  * @param busyMicros time until the answers, in microseconds
  * @param upstream the home that the host knows; empty if none
  */
--- a/src/main/java/org/arbutusfield/home/UpstreamConduct.java
+++ b/src/main/java/org/arbutusfield/home/UpstreamConduct.java
@@ -29,8 +29,8 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final double SLOW_RATIO = 4;
     private static final double SLOW_LEAST_REQUESTS = 4;
-    private static final double FAILING_SHARE = 0.4;
-    private static final double FAILING_LEAST = 2;
+    private static final double FAILING_SHARE = 0.5;
+    private static final double FAILING_LEAST = 3;
     private static final double COMMON_SHARE = 0.3;
     private static final double MOST_AVOIDED = 0.34;
     /** What is left of older reports after each period. */
@@ -53,7 +53,7 @@
         total.seconds += use.busyMicros() / 1e6;
         each.answered += use.requests();
         each.failed += use.failures();
-        if (use.failures() > 0 && failing(each)) {
+        if (use.failures() > 0 && !avoided(use.upstream(), nowNanos) && failing(each)) {
             avoid(use.upstream(), each, nowNanos);
         }
     }
@@ -63,7 +63,7 @@
         reports.keySet().retainAll(upstreams);
         Map<String, Double> usual = usualSeconds();
         reports.forEach((name, each) -> {
-            if (slow(each, usual)) {
+            if (!avoided(name, nowNanos) && slow(each, usual)) {
                 avoid(name, each, nowNanos);
             }
             each.fade();
--- a/src/main/java/org/arbutusfield/steer/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steer/SteeringPlacement.java
@@ -212,9 +212,9 @@
     private void objectEnded(ObjectInGroup object, String name, Outcome outcome, long serviceNanos) {
         switch (outcome) {
             case COMPLETED -> homes.ended(object.group(), object.key(), name, serviceNanos);
-            case FAILED, SHED -> homes.failed(object.group(), object.key(), name);
+            case FAILED -> homes.failed(object.group(), object.key(), name);
             default -> {
-                // A cancelled request says nothing about its upstream.
+                // A full upstream is no reason to lose what it remembers; a cancelled request says nothing.
             }
         }
     }
