--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -63,6 +63,7 @@
     private volatile boolean leaving;
     private HomePlanner planner;
     private HomeFinder homes;
+    private RequestLog log;
     private RetryShare retries;
     private SteeringPlacement placement;
     private HostRegistrar registrar;
@@ -154,8 +155,10 @@
     }
 
     private EdgeHost decide() {
+        log = RequestLog.start(timer, () -> state.version());
         retries = RetryShare.create(settings.retries(), () -> state.hosts().size(), timer);
-        placement = SteeringPlacement.create(settings.name(), settings.region(), () -> state, homes, retries, timer);
+        placement =
+                SteeringPlacement.create(settings.name(), settings.region(), () -> state, homes, retries, log, timer);
         return this;
     }
 
@@ -178,13 +181,9 @@
     }
 
     private RequestObserver observer() {
-        RequestLog log = RequestLog.start(timer, () -> state.version());
         RequestMeter meter =
                 RequestMeter.create(settings.name(), 0, settings.region(), registry, Configuration::empty, timer);
-        return record -> {
-            log.finished(record);
-            meter.finished(record);
-        };
+        return new LoggedMeter(log, meter);
     }
 
     private Either<Failure, EdgeHost> openDesks() {
--- /dev/null
+++ b/src/main/java/org/arbutusfield/edge/LoggedMeter.java
@@ -0,0 +1,29 @@
+package org.arbutusfield.edge;
+
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.proxy.RequestObserver;
+import org.arbutusfield.proxy.RequestRecord;
+
+/**
+ * Tells both the log and the metrics.
+ *
+ * @param log gets every event
+ * @param meter gets finished requests
+ */
+record LoggedMeter(RequestLog log, RequestObserver meter) implements RequestObserver {
+    @Override
+    public void finished(RequestRecord request) {
+        log.finished(request);
+        meter.finished(request);
+    }
+
+    @Override
+    public void refused(String requestId, Failure failure) {
+        log.refused(requestId, failure);
+    }
+
+    @Override
+    public void tryFailed(String requestId, String place, Failure failure, boolean notRun) {
+        log.tryFailed(requestId, place, failure, notRun);
+    }
+}
--- a/src/main/java/org/arbutusfield/edge/RequestLog.java
+++ b/src/main/java/org/arbutusfield/edge/RequestLog.java
@@ -5,19 +5,23 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.proxy.RequestFacts;
 import org.arbutusfield.proxy.RequestObserver;
 import org.arbutusfield.proxy.RequestRecord;
+import org.arbutusfield.steer.Choice;
+import org.arbutusfield.steer.PlacementObserver;
 import org.arbutusfield.timer.TimerService;
 
 /**
- * Writes one line for each finished request, up to a number of lines a second; the rest is counted and told once a
+ * Writes one line for each decision on a request, up to a number of lines a second; the rest is counted and told once a
  * second.
  *
  * <p>Runs on one event loop.
  */
-final class RequestLog implements RequestObserver {
+final class RequestLog implements RequestObserver, PlacementObserver {
     private static final Logger LOG = LogManager.getLogger(RequestLog.class);
-    private static final int LINES_PER_SECOND = 100;
+    private static final int LINES_PER_SECOND = 200;
     private static final Duration SECOND = Duration.ofSeconds(1);
     private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -43,9 +47,7 @@
 
     @Override
     public void finished(RequestRecord request) {
-        lines++;
-        if (lines > LINES_PER_SECOND) {
-            dropped++;
+        if (full()) {
             return;
         }
         LOG.info(
@@ -66,6 +68,58 @@
                 version.getAsLong());
     }
 
+    @Override
+    public void refused(String requestId, Failure failure) {
+        if (!full()) {
+            LOG.info(
+                    "event=refused id={} code={} subject={} detail={} version={}",
+                    requestId,
+                    failure.code(),
+                    failure.subject(),
+                    failure.detail(),
+                    version.getAsLong());
+        }
+    }
+
+    @Override
+    public void tryFailed(String requestId, String place, Failure failure, boolean notRun) {
+        if (!full()) {
+            LOG.info(
+                    "event=try_failed id={} upstream={} code={} detail={} not_run={}",
+                    requestId,
+                    place,
+                    failure.code(),
+                    failure.detail(),
+                    notRun);
+        }
+    }
+
+    @Override
+    public void placed(RequestFacts request, Choice choice) {
+        if (!full()) {
+            LOG.info(
+                    "event=placed id={} upstream={} reason={} home={} admitted={} in_flight={} candidates={} version={}"
+                            + " revision={}",
+                    request.requestId(),
+                    choice.upstream(),
+                    choice.reason(),
+                    choice.home(),
+                    choice.admitted(),
+                    choice.inFlight(),
+                    choice.candidates(),
+                    version.getAsLong(),
+                    choice.revision());
+        }
+    }
+
+    private boolean full() {
+        lines++;
+        if (lines > LINES_PER_SECOND) {
+            dropped++;
+        }
+        return lines > LINES_PER_SECOND;
+    }
+
     private void nextSecond() {
         if (dropped > 0) {
             LOG.warn("event=log_lines_dropped count={} limit_per_second={}", dropped, LINES_PER_SECOND);
--- a/src/main/java/org/arbutusfield/home/HomePlan.java
+++ b/src/main/java/org/arbutusfield/home/HomePlan.java
@@ -122,12 +122,15 @@
         periodEndNanos = nowNanos + PERIOD.toNanos();
         objects.values().removeIf(placed -> nowNanos - placed.usedNanos > FORGET.toNanos());
         objects.values().forEach(placed -> placed.endPeriod(seconds));
-        Set<String> names = new HashSet<>();
-        upstreams.forEach(upstream -> names.add(upstream.name()));
-        conduct.endPeriod(names, nowNanos);
+        conduct.endPeriod(upstreams, nowNanos);
         relieve(conduct.usable(upstreams, nowNanos), nowNanos);
     }
 
+    /** The part of an upstream's requests that is admitted. */
+    public double admitted(String upstream) {
+        return conduct.admitted(upstream);
+    }
+
     /** Planned load of an upstream, in busy slots. */
     double load(String upstream) {
         return objects.values().stream()
--- a/src/main/java/org/arbutusfield/proxy/CallerConnection.java
+++ b/src/main/java/org/arbutusfield/proxy/CallerConnection.java
@@ -353,6 +353,7 @@
             refuse(failure);
             return;
         }
+        context.wiring().observer().refused(id, failure);
         occupy(LocalExchange.refusing(this, context, request, id, failure)).start();
     }
 
@@ -366,6 +367,7 @@
         lingering = true;
         idleWatch.until(System.nanoTime() + context.limits().lingerTimeout().toNanos());
         String id = request == null ? ProxyHeaders.newRequestId() : ProxyHeaders.requestId(request.headers());
+        context.wiring().observer().refused(id, failure);
         writeWhole(HttpAnswer.problem(failure), id, Optional.of(failure));
         afterWrites(written -> linger());
     }
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -218,6 +218,7 @@
     /** A try ended before any answer. */
     void tryFailed(Attempt by, Failure failure, boolean notRun) {
         history.failed(by, failure, notRun);
+        context.wiring().observer().tryFailed(head.requestId(), by.placed().name(), failure, notRun);
         if (relay != null) {
             resumeOrCut();
         } else if (mayTryAgain(notRun)) {
@@ -236,6 +237,7 @@
             tryFailed(by, Failure.of(ErrorCode.UPSTREAM_PROTOCOL, by.placed().name(), "not this answer"), false);
             return;
         }
+        by.loadTold(answer);
         if (relay != null) {
             if (!resumption.orElseThrow().continuedBy(answer)) {
                 by.cancel(Outcome.COMPLETED);
--- /dev/null
+++ b/src/main/java/org/arbutusfield/steer/PlacementObserver.java
@@ -0,0 +1,10 @@
+package org.arbutusfield.steer;
+
+import org.arbutusfield.proxy.RequestFacts;
+
+/** Learns where requests are placed and why. Does not block. */
+@FunctionalInterface
+public interface PlacementObserver {
+    /** Called once for each try, before it is sent, and for each request that is refused for its upstream's sake. */
+    void placed(RequestFacts request, Choice choice);
+}
--- a/src/main/java/org/arbutusfield/steer/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steer/SteeringPlacement.java
@@ -39,6 +39,7 @@
     private final HomeFinder homes;
     private final TimerService timer;
     private final RetryShare retries;
+    private final PlacementObserver observer;
     private final ColdShare cold;
     private final Suspicions suspicions = Suspicions.create();
     private final Map<String, Integer> inFlight = new HashMap<>();
@@ -49,11 +50,13 @@
             Supplier<SteeringState> state,
             HomeFinder homes,
             RetryShare retries,
+            PlacementObserver observer,
             TimerService timer) {
         this.region = region;
         this.state = state;
         this.homes = homes;
         this.retries = retries;
+        this.observer = observer;
         this.timer = timer;
         this.cold = ColdShare.of(self);
     }
@@ -66,6 +69,7 @@
      * @param state what is known, as it changes
      * @param homes knows which upstream serves an object
      * @param retries told of each caller's request
+     * @param observer learns where requests are placed
      * @param timer monotonic time
      */
     public static SteeringPlacement create(
@@ -74,8 +78,9 @@
             Supplier<SteeringState> state,
             HomeFinder homes,
             RetryShare retries,
+            PlacementObserver observer,
             TimerService timer) {
-        return new SteeringPlacement(self, region, state, homes, retries, timer);
+        return new SteeringPlacement(self, region, state, homes, retries, observer, timer);
     }
 
     @Override
@@ -109,11 +114,48 @@
 
     private Either<Failure, Placed> place(RequestFacts facts, Optional<ObjectInGroup> object, Optional<String> home) {
         SteeringState now = state.get();
-        return choose(facts, object, home, now)
-                .map(upstream -> placed(upstream, object, now))
-                .orElseGet(() -> Either.left(
-                        Failure.of(ErrorCode.NO_UPSTREAM, facts.service().name(), "version " + now.version())
-                                .withRetryAfter(NO_UPSTREAM_WAIT)));
+        List<LiveUpstream> candidates = candidates(facts, object, now);
+        if (candidates.isEmpty()) {
+            return Either.left(Failure.of(ErrorCode.NO_UPSTREAM, facts.service().name(), "version " + now.version())
+                    .withRetryAfter(NO_UPSTREAM_WAIT));
+        }
+        Optional<LiveUpstream> trustedHome = home.flatMap(name -> named(name, candidates));
+        LiveUpstream chosen = trustedHome.orElseGet(() -> fallback(object, candidates));
+        double admitted = homes.admitted(chosen.name());
+        boolean refused = facts.tried().isEmpty() && !Triage.admits(admitted, urgent(facts, now), facts.requestId());
+        Choice choice = new Choice(
+                chosen.name(),
+                refused ? Choice.Reason.REFUSED : reason(object, trustedHome),
+                home.orElse("-"),
+                admitted,
+                inFlight.getOrDefault(chosen.name(), 0),
+                candidates.size(),
+                now.revision());
+        observer.placed(facts, choice);
+        if (refused) {
+            return Either.left(Failure.of(ErrorCode.OVERLOADED, chosen.name(), "admitted part " + admitted)
+                    .withRetryAfter(Triage.comeBack(admitted, facts.requestId())));
+        }
+        return placed(chosen, object, now);
+    }
+
+    private static Choice.Reason reason(Optional<ObjectInGroup> object, Optional<LiveUpstream> trustedHome) {
+        if (object.isEmpty()) {
+            return Choice.Reason.LESS_BUSY;
+        }
+        return trustedHome.isPresent() ? Choice.Reason.HOME : Choice.Reason.HASHED;
+    }
+
+    private LiveUpstream fallback(Optional<ObjectInGroup> object, List<LiveUpstream> candidates) {
+        return object.flatMap(o -> ObjectAffinity.first(o.key(), candidates))
+                .orElseGet(() -> lessBusyOfTwo(candidates));
+    }
+
+    private static boolean urgent(RequestFacts facts, SteeringState now) {
+        int rank = facts.route().map(Route::rank).orElse(0);
+        return now.routes()
+                .map(table -> rank <= table.mostUrgentRank(facts.service().name()))
+                .orElse(true);
     }
 
     /** The object of a request on a route where upstreams remember objects. Large answers are served near. */
@@ -133,8 +175,8 @@
         return Optional.of(new ObjectInGroup(group, key));
     }
 
-    private Optional<LiveUpstream> choose(
-            RequestFacts facts, Optional<ObjectInGroup> object, Optional<String> home, SteeringState now) {
+    /** The upstreams that may serve the request; those that failed this host lately only if there are no others. */
+    private List<LiveUpstream> candidates(RequestFacts facts, Optional<ObjectInGroup> object, SteeringState now) {
         String within = object.map(o -> o.group().region()).orElse("");
         List<LiveUpstream> allowed = new ArrayList<>();
         List<LiveUpstream> trusted = new ArrayList<>();
@@ -149,12 +191,7 @@
                 trusted.add(upstream);
             }
         }
-        List<LiveUpstream> candidates = trusted.isEmpty() ? allowed : trusted;
-        if (object.isEmpty()) {
-            return lessBusyOfTwo(candidates);
-        }
-        return home.flatMap(name -> named(name, candidates))
-                .or(() -> ObjectAffinity.first(object.get().key(), candidates));
+        return trusted.isEmpty() ? allowed : trusted;
     }
 
     private static Optional<LiveUpstream> named(String name, List<LiveUpstream> candidates) {
@@ -179,14 +216,11 @@
                 .orElse(0.0);
     }
 
-    private Optional<LiveUpstream> lessBusyOfTwo(List<LiveUpstream> candidates) {
-        if (candidates.isEmpty()) {
-            return Optional.empty();
-        }
+    private LiveUpstream lessBusyOfTwo(List<LiveUpstream> candidates) {
         ThreadLocalRandom random = ThreadLocalRandom.current();
         LiveUpstream one = candidates.get(random.nextInt(candidates.size()));
         LiveUpstream other = candidates.get(random.nextInt(candidates.size()));
-        return Optional.of(load(one) <= load(other) ? one : other);
+        return load(one) <= load(other) ? one : other;
     }
 
     private double load(LiveUpstream upstream) {
@@ -202,16 +236,16 @@
         String name = upstream.name();
         inFlight.merge(name, 1, Integer::sum);
         object.ifPresent(o -> homes.servedAt(o.group(), o.key(), name));
-        Permit permit = (outcome, serviceNanos) -> {
+        Permit permit = new CountedPermit((outcome, serviceNanos, waiting) -> {
             ended(name, outcome);
-            object.ifPresent(o -> objectEnded(o, name, outcome, serviceNanos));
-        };
+            object.ifPresent(o -> objectEnded(o, name, outcome, serviceNanos, waiting));
+        });
         return Either.right(new Placed.AtUpstream(upstream.upstream(), permit));
     }
 
-    private void objectEnded(ObjectInGroup object, String name, Outcome outcome, long serviceNanos) {
+    private void objectEnded(ObjectInGroup object, String name, Outcome outcome, long serviceNanos, int waiting) {
         switch (outcome) {
-            case COMPLETED -> homes.ended(object.group(), object.key(), name, serviceNanos);
+            case COMPLETED -> homes.ended(object.group(), object.key(), name, serviceNanos, waiting);
             case FAILED -> homes.failed(object.group(), object.key(), name);
             default -> {
                 // A full upstream is no reason to lose what it remembers; a cancelled request says nothing.
