--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -208,7 +208,7 @@
         StateBook book = StateBook.create(formats.items(), settings.regions());
         HomeKeeper.start(planner, store, timer);
         registrar = HostRegistrar.start(store, timer, self);
-        StoreFollower.start(store, timer, book, this::install);
+        StoreFollower.start(store, timer, book, settings.inForceWithin(), this::install);
     }
 
     private void install(SteeringState next) {
--- a/src/main/java/org/arbutusfield/edge/EdgeSetting.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeSetting.java
@@ -21,6 +21,8 @@
     MAX_DESCRIPTORS("maxDescriptors", Form.COUNT, "file descriptors that the process may open"),
     LOOKUP_MAX_AGE("lookupMaxAge", Form.DURATION, "longest time that callers may cache a look-up answer"),
     STOP_LIMIT("stopLimit", Form.DURATION, "time from the signal to stop until the process is ended"),
+    ROUTES_WITHIN("routesInForceWithin", Form.DURATION, "time in which new routes must be in force"),
+    DRAINS_WITHIN("drainsInForceWithin", Form.DURATION, "time in which a leaving upstream must get no more requests"),
     RETRY_RATIO("retryRatio", Form.FRACTION, "repeated requests per request, over all hosts"),
     RETRY_WINDOW("retryWindow", Form.DURATION, "sliding time over which repeated requests are counted"),
     RETRY_SLACK("retrySlack", Form.COUNT, "repeated requests besides, over all hosts");
--- a/src/main/java/org/arbutusfield/edge/EdgeSettings.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeSettings.java
@@ -21,6 +21,7 @@
  * @param maxDescriptors file descriptors that the process may open
  * @param lookupMaxAge how long callers may cache a look-up answer, at most
  * @param stopLimit time from the signal to stop until the process is ended
+ * @param inForceWithin time in which a change of routes or upstreams must be in force
  * @param retries the budget of all hosts together for repeated requests
  */
 public record EdgeSettings(
@@ -37,6 +38,7 @@
         int maxDescriptors,
         Duration lookupMaxAge,
         Duration stopLimit,
+        Duration inForceWithin,
         RetryBounds retries) {
 
     /** Copies the map so that the settings stay immutable. */
--- a/src/main/java/org/arbutusfield/edge/EdgeSettingsReader.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeSettingsReader.java
@@ -91,6 +91,7 @@
                 count(EdgeSetting.MAX_DESCRIPTORS),
                 duration(EdgeSetting.LOOKUP_MAX_AGE),
                 duration(EdgeSetting.STOP_LIMIT),
+                shorter(duration(EdgeSetting.ROUTES_WITHIN), duration(EdgeSetting.DRAINS_WITHIN)),
                 retries);
     }
 
@@ -109,4 +110,8 @@
     private Duration duration(EdgeSetting setting) {
         return DurationText.parse(text(setting)).orElseThrow();
     }
+
+    private static Duration shorter(Duration one, Duration other) {
+        return one.compareTo(other) < 0 ? one : other;
+    }
 }
--- a/src/main/java/org/arbutusfield/edge/HostRegistrar.java
+++ b/src/main/java/org/arbutusfield/edge/HostRegistrar.java
@@ -28,6 +28,7 @@
     private final TimerService timer;
     private final HostEntry self;
     private long lease;
+    private long registeredRevision;
     private boolean registered;
     private boolean busy;
     private boolean leaving;
@@ -48,7 +49,8 @@
     /** Writes the entry again if it is gone from the store. */
     void stateChanged(SteeringState state) {
         boolean present = state.hosts().stream().anyMatch(host -> host.name().equals(self.name()));
-        if (registered && !present && !busy) {
+        boolean told = state.revision() >= registeredRevision;
+        if (registered && told && !present && !busy && !leaving) {
             registered = false;
             LOG.warn("event=registration_lost host={} revision={}", self.name(), state.revision());
             register();
@@ -86,6 +88,7 @@
     private void written(long revision) {
         busy = false;
         registered = true;
+        registeredRevision = revision;
         LOG.info("event=registered host={} lease={} revision={}", self.name(), lease, revision);
         timer.after(RENEWAL, () -> renew(lease));
     }
--- a/src/main/java/org/arbutusfield/edge/RequestLog.java
+++ b/src/main/java/org/arbutusfield/edge/RequestLog.java
@@ -98,13 +98,12 @@
     public void placed(RequestFacts request, Choice choice) {
         if (!full()) {
             LOG.info(
-                    "event=placed id={} upstream={} reason={} home={} admitted={} in_flight={} candidates={} version={}"
+                    "event=placed id={} upstream={} reason={} home={} in_flight={} candidates={} version={}"
                             + " revision={}",
                     request.requestId(),
                     choice.upstream(),
                     choice.reason(),
                     choice.home(),
-                    choice.admitted(),
                     choice.inFlight(),
                     choice.candidates(),
                     version.getAsLong(),
--- a/src/main/java/org/arbutusfield/follow/StoreFollower.java
+++ b/src/main/java/org/arbutusfield/follow/StoreFollower.java
@@ -30,7 +30,9 @@
     private static final Logger LOG = LogManager.getLogger(StoreFollower.class);
     private static final String EVERYTHING = "";
     private static final Duration WATCH_WAIT = Duration.ofSeconds(2);
-    private static final Duration GATHER = Duration.ofMillis(250);
+    /** Part of the time in which a change must be in force that goes into gathering further changes. */
+    private static final int GATHER_PART = 3;
+
     private static final Duration FIRST_RETRY = Duration.ofMillis(150);
     private static final Duration LAST_RETRY = Duration.ofMillis(900);
     private static final Duration OUTAGE_TAIL = Duration.ofSeconds(1);
@@ -39,6 +41,7 @@
     private final WatchedStore store;
     private final TimerService timer;
     private final StateBook book;
+    private final Duration gather;
     private final Consumer<SteeringState> subscriber;
     private final List<StoreItem> listing = new ArrayList<>();
     private long revision;
@@ -49,10 +52,16 @@
     private volatile long lastContactNanos;
     private volatile boolean closed;
 
-    private StoreFollower(WatchedStore store, TimerService timer, StateBook book, Consumer<SteeringState> subscriber) {
+    private StoreFollower(
+            WatchedStore store,
+            TimerService timer,
+            StateBook book,
+            Duration inForceWithin,
+            Consumer<SteeringState> subscriber) {
         this.store = store;
         this.timer = timer;
         this.book = book;
+        this.gather = inForceWithin.dividedBy(GATHER_PART);
         this.subscriber = subscriber;
         this.outageEndNanos = timer.nowNanos();
     }
@@ -63,11 +72,16 @@
      * @param store the store
      * @param timer time, and the thread on which everything runs
      * @param book keeps what is known
+     * @param inForceWithin time in which a change must be in force
      * @param subscriber gets each new state
      */
     public static StoreFollower start(
-            WatchedStore store, TimerService timer, StateBook book, Consumer<SteeringState> subscriber) {
-        StoreFollower follower = new StoreFollower(store, timer, book, subscriber);
+            WatchedStore store,
+            TimerService timer,
+            StateBook book,
+            Duration inForceWithin,
+            Consumer<SteeringState> subscriber) {
+        StoreFollower follower = new StoreFollower(store, timer, book, inForceWithin, subscriber);
         follower.lastContactNanos = timer.nowNanos();
         timer.after(Duration.ZERO, follower::list);
         return follower;
@@ -148,7 +162,7 @@
             return;
         }
         publish();
-        timer.after(GATHER, this::watch);
+        timer.after(gather, this::watch);
     }
 
     private void failed(String call, Failure failure, Runnable again) {
--- a/src/main/java/org/arbutusfield/home/HomeFinder.java
+++ b/src/main/java/org/arbutusfield/home/HomeFinder.java
@@ -39,7 +39,6 @@
     private static final Duration REFRESH = Duration.ofSeconds(1);
     private static final Duration QUESTION_TIMEOUT = Duration.ofMillis(150);
     private static final Duration PLANNER_PAUSE = Duration.ofSeconds(1);
-    private static final Duration TOLD_HOLDS = Duration.ofSeconds(3);
     private static final Duration FORGET = Duration.ofSeconds(10);
 
     private final String self;
@@ -48,7 +47,6 @@
     private final HomePlanner ownPlanner;
     private final TimerService timer;
     private final Map<ObjectGroup, Map<Long, Known>> groups = new HashMap<>();
-    private final Map<String, Told> admitted = new HashMap<>();
     private final Map<String, String> planners = new HashMap<>();
     private final Map<String, Long> pausedUntilNanos = new HashMap<>();
 
@@ -130,14 +128,12 @@
      * @param key the object's key
      * @param upstream the upstream
      * @param busyNanos time from the sending to the end of the answer
-     * @param waiting requests that waited there
      */
-    public void ended(ObjectGroup group, long key, String upstream, long busyNanos, int waiting) {
+    public void ended(ObjectGroup group, long key, String upstream, long busyNanos) {
         Known known = groups.getOrDefault(group, Map.of()).get(key);
         if (known != null && known.upstream.equals(upstream)) {
             known.requests++;
             known.busyMicros += busyNanos / 1000;
-            known.waiting += waiting;
         }
     }
 
@@ -153,15 +149,8 @@
         }
     }
 
-    /** The part of an upstream's requests that the planner admits; 1 when it has not told lately. */
-    public double admitted(String upstream) {
-        Told told = admitted.get(upstream);
-        return told == null || told.untilNanos() - timer.nowNanos() <= 0 ? 1 : told.part();
-    }
-
     private void refresh() {
         long now = timer.nowNanos();
-        admitted.values().removeIf(told -> told.untilNanos() - now <= 0);
         state.get().upstreams().keySet().forEach(this::meetPlanner);
         for (Map.Entry<ObjectGroup, Map<Long, Known>> group : groups.entrySet()) {
             group.getValue().values().removeIf(known -> now - known.usedNanos > FORGET.toNanos());
@@ -188,12 +177,10 @@
 
     /** Takes what is to be told of an object, which starts anew. */
     private static ObjectHome use(long key, Known known) {
-        ObjectHome use =
-                new ObjectHome(key, known.requests, known.busyMicros, known.upstream, known.failures, known.waiting, 0);
+        ObjectHome use = new ObjectHome(key, known.requests, known.busyMicros, known.upstream, known.failures);
         known.requests = 0;
         known.busyMicros = 0;
         known.failures = 0;
-        known.waiting = 0;
         return use;
     }
 
@@ -231,11 +218,6 @@
             Known known = objects.get(home.getKey());
             if (known != null) {
                 known.upstream = home.getUpstream();
-                admitted.put(
-                        home.getUpstream(),
-                        new Told(
-                                (double) home.getAdmitPermille() / HomePlanner.WHOLE_PERMILLE,
-                                timer.nowNanos() + TOLD_HOLDS.toNanos()));
             }
         }
     }
@@ -260,17 +242,8 @@
         private String upstream = "";
         private int requests;
         private int failures;
-        private int waiting;
         private long busyMicros;
         private long usedNanos;
         private CompletableFuture<Optional<String>> asking;
     }
-
-    /**
-     * The part of an upstream's requests that is admitted.
-     *
-     * @param part the part
-     * @param untilNanos monotonic time until which it holds
-     */
-    private record Told(double part, long untilNanos) {}
 }
--- a/src/main/java/org/arbutusfield/home/HomePlan.java
+++ b/src/main/java/org/arbutusfield/home/HomePlan.java
@@ -126,11 +126,6 @@
         relieve(conduct.usable(upstreams, nowNanos), nowNanos);
     }
 
-    /** The part of an upstream's requests that is admitted. */
-    public double admitted(String upstream) {
-        return conduct.admitted(upstream);
-    }
-
     /** Planned load of an upstream, in busy slots. */
     double load(String upstream) {
         return objects.values().stream()
--- a/src/main/java/org/arbutusfield/home/HomePlanner.java
+++ b/src/main/java/org/arbutusfield/home/HomePlanner.java
@@ -25,9 +25,6 @@
  * that comes first for the service. Runs on one event loop.
  */
 public final class HomePlanner {
-    /** All of an upstream's requests, in thousandths. */
-    static final int WHOLE_PERMILLE = 1000;
-
     private static final Duration CURRENT = Duration.ofSeconds(3);
 
     private final Supplier<SteeringState> state;
@@ -84,18 +81,13 @@
                     object.getRequests(),
                     object.getFailures(),
                     object.getBusyMicros(),
-                    object.getWaiting(),
                     object.getUpstream());
-            plan.home(use, candidates, nanos).ifPresent(home -> homes.add(told(object.getKey(), home.name(), plan)));
+            plan.home(use, candidates, nanos)
+                    .ifPresent(home -> homes.add(new ObjectHome(object.getKey(), 0, 0, home.name(), 0)));
         }
         return new HomeAnswer(homes);
     }
 
-    private static ObjectHome told(long key, String home, HomePlan plan) {
-        int permille = (int) Math.round(plan.admitted(home) * WHOLE_PERMILLE);
-        return new ObjectHome(key, 0, 0, home, 0, 0, permille);
-    }
-
     private static List<Candidate> candidates(
             String service, SteeringState now, Optional<Route> route, String region, long nanos) {
         return now.upstreams(service).stream()
--- a/src/main/java/org/arbutusfield/home/ObjectUse.java
+++ b/src/main/java/org/arbutusfield/home/ObjectUse.java
@@ -8,8 +8,6 @@
  * @param requests requests that the home answered
  * @param failures requests that the home did not answer
  * @param busyMicros time until the answers, in microseconds
- * @param waiting requests that waited at the home, added up over its answers
  * @param upstream the home that the host knows; empty if none
  */
-public record ObjectUse(
-        String route, long key, int requests, int failures, long busyMicros, int waiting, String upstream) {}
+public record ObjectUse(String route, long key, int requests, int failures, long busyMicros, String upstream) {}
--- a/src/main/java/org/arbutusfield/home/UpstreamConduct.java
+++ b/src/main/java/org/arbutusfield/home/UpstreamConduct.java
@@ -52,8 +52,6 @@
         total.seconds += use.busyMicros() / 1e6;
         each.answered += use.requests();
         each.failed += use.failures();
-        each.periodAnswers += use.requests();
-        each.periodWaiting += use.waiting();
         if (use.failures() > 0 && !avoided(use.upstream(), nowNanos) && failing(each)) {
             avoid(use.upstream(), each, nowNanos);
         }
@@ -61,24 +59,16 @@
 
     /** Ends a period: compares upstreams with each other and lets older reports fade. */
     void endPeriod(List<Candidate> upstreams, long nowNanos) {
-        Map<String, Integer> slots = new HashMap<>();
-        upstreams.forEach(upstream -> slots.put(upstream.name(), upstream.slots()));
-        reports.keySet().retainAll(slots.keySet());
+        reports.keySet().retainAll(upstreams.stream().map(Candidate::name).toList());
         Map<String, Double> usual = usualSeconds();
         reports.forEach((name, each) -> {
             if (!avoided(name, nowNanos) && slow(each, usual)) {
                 avoid(name, each, nowNanos);
             }
-            each.endPeriod(slots.get(name));
+            each.fade();
         });
     }
 
-    /** The part of the upstream's requests that is admitted. */
-    double admitted(String upstream) {
-        Reports each = reports.get(upstream);
-        return each == null ? 1 : each.admission.part();
-    }
-
     /** True while the upstream should get no objects. */
     boolean avoided(String upstream, long nowNanos) {
         Reports each = reports.get(upstream);
@@ -156,18 +146,12 @@
     /** What hosts reported of one upstream. */
     private static final class Reports {
         private final Map<String, RouteTotal> routes = new HashMap<>();
-        private final Admission admission = new Admission();
-        private int periodAnswers;
-        private int periodWaiting;
         private double answered;
         private double failed;
         private int avoidances;
         private long avoidedUntilNanos;
 
-        private void endPeriod(int slots) {
-            admission.seen(periodAnswers == 0 ? 0 : (double) periodWaiting / periodAnswers, slots);
-            periodAnswers = 0;
-            periodWaiting = 0;
+        private void fade() {
             answered *= KEPT;
             failed *= KEPT;
             routes.values().forEach(total -> {
--- a/src/main/java/org/arbutusfield/platform/PlatformMain.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformMain.java
@@ -36,7 +36,7 @@
     }
 
     /** Starts a host with the platform's formats and store. */
-    static Either<Failure, EdgeHost> start(EdgeSettings settings) {
+    public static Either<Failure, EdgeHost> start(EdgeSettings settings) {
         return EdgeHost.start(settings, PlatformFormats.create(), PlatformMain::store);
     }
 
--- a/src/main/java/org/arbutusfield/proxy/Attempt.java
+++ b/src/main/java/org/arbutusfield/proxy/Attempt.java
@@ -169,11 +169,6 @@
         placed.permit().release(outcome, sent() ? System.nanoTime() - sentNanos : 0);
     }
 
-    /** Hands on what an answer tells of the place's load. */
-    void loadTold(HttpResponse answer) {
-        names.load().map(answer.headers()::get).flatMap(UpstreamLoad::parse).ifPresent(placed.permit()::loadTold);
-    }
-
     @Override
     public void answerHead(HttpResponse answer) {
         if (!over) {
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -237,7 +237,6 @@
             tryFailed(by, Failure.of(ErrorCode.UPSTREAM_PROTOCOL, by.placed().name(), "not this answer"), false);
             return;
         }
-        by.loadTold(answer);
         if (relay != null) {
             if (!resumption.orElseThrow().continuedBy(answer)) {
                 by.cancel(Outcome.COMPLETED);
--- a/src/main/java/org/arbutusfield/proxy/Permit.java
+++ b/src/main/java/org/arbutusfield/proxy/Permit.java
@@ -13,9 +13,4 @@
      * @param serviceNanos nanoseconds from the first byte sent to the end of the answer; 0 if nothing was sent
      */
     void release(Outcome outcome, long serviceNanos);
-
-    /** Takes over what the place told of its load with an answer; called at most once, before the release. */
-    default void loadTold(UpstreamLoad load) {
-        // Most permits have no use for it.
-    }
 }
--- a/src/main/java/org/arbutusfield/route/RouteTable.java
+++ b/src/main/java/org/arbutusfield/route/RouteTable.java
@@ -15,7 +15,6 @@
     private final CallerLimits limits;
     private final Map<String, List<Route>> routesByHost;
     private final Map<String, Route> routesByName;
-    private final Map<String, Integer> mostUrgent;
     private final Map<String, ServicePolicy> services;
 
     private RouteTable(
@@ -28,7 +27,6 @@
         this.limits = limits;
         this.routesByHost = routesByHost;
         this.routesByName = routesByName;
-        this.mostUrgent = mostUrgent(routesByName.values());
         this.services = services;
     }
 
@@ -78,11 +76,6 @@
         return Optional.ofNullable(routesByName.get(name));
     }
 
-    /** The smallest rank among the routes to a service; 0 if there are none. */
-    public int mostUrgentRank(String service) {
-        return mostUrgent.getOrDefault(service, 0);
-    }
-
     /** The named service, if there is one. */
     public Optional<ServicePolicy> service(String name) {
         return Optional.ofNullable(services.get(name));
@@ -102,12 +95,4 @@
         }
         return Optional.empty();
     }
-
-    private static Map<String, Integer> mostUrgent(Collection<Route> routes) {
-        Map<String, Integer> ranks = new HashMap<>();
-        for (Route route : routes) {
-            route.shares().forEach(share -> ranks.merge(share.service(), route.rank(), Math::min));
-        }
-        return Map.copyOf(ranks);
-    }
 }
--- a/src/main/java/org/arbutusfield/steer/Choice.java
+++ b/src/main/java/org/arbutusfield/steer/Choice.java
@@ -6,13 +6,11 @@
  * @param upstream the upstream
  * @param reason why that one
  * @param home home of the request's object; {@code -} if none is known
- * @param admitted part of the upstream's requests that is admitted
  * @param inFlight this host's other requests at the upstream
  * @param candidates upstreams that could have served it
  * @param revision revision of the store that the state reflects
  */
-public record Choice(
-        String upstream, Reason reason, String home, double admitted, int inFlight, int candidates, long revision) {
+public record Choice(String upstream, Reason reason, String home, int inFlight, int candidates, long revision) {
 
     /** Why an upstream was chosen. */
     public enum Reason {
@@ -21,8 +19,6 @@
         /** The home is not known, or not to be used; hashing decides. */
         HASHED,
         /** The request concerns no object; the less busy one of two. */
-        LESS_BUSY,
-        /** It was chosen, and the request was refused because too much waits there. */
-        REFUSED
+        LESS_BUSY
     }
 }
--- a/src/main/java/org/arbutusfield/steer/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steer/SteeringPlacement.java
@@ -121,21 +121,14 @@
         }
         Optional<LiveUpstream> trustedHome = home.flatMap(name -> named(name, candidates));
         LiveUpstream chosen = trustedHome.orElseGet(() -> fallback(object, candidates));
-        double admitted = homes.admitted(chosen.name());
-        boolean refused = facts.tried().isEmpty() && !Triage.admits(admitted, urgent(facts, now), facts.requestId());
         Choice choice = new Choice(
                 chosen.name(),
-                refused ? Choice.Reason.REFUSED : reason(object, trustedHome),
+                reason(object, trustedHome),
                 home.orElse("-"),
-                admitted,
                 inFlight.getOrDefault(chosen.name(), 0),
                 candidates.size(),
                 now.revision());
         observer.placed(facts, choice);
-        if (refused) {
-            return Either.left(Failure.of(ErrorCode.OVERLOADED, chosen.name(), "admitted part " + admitted)
-                    .withRetryAfter(Triage.comeBack(admitted, facts.requestId())));
-        }
         return placed(chosen, object, now);
     }
 
@@ -151,13 +144,6 @@
                 .orElseGet(() -> lessBusyOfTwo(candidates));
     }
 
-    private static boolean urgent(RequestFacts facts, SteeringState now) {
-        int rank = facts.route().map(Route::rank).orElse(0);
-        return now.routes()
-                .map(table -> rank <= table.mostUrgentRank(facts.service().name()))
-                .orElse(true);
-    }
-
     /** The object of a request on a route where upstreams remember objects. Large answers are served near. */
     private Optional<ObjectInGroup> objectOf(RequestFacts facts) {
         if (facts.objectKey().isEmpty() || !facts.route().map(Route::affinity).orElse(false)) {
@@ -236,16 +222,16 @@
         String name = upstream.name();
         inFlight.merge(name, 1, Integer::sum);
         object.ifPresent(o -> homes.servedAt(o.group(), o.key(), name));
-        Permit permit = new CountedPermit((outcome, serviceNanos, waiting) -> {
+        Permit permit = (outcome, serviceNanos) -> {
             ended(name, outcome);
-            object.ifPresent(o -> objectEnded(o, name, outcome, serviceNanos, waiting));
-        });
+            object.ifPresent(o -> objectEnded(o, name, outcome, serviceNanos));
+        };
         return Either.right(new Placed.AtUpstream(upstream.upstream(), permit));
     }
 
-    private void objectEnded(ObjectInGroup object, String name, Outcome outcome, long serviceNanos, int waiting) {
+    private void objectEnded(ObjectInGroup object, String name, Outcome outcome, long serviceNanos) {
         switch (outcome) {
-            case COMPLETED -> homes.ended(object.group(), object.key(), name, serviceNanos, waiting);
+            case COMPLETED -> homes.ended(object.group(), object.key(), name, serviceNanos);
             case FAILED -> homes.failed(object.group(), object.key(), name);
             default -> {
                 // A full upstream is no reason to lose what it remembers; a cancelled request says nothing.
--- a/src/main/java/org/arbutusfield/wire/gen/ObjectHome.java
+++ b/src/main/java/org/arbutusfield/wire/gen/ObjectHome.java
@@ -15,8 +15,6 @@
   private static final org.apache.thrift.protocol.TField BUSY_MICROS_FIELD_DESC = new org.apache.thrift.protocol.TField("busyMicros", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField UPSTREAM_FIELD_DESC = new org.apache.thrift.protocol.TField("upstream", org.apache.thrift.protocol.TType.STRING, (short)4);
   private static final org.apache.thrift.protocol.TField FAILURES_FIELD_DESC = new org.apache.thrift.protocol.TField("failures", org.apache.thrift.protocol.TType.I32, (short)5);
-  private static final org.apache.thrift.protocol.TField WAITING_FIELD_DESC = new org.apache.thrift.protocol.TField("waiting", org.apache.thrift.protocol.TType.I32, (short)6);
-  private static final org.apache.thrift.protocol.TField ADMIT_PERMILLE_FIELD_DESC = new org.apache.thrift.protocol.TField("admitPermille", org.apache.thrift.protocol.TType.I32, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ObjectHomeStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ObjectHomeTupleSchemeFactory();
@@ -26,8 +24,6 @@
   private long busyMicros; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String upstream; // required
   private int failures; // required
-  private int waiting; // required
-  private int admitPermille; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -35,9 +31,7 @@
     REQUESTS((short)2, "requests"),
     BUSY_MICROS((short)3, "busyMicros"),
     UPSTREAM((short)4, "upstream"),
-    FAILURES((short)5, "failures"),
-    WAITING((short)6, "waiting"),
-    ADMIT_PERMILLE((short)7, "admitPermille");
+    FAILURES((short)5, "failures");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -63,10 +57,6 @@
           return UPSTREAM;
         case 5: // FAILURES
           return FAILURES;
-        case 6: // WAITING
-          return WAITING;
-        case 7: // ADMIT_PERMILLE
-          return ADMIT_PERMILLE;
         default:
           return null;
       }
@@ -114,8 +104,6 @@
   private static final int __REQUESTS_ISSET_ID = 1;
   private static final int __BUSYMICROS_ISSET_ID = 2;
   private static final int __FAILURES_ISSET_ID = 3;
-  private static final int __WAITING_ISSET_ID = 4;
-  private static final int __ADMITPERMILLE_ISSET_ID = 5;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -130,10 +118,6 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.FAILURES, new org.apache.thrift.meta_data.FieldMetaData("failures", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-    tmpMap.put(_Fields.WAITING, new org.apache.thrift.meta_data.FieldMetaData("waiting", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-    tmpMap.put(_Fields.ADMIT_PERMILLE, new org.apache.thrift.meta_data.FieldMetaData("admitPermille", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ObjectHome.class, metaDataMap);
   }
@@ -146,9 +130,7 @@
     int requests,
     long busyMicros,
     java.lang.String upstream,
-    int failures,
-    int waiting,
-    int admitPermille)
+    int failures)
   {
     this();
     this.key = key;
@@ -160,10 +142,6 @@
     this.upstream = upstream;
     this.failures = failures;
     setFailuresIsSet(true);
-    this.waiting = waiting;
-    setWaitingIsSet(true);
-    this.admitPermille = admitPermille;
-    setAdmitPermilleIsSet(true);
   }
 
   /**
@@ -178,8 +156,6 @@
       this.upstream = other.upstream;
     }
     this.failures = other.failures;
-    this.waiting = other.waiting;
-    this.admitPermille = other.admitPermille;
   }
 
   @Override
@@ -198,10 +174,6 @@
     this.upstream = null;
     setFailuresIsSet(false);
     this.failures = 0;
-    setWaitingIsSet(false);
-    this.waiting = 0;
-    setAdmitPermilleIsSet(false);
-    this.admitPermille = 0;
   }
 
   public long getKey() {
@@ -321,52 +293,6 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FAILURES_ISSET_ID, value);
   }
 
-  public int getWaiting() {
-    return this.waiting;
-  }
-
-  public ObjectHome setWaiting(int waiting) {
-    this.waiting = waiting;
-    setWaitingIsSet(true);
-    return this;
-  }
-
-  public void unsetWaiting() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WAITING_ISSET_ID);
-  }
-
-  /** Returns true if field waiting is set (has been assigned a value) and false otherwise */
-  public boolean isSetWaiting() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WAITING_ISSET_ID);
-  }
-
-  public void setWaitingIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WAITING_ISSET_ID, value);
-  }
-
-  public int getAdmitPermille() {
-    return this.admitPermille;
-  }
-
-  public ObjectHome setAdmitPermille(int admitPermille) {
-    this.admitPermille = admitPermille;
-    setAdmitPermilleIsSet(true);
-    return this;
-  }
-
-  public void unsetAdmitPermille() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ADMITPERMILLE_ISSET_ID);
-  }
-
-  /** Returns true if field admitPermille is set (has been assigned a value) and false otherwise */
-  public boolean isSetAdmitPermille() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ADMITPERMILLE_ISSET_ID);
-  }
-
-  public void setAdmitPermilleIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ADMITPERMILLE_ISSET_ID, value);
-  }
-
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -410,22 +336,6 @@
       }
       break;
 
-    case WAITING:
-      if (value == null) {
-        unsetWaiting();
-      } else {
-        setWaiting((java.lang.Integer)value);
-      }
-      break;
-
-    case ADMIT_PERMILLE:
-      if (value == null) {
-        unsetAdmitPermille();
-      } else {
-        setAdmitPermille((java.lang.Integer)value);
-      }
-      break;
-
     }
   }
 
@@ -448,12 +358,6 @@
     case FAILURES:
       return getFailures();
 
-    case WAITING:
-      return getWaiting();
-
-    case ADMIT_PERMILLE:
-      return getAdmitPermille();
-
     }
     throw new java.lang.IllegalStateException();
   }
@@ -476,10 +380,6 @@
       return isSetUpstream();
     case FAILURES:
       return isSetFailures();
-    case WAITING:
-      return isSetWaiting();
-    case ADMIT_PERMILLE:
-      return isSetAdmitPermille();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -542,24 +442,6 @@
         return false;
     }
 
-    boolean this_present_waiting = true;
-    boolean that_present_waiting = true;
-    if (this_present_waiting || that_present_waiting) {
-      if (!(this_present_waiting && that_present_waiting))
-        return false;
-      if (this.waiting != that.waiting)
-        return false;
-    }
-
-    boolean this_present_admitPermille = true;
-    boolean that_present_admitPermille = true;
-    if (this_present_admitPermille || that_present_admitPermille) {
-      if (!(this_present_admitPermille && that_present_admitPermille))
-        return false;
-      if (this.admitPermille != that.admitPermille)
-        return false;
-    }
-
     return true;
   }
 
@@ -579,10 +461,6 @@
 
     hashCode = hashCode * 8191 + failures;
 
-    hashCode = hashCode * 8191 + waiting;
-
-    hashCode = hashCode * 8191 + admitPermille;
-
     return hashCode;
   }
 
@@ -644,26 +522,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetWaiting(), other.isSetWaiting());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetWaiting()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.waiting, other.waiting);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
-    lastComparison = java.lang.Boolean.compare(isSetAdmitPermille(), other.isSetAdmitPermille());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetAdmitPermille()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.admitPermille, other.admitPermille);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     return 0;
   }
 
@@ -711,14 +569,6 @@
     sb.append("failures:");
     sb.append(this.failures);
     first = false;
-    if (!first) sb.append(", ");
-    sb.append("waiting:");
-    sb.append(this.waiting);
-    first = false;
-    if (!first) sb.append(", ");
-    sb.append("admitPermille:");
-    sb.append(this.admitPermille);
-    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -806,22 +656,6 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 6: // WAITING
-            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-              struct.waiting = iprot.readI32();
-              struct.setWaitingIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 7: // ADMIT_PERMILLE
-            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-              struct.admitPermille = iprot.readI32();
-              struct.setAdmitPermilleIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -855,12 +689,6 @@
       oprot.writeFieldBegin(FAILURES_FIELD_DESC);
       oprot.writeI32(struct.failures);
       oprot.writeFieldEnd();
-      oprot.writeFieldBegin(WAITING_FIELD_DESC);
-      oprot.writeI32(struct.waiting);
-      oprot.writeFieldEnd();
-      oprot.writeFieldBegin(ADMIT_PERMILLE_FIELD_DESC);
-      oprot.writeI32(struct.admitPermille);
-      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -895,13 +723,7 @@
       if (struct.isSetFailures()) {
         optionals.set(4);
       }
-      if (struct.isSetWaiting()) {
-        optionals.set(5);
-      }
-      if (struct.isSetAdmitPermille()) {
-        optionals.set(6);
-      }
-      oprot.writeBitSet(optionals, 7);
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetKey()) {
         oprot.writeI64(struct.key);
       }
@@ -917,18 +739,12 @@
       if (struct.isSetFailures()) {
         oprot.writeI32(struct.failures);
       }
-      if (struct.isSetWaiting()) {
-        oprot.writeI32(struct.waiting);
-      }
-      if (struct.isSetAdmitPermille()) {
-        oprot.writeI32(struct.admitPermille);
-      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ObjectHome struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(7);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.key = iprot.readI64();
         struct.setKeyIsSet(true);
@@ -949,14 +765,6 @@
         struct.failures = iprot.readI32();
         struct.setFailuresIsSet(true);
       }
-      if (incoming.get(5)) {
-        struct.waiting = iprot.readI32();
-        struct.setWaitingIsSet(true);
-      }
-      if (incoming.get(6)) {
-        struct.admitPermille = iprot.readI32();
-        struct.setAdmitPermilleIsSet(true);
-      }
     }
   }
 
--- a/src/main/thrift/control.thrift
+++ b/src/main/thrift/control.thrift
@@ -161,8 +161,6 @@
   3: i64 busyMicros
   4: string upstream
   5: i32 failures
-  6: i32 waiting
-  7: i32 admitPermille
 }
 
 // A host asks the planner of a service which upstreams serve objects of a route.
--- a/src/test/java/org/arbutusfield/home/HomePlanTest.java
+++ b/src/test/java/org/arbutusfield/home/HomePlanTest.java
@@ -25,7 +25,7 @@
     }
 
     private static ObjectUse use(long key) {
-        return new ObjectUse("r", key, 0, 0, 0, 0, "");
+        return new ObjectUse("r", key, 0, 0, 0, "");
     }
 
     /** The pattern at the start of a day: every object is cold, and 48 of them meet 16 upstreams. */
@@ -66,7 +66,7 @@
     @Test
     void aNewPlannerAdoptsWhatHostsKnow() {
         HomePlan plan = HomePlan.create();
-        assertThat(plan.home(new ObjectUse("r", 7, 3, 0, 1000, 0, "u2"), upstreams(4), 0))
+        assertThat(plan.home(new ObjectUse("r", 7, 3, 0, 1000, "u2"), upstreams(4), 0))
                 .contains(Candidate.of("u2", 3));
     }
 
@@ -84,7 +84,7 @@
         }
         for (int second = 0; second < 60; second++) {
             for (int i = 0; i < busySlots.length; i++) {
-                plan.home(new ObjectUse("r", i, 5, 0, (long) (busySlots[i] * 1e6), 0, ""), upstreams, second * SECOND);
+                plan.home(new ObjectUse("r", i, 5, 0, (long) (busySlots[i] * 1e6), ""), upstreams, second * SECOND);
             }
             plan.advance(upstreams, second * SECOND);
         }
@@ -103,7 +103,7 @@
         for (int second = 0; second < 12; second++) {
             List<Candidate> now = second < 6 ? few : more;
             for (long key = 0; key < 24; key++) {
-                plan.home(new ObjectUse("r", key, 1, 0, 50_000, 0, ""), now, second * SECOND);
+                plan.home(new ObjectUse("r", key, 1, 0, 50_000, ""), now, second * SECOND);
             }
             plan.advance(now, second * SECOND);
         }
@@ -136,8 +136,8 @@
                         .orElseThrow()
                         .name();
                 ObjectUse seen = home.equals("u3")
-                        ? new ObjectUse("r", key, answered, failed, millis * 1000, 0, home)
-                        : new ObjectUse("r", key, 4, 0, 800_000, 0, home);
+                        ? new ObjectUse("r", key, answered, failed, millis * 1000, home)
+                        : new ObjectUse("r", key, 4, 0, 800_000, home);
                 plan.home(seen, upstreams, second * SECOND);
             }
             plan.advance(upstreams, second * SECOND);
@@ -163,7 +163,7 @@
                         .name();
                 first.putIfAbsent(key, home);
                 assertThat(home).isEqualTo(first.get(key));
-                plan.home(new ObjectUse("r", key, 0, 5, 0, 0, home), upstreams, second * SECOND);
+                plan.home(new ObjectUse("r", key, 0, 5, 0, home), upstreams, second * SECOND);
             }
         }
     }
--- a/src/test/java/org/arbutusfield/platform/PlatformPathTest.java
+++ b/src/test/java/org/arbutusfield/platform/PlatformPathTest.java
@@ -66,6 +66,7 @@
                 2_000,
                 Duration.ofSeconds(5),
                 Duration.ofSeconds(2),
+                Duration.ofSeconds(2),
                 new RetryBounds(0.2, Duration.ofSeconds(10), 112, 2));
         host = PlatformMain.start(settings).get();
     }
