--- a/src/main/java/org/arbutusfield/home/HomeFinder.java
+++ b/src/main/java/org/arbutusfield/home/HomeFinder.java
@@ -105,12 +105,16 @@
         if (paused(group.service())) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
-        if (known.asking == null) {
-            known.asking = ask(group, List.of(use(key, known)))
-                    .thenApply(told -> Optional.of(known.upstream).filter(name -> !name.isEmpty()));
-            known.asking.thenAccept(done -> known.asking = null);
+        if (known.asking != null) {
+            return known.asking;
         }
-        return known.asking == null ? CompletableFuture.completedFuture(Optional.of(known.upstream)) : known.asking;
+        CompletableFuture<Optional<String>> asked = ask(group, List.of(use(key, known)))
+                .thenApply(told -> Optional.of(known.upstream).filter(name -> !name.isEmpty()));
+        if (!asked.isDone()) {
+            known.asking = asked;
+            asked.thenAccept(home -> known.asking = null);
+        }
+        return asked;
     }
 
     /** Notes where an object is served for want of a planner, so that the planner leaves it there. */
--- a/src/main/java/org/arbutusfield/home/HomePlan.java
+++ b/src/main/java/org/arbutusfield/home/HomePlan.java
@@ -49,7 +49,7 @@
     private static final double WORTH_MOVING = 0.12;
 
     private final Map<Long, String> stored;
-    private final Map<Long, Placed> objects = new HashMap<>();
+    private final Map<Long, PlannedObject> objects = new HashMap<>();
     private final UpstreamConduct conduct = new UpstreamConduct();
     private long periodEndNanos;
     private boolean started;
@@ -71,7 +71,7 @@
     /** The homes of all objects. */
     public Map<Long, String> homes() {
         Map<Long, String> homes = new HashMap<>();
-        objects.forEach((key, placed) -> homes.put(key, placed.upstream));
+        objects.forEach((key, planned) -> homes.put(key, planned.upstream));
         return homes;
     }
 
@@ -86,10 +86,10 @@
     public Optional<Candidate> home(ObjectUse use, List<Candidate> candidates, long nowNanos) {
         conduct.report(use, nowNanos);
         List<Candidate> usable = conduct.usable(candidates, nowNanos);
-        Placed placed = objects.get(use.key());
-        Optional<Candidate> home = Optional.<Placed>ofNullable(placed)
+        PlannedObject planned = objects.get(use.key());
+        Optional<Candidate> home = Optional.<PlannedObject>ofNullable(planned)
                 .flatMap(known -> find(usable, known.upstream))
-                .or(() -> placed == null ? adopted(use, usable) : Optional.empty())
+                .or(() -> planned == null ? adopted(use, usable) : Optional.empty())
                 .or(() -> firstWithRoom(use.key(), usable));
         home.ifPresent(upstream -> settle(use, upstream, candidates, nowNanos));
         return home;
@@ -100,12 +100,12 @@
     }
 
     private void settle(ObjectUse use, Candidate home, List<Candidate> candidates, long nowNanos) {
-        Placed placed = objects.computeIfAbsent(use.key(), key -> new Placed(nowNanos));
-        if (!home.name().equals(placed.upstream)) {
-            log("placed", use.key(), placed, home.name());
-            placed.move(home.name(), nowNanos);
+        PlannedObject planned = objects.computeIfAbsent(use.key(), key -> new PlannedObject(nowNanos));
+        if (!home.name().equals(planned.upstream)) {
+            log("placed", use.key(), planned, home.name());
+            planned.move(home.name(), nowNanos);
         }
-        placed.used(use, candidates, nowNanos);
+        planned.used(use, candidates, nowNanos);
     }
 
     /** Ends a period when it is time: takes over the reported loads, forgets unused objects and moves one if useful. */
@@ -120,8 +120,8 @@
         }
         double seconds = (nowNanos - periodEndNanos + PERIOD.toNanos()) / 1e9;
         periodEndNanos = nowNanos + PERIOD.toNanos();
-        objects.values().removeIf(placed -> nowNanos - placed.usedNanos > FORGET.toNanos());
-        objects.values().forEach(placed -> placed.endPeriod(seconds));
+        objects.values().removeIf(planned -> nowNanos - planned.usedNanos > FORGET.toNanos());
+        objects.values().forEach(planned -> planned.endPeriod(seconds));
         conduct.endPeriod(upstreams, nowNanos);
         relieve(conduct.usable(upstreams, nowNanos), nowNanos);
     }
@@ -129,8 +129,8 @@
     /** Planned load of an upstream, in busy slots. */
     double load(String upstream) {
         return objects.values().stream()
-                .filter(placed -> upstream.equals(placed.upstream))
-                .mapToDouble(placed -> placed.load)
+                .filter(planned -> upstream.equals(planned.upstream))
+                .mapToDouble(planned -> planned.load)
                 .sum();
     }
 
@@ -159,45 +159,45 @@
     private void employIdle(List<Candidate> upstreams, long nowNanos) {
         for (Candidate idle : upstreams) {
             if (count(idle.name()) == 0) {
-                lightestSpare(idle, nowNanos).ifPresent(placed -> placed.move(idle.name(), nowNanos));
+                lightestSpare(idle, nowNanos).ifPresent(planned -> planned.move(idle.name(), nowNanos));
             }
         }
     }
 
-    private Optional<Placed> lightestSpare(Candidate idle, long nowNanos) {
+    private Optional<PlannedObject> lightestSpare(Candidate idle, long nowNanos) {
         Map<String, Double> loads = loads();
         return objects.values().stream()
-                .filter(placed -> placed.mayServe.contains(idle.name()) && count(placed.upstream) > 1)
-                .filter(placed -> nowNanos - placed.movedNanos >= SETTLE.toNanos())
-                .min(Comparator.comparingDouble((Placed placed) -> -loads.getOrDefault(placed.upstream, 0.0))
-                        .thenComparingDouble(placed -> placed.load));
+                .filter(planned -> planned.mayServe.contains(idle.name()) && count(planned.upstream) > 1)
+                .filter(planned -> nowNanos - planned.movedNanos >= SETTLE.toNanos())
+                .min(Comparator.comparingDouble((PlannedObject planned) -> -loads.getOrDefault(planned.upstream, 0.0))
+                        .thenComparingDouble(planned -> planned.load));
     }
 
     private long count(String upstream) {
         return objects.values().stream()
-                .filter(placed -> placed.upstream.equals(upstream))
+                .filter(planned -> planned.upstream.equals(upstream))
                 .count();
     }
 
     private boolean moveOne(Candidate from, List<Candidate> upstreams, Map<String, Double> loads, long nowNanos) {
-        Placed best = null;
+        PlannedObject best = null;
         long bestKey = 0;
         Candidate bestTo = null;
         double bestPeak = share(from, loads) - WORTH_MOVING;
-        for (Map.Entry<Long, Placed> object : objects.entrySet()) {
-            Placed placed = object.getValue();
-            if (!from.name().equals(placed.upstream) || nowNanos - placed.movedNanos < SETTLE.toNanos()) {
+        for (Map.Entry<Long, PlannedObject> object : objects.entrySet()) {
+            PlannedObject planned = object.getValue();
+            if (!from.name().equals(planned.upstream) || nowNanos - planned.movedNanos < SETTLE.toNanos()) {
                 continue;
             }
             for (Candidate to : upstreams) {
-                if (to.name().equals(from.name()) || !placed.mayServe.contains(to.name())) {
+                if (to.name().equals(from.name()) || !planned.mayServe.contains(to.name())) {
                     continue;
                 }
-                double left = share(from, loads) - placed.load / from.slots();
-                double joined = share(to, loads) + placed.load / to.slots();
+                double left = share(from, loads) - planned.load / from.slots();
+                double joined = share(to, loads) + planned.load / to.slots();
                 if (Math.max(left, joined) < bestPeak) {
                     bestPeak = Math.max(left, joined);
-                    best = placed;
+                    best = planned;
                     bestKey = object.getKey();
                     bestTo = to;
                 }
@@ -227,14 +227,14 @@
                 .or(() -> candidates.stream().min(Comparator.comparingDouble(u -> share(u, loads))));
     }
 
-    private static void log(String reason, long key, Placed placed, String to) {
+    private static void log(String reason, long key, PlannedObject planned, String to) {
         LOG.info(
                 "event=home_chosen reason={} object={} from={} to={} load={}",
                 reason,
                 Long.toHexString(key),
-                placed.upstream.isEmpty() ? "-" : placed.upstream,
+                planned.upstream.isEmpty() ? "-" : planned.upstream,
                 to,
-                placed.load);
+                planned.load);
     }
 
     private static double share(Candidate upstream, Map<String, Double> loads) {
@@ -243,7 +243,7 @@
 
     private Map<String, Double> loads() {
         Map<String, Double> loads = new HashMap<>();
-        objects.values().forEach(placed -> loads.merge(placed.upstream, placed.load, Double::sum));
+        objects.values().forEach(planned -> loads.merge(planned.upstream, planned.load, Double::sum));
         return loads;
     }
 
@@ -252,7 +252,7 @@
     }
 
     /** One object in the plan. */
-    private static final class Placed {
+    private static final class PlannedObject {
         private String upstream = "";
         private double load = UNKNOWN_LOAD;
         private double busySeconds;
@@ -261,7 +261,7 @@
         private long usedNanos;
         private Set<String> mayServe = Set.of();
 
-        private Placed(long nowNanos) {
+        private PlannedObject(long nowNanos) {
             movedNanos = nowNanos;
         }
 
--- /dev/null
+++ b/src/test/java/org/arbutusfield/edge/EdgeSettingsReaderTest.java
@@ -0,0 +1,65 @@
+package org.arbutusfield.edge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Settings files of an edge host, valid and not. */
+class EdgeSettingsReaderTest {
+    private static final String VALID = """
+            {"name": "h", "region": "gulf", "failureDomain": "gulf-a", "callerAddress": "127.0.0.1:1",
+             "readyAddress": "127.0.0.1:2", "lookupAddress": "127.0.0.1:3", "controlAddress": "127.0.0.1:4",
+             "metricsAddress": "127.0.0.1:5", "storeAddress": "127.0.0.1:6", "regions": {"gulf-a": "gulf"},
+             "maxDescriptors": 2870, "lookupMaxAge": "5s", "stopLimit": "6s", "routesInForceWithin": "2000ms",
+             "drainsInForceWithin": "1500ms", "retryRatio": 0.2, "retryWindow": "10s", "retrySlack": 112}
+            """;
+
+    private static Either<List<Failure>, EdgeSettings> parse(String text) {
+        return EdgeSettingsReader.parse(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void aValidFile() {
+        EdgeSettings settings = parse(VALID).get();
+        assertThat(settings.inForceWithin()).isEqualTo(Duration.ofMillis(1500));
+        assertThat(settings.regions()).containsEntry("gulf-a", "gulf");
+        assertThat(settings.retries().slack()).isEqualTo(112);
+    }
+
+    @Test
+    void fieldsThatAreNotKnownAreIgnored() {
+        assertThat(parse(VALID.replace("{\"name\"", "{\"later\": 1, \"name\"")).isRight())
+                .isTrue();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "'\"h\"',            '\"\"',        /name",
+        "'127.0.0.1:1\"',    'host:1\"',    /callerAddress",
+        "'127.0.0.1:6\"',    '127.0.0.1\"', /storeAddress",
+        "'\"6s\"',           '6',           /stopLimit",
+        "'\"5s\"',           '\"5 s\"',     /lookupMaxAge",
+        "'2870',             '-1',          /maxDescriptors",
+        "'0.2',              '\"0.2\"',     /retryRatio",
+        "'\"retrySlack\"',   '\"slack\"',   /retrySlack",
+    })
+    void aFaultIsToldWithItsPath(String valid, String wrong, String path) {
+        List<Failure> faults = parse(VALID.replace(valid, wrong)).getLeft();
+        assertThat(faults).extracting(Failure::code).containsOnly(ErrorCode.SETTING_INVALID);
+        assertThat(faults).extracting(Failure::subject).containsExactly(path);
+    }
+
+    @Test
+    void allFaultsAreToldAtOnce() {
+        assertThat(parse("{}").getLeft()).hasSize(EdgeSetting.values().length);
+        assertThat(parse("[").getLeft()).extracting(Failure::code).containsExactly(ErrorCode.SETTINGS_MALFORMED);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/arbutusfield/follow/StoreFollowerTest.java
@@ -0,0 +1,163 @@
+package org.arbutusfield.follow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.http.Body;
+import org.arbutusfield.misc.Addresses;
+import org.arbutusfield.store.ItemChange;
+import org.arbutusfield.store.ItemChanges;
+import org.arbutusfield.store.ItemPage;
+import org.arbutusfield.store.StoreItem;
+import org.arbutusfield.store.WatchedStore;
+import org.arbutusfield.timer.VirtualTimer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** How a host follows the store through its troubles, in virtual time, and how many calls that costs. */
+class StoreFollowerTest {
+    private static final Duration IN_FORCE = Duration.ofMillis(2400);
+
+    private final VirtualTimer timer = VirtualTimer.create();
+    private final ScriptedStore store = new ScriptedStore();
+    private SteeringState state = SteeringState.empty();
+
+    /** Answers by switches; a watch without news is answered when the test says so. */
+    private static final class ScriptedStore implements WatchedStore {
+        private final List<StoreItem> items = new ArrayList<>();
+        private final List<CompletableFuture<Either<Failure, ItemChanges>>> watches = new ArrayList<>();
+        private Optional<ErrorCode> failure = Optional.empty();
+        private int lists;
+        private int pageSize = 100;
+        private long revision = 10;
+
+        private <T> CompletableFuture<Either<Failure, T>> answer(T value) {
+            return CompletableFuture.completedFuture(
+                    failure.<Either<Failure, T>>map(code -> Either.left(Failure.of(code)))
+                            .orElseGet(() -> Either.right(value)));
+        }
+
+        @Override
+        public CompletableFuture<Either<Failure, ItemPage>> list(String prefix, String after) {
+            lists++;
+            List<StoreItem> rest =
+                    items.stream().filter(i -> i.key().compareTo(after) > 0).toList();
+            List<StoreItem> page = rest.stream().limit(pageSize).toList();
+            return answer(new ItemPage(page, rest.size() > page.size(), revision));
+        }
+
+        @Override
+        public CompletableFuture<Either<Failure, ItemChanges>> watch(String prefix, long after, Duration wait) {
+            CompletableFuture<Either<Failure, ItemChanges>> watch = new CompletableFuture<>();
+            watches.add(watch);
+            failure.ifPresent(code -> watch.complete(Either.left(Failure.of(code))));
+            return watch;
+        }
+
+        private void tell(Either<Failure, ItemChanges> answer) {
+            watches.get(watches.size() - 1).complete(answer);
+        }
+
+        @Override
+        public CompletableFuture<Either<Failure, Long>> put(String key, byte[] value, long lease) {
+            return answer(revision);
+        }
+
+        @Override
+        public CompletableFuture<Either<Failure, Long>> grantLease(Duration length) {
+            return answer(1L);
+        }
+
+        @Override
+        public CompletableFuture<Either<Failure, Long>> renewLease(long lease) {
+            return answer(lease);
+        }
+
+        @Override
+        public CompletableFuture<Either<Failure, Long>> endLease(long lease) {
+            return answer(lease);
+        }
+    }
+
+    private static Either<Failure, StateItem> decode(String key, byte[] value) {
+        return Either.right(new StateItem.UpstreamReport(new UpstreamEntry(
+                key, "desk", "gulf-a", Addresses.parse("127.0.0.1:1").orElseThrow(), 3, false, Duration.ZERO, 1)));
+    }
+
+    private static StoreItem item(String key) {
+        return new StoreItem(key, Body.empty(), 5);
+    }
+
+    private void start(String... keys) {
+        for (String key : keys) {
+            store.items.add(item(key));
+        }
+        StateBook book = StateBook.create(StoreFollowerTest::decode, Map.of("gulf-a", "gulf"));
+        StoreFollower.start(store, timer, book, IN_FORCE, next -> state = next);
+        timer.advance(Duration.ofMillis(1));
+    }
+
+    private List<String> names() {
+        return state.upstreams("desk").stream().map(LiveUpstream::name).toList();
+    }
+
+    private static Either<Failure, ItemChanges> removed(String key) {
+        return Either.right(new ItemChanges(List.of(new ItemChange(key, 11, Optional.empty())), 11));
+    }
+
+    @Test
+    void allPagesAreRead() {
+        store.pageSize = 2;
+        start("a", "b", "c", "d", "e");
+        assertThat(names()).containsExactly("a", "b", "c", "d", "e");
+        assertThat(store.lists).isEqualTo(3);
+    }
+
+    @Test
+    void aRemovedEntryIsGoneAtOnceAndTheNextWatchGathers() {
+        start("a", "b");
+        store.tell(removed("a"));
+        assertThat(names()).containsExactly("b");
+        assertThat(store.watches).hasSize(1);
+        timer.advance(IN_FORCE.dividedBy(3).plusMillis(1));
+        assertThat(store.watches).hasSize(2);
+    }
+
+    @Test
+    void whatLeftInAForgottenHistoryIsGone() {
+        start("a", "b");
+        store.items.remove(0);
+        store.tell(Either.left(Failure.of(ErrorCode.STORE_HISTORY_GONE)));
+        assertThat(names()).containsExactly("b");
+        assertThat(store.lists).isEqualTo(2);
+    }
+
+    /** The state stays through an outage of ten seconds, at no more than two calls a second. */
+    @ParameterizedTest
+    @EnumSource(
+            value = ErrorCode.class,
+            names = {"STORE_UNAVAILABLE", "STORE_TIMEOUT", "STORE_PROTOCOL"})
+    void anOutage(ErrorCode code) {
+        start("a", "b");
+        store.failure = Optional.of(code);
+        store.tell(Either.left(Failure.of(code)));
+        timer.advance(Duration.ofSeconds(10));
+        assertThat(names()).containsExactly("a", "b");
+        assertThat(store.watches.size()).isBetween(10, 30);
+        store.failure = Optional.empty();
+        timer.advance(Duration.ofSeconds(1));
+        store.tell(removed("a"));
+        assertThat(names()).as("in its grace").containsExactly("a", "b");
+        timer.advance(Duration.ofMillis(2200));
+        assertThat(names()).containsExactly("b");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/arbutusfield/home/HomeFinderTest.java
@@ -0,0 +1,126 @@
+package org.arbutusfield.home;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.follow.HostEntry;
+import org.arbutusfield.follow.LiveUpstream;
+import org.arbutusfield.follow.SteeringState;
+import org.arbutusfield.lookup.Rendezvous;
+import org.arbutusfield.model.Upstream;
+import org.arbutusfield.timer.VirtualTimer;
+import org.arbutusfield.wire.PeerAddress;
+import org.arbutusfield.wire.gen.ControlMessage;
+import org.junit.jupiter.api.Test;
+
+/** Hosts and their planner joined in virtual time, with a planner that dies and upstreams that leave. */
+class HomeFinderTest {
+    private static final ObjectGroup GROUP = new ObjectGroup("desk", "r", "");
+
+    private final VirtualTimer timer = VirtualTimer.create();
+    private final Map<PeerAddress, HomePlanner> planners = new HashMap<>();
+    private final List<HomeFinder> finders = new ArrayList<>();
+    private final List<PeerAddress> dead = new ArrayList<>();
+    private SteeringState state = state(List.of("u0", "u1", "u2", "u3"), 4);
+
+    private static SteeringState state(List<String> upstreams, int hosts) {
+        List<LiveUpstream> live = upstreams.stream()
+                .map(name -> new LiveUpstream(
+                        new Upstream(name, "desk", "gulf-a", "127.0.0.1", 1, 3, 10),
+                        "gulf",
+                        0,
+                        0,
+                        Rendezvous.hash(name)))
+                .toList();
+        List<HostEntry> entries = new ArrayList<>();
+        for (int i = 0; i < hosts; i++) {
+            entries.add(new HostEntry("h" + i, "gulf", "gulf-a", "127.0.0.1:" + (100 + i), "127.0.0.1:" + (200 + i)));
+        }
+        return new SteeringState(Optional.empty(), Map.of("desk", live), Set.of(), entries, Map.of(), 1);
+    }
+
+    private CompletableFuture<Either<Failure, ControlMessage>> call(PeerAddress peer, ControlMessage message) {
+        if (dead.contains(peer)) {
+            return CompletableFuture.completedFuture(Either.left(Failure.of(ErrorCode.PEER_TIMEOUT)));
+        }
+        return CompletableFuture.completedFuture(
+                Either.right(ControlMessage.homeAnswer(planners.get(peer).answer(message.getHomeQuestion()))));
+    }
+
+    private void start() {
+        for (int i = 0; i < 4; i++) {
+            HomePlanner planner = HomePlanner.create(() -> state, timer);
+            planners.put(new PeerAddress("127.0.0.1", 200 + i), planner);
+            finders.add(HomeFinder.start(
+                    "h" + i, () -> state, (peer, message, timeout) -> call(peer, message), planner, timer));
+        }
+    }
+
+    private Optional<String> find(int host, long key) {
+        return finders.get(host).find(GROUP, key).join();
+    }
+
+    @Test
+    void allHostsFindTheSameHome() {
+        start();
+        for (long key = 0; key < 12; key++) {
+            Optional<String> home = find(0, key);
+            assertThat(home).isPresent();
+            for (int host = 1; host < 4; host++) {
+                assertThat(find(host, key)).isEqualTo(home);
+            }
+        }
+    }
+
+    @Test
+    void anObjectOfAnUpstreamThatLeftGetsAnotherHomeForAll() {
+        start();
+        String home = find(0, 7).orElseThrow();
+        List<String> rest = new ArrayList<>(List.of("u0", "u1", "u2", "u3"));
+        rest.remove(home);
+        state = state(rest, 4);
+        Optional<String> next = find(0, 7);
+        assertThat(rest).contains(next.orElseThrow());
+        assertThat(find(3, 7)).isEqualTo(next);
+    }
+
+    /** Without the planner known homes stay in use, and a new object is left to hashing, at once. */
+    @Test
+    void withoutThePlanner() {
+        start();
+        Optional<String> known = find(0, 7);
+        dead.addAll(planners.keySet());
+        assertThat(find(0, 7)).isEqualTo(known);
+        int asked = 0;
+        for (int host = 0; host < 4; host++) {
+            asked += find(host, 8).isPresent() ? 1 : 0;
+        }
+        assertThat(asked).as("only the planner itself knows").isLessThanOrEqualTo(1);
+    }
+
+    /** The next planner keeps the homes that hosts used last. */
+    @Test
+    void aNewPlannerKeepsTheHomes() {
+        start();
+        Map<Long, String> before = new HashMap<>();
+        for (long key = 0; key < 12; key++) {
+            for (int host = 0; host < 4; host++) {
+                before.put(key, find(host, key).orElseThrow());
+                finders.get(host).ended(GROUP, key, before.get(key), 1_000_000);
+            }
+        }
+        planners.replaceAll((peer, planner) -> HomePlanner.create(() -> state, timer));
+        timer.advance(Duration.ofSeconds(2));
+        before.forEach((key, home) -> assertThat(find(1, key)).contains(home));
+    }
+}
