--- a/src/main/java/org/arbutusfield/home/UpstreamConduct.java
+++ b/src/main/java/org/arbutusfield/home/UpstreamConduct.java
@@ -46,14 +46,14 @@
         if (use.upstream().isEmpty() || use.requests() + use.failures() == 0) {
             return;
         }
-        Reports each = reports.computeIfAbsent(use.upstream(), name -> new Reports());
-        RouteTotal total = each.routes.computeIfAbsent(use.route(), route -> new RouteTotal());
+        Reports seen = reports.computeIfAbsent(use.upstream(), name -> new Reports());
+        RouteTotal total = seen.routes.computeIfAbsent(use.route(), route -> new RouteTotal());
         total.requests += use.requests();
         total.seconds += use.busyMicros() / 1e6;
-        each.answered += use.requests();
-        each.failed += use.failures();
-        if (use.failures() > 0 && !avoided(use.upstream(), nowNanos) && failing(each)) {
-            avoid(use.upstream(), each, nowNanos);
+        seen.answered += use.requests();
+        seen.failed += use.failures();
+        if (use.failures() > 0 && !avoided(use.upstream(), nowNanos) && failing(seen)) {
+            avoid(use.upstream(), seen, nowNanos);
         }
     }
 
@@ -61,18 +61,18 @@
     void endPeriod(List<Candidate> upstreams, long nowNanos) {
         reports.keySet().retainAll(upstreams.stream().map(Candidate::name).toList());
         Map<String, Double> usual = usualSeconds();
-        reports.forEach((name, each) -> {
-            if (!avoided(name, nowNanos) && slow(each, usual)) {
-                avoid(name, each, nowNanos);
+        reports.forEach((name, seen) -> {
+            if (!avoided(name, nowNanos) && slow(seen, usual)) {
+                avoid(name, seen, nowNanos);
             }
-            each.fade();
+            seen.fade();
         });
     }
 
     /** True while the upstream should get no objects. */
     boolean avoided(String upstream, long nowNanos) {
-        Reports each = reports.get(upstream);
-        return each != null && each.avoidedUntilNanos - nowNanos > 0;
+        Reports seen = reports.get(upstream);
+        return seen != null && seen.avoidedUntilNanos - nowNanos > 0;
     }
 
     /** The candidates that are not avoided; all of them when too few would be left. */
@@ -83,9 +83,9 @@
         return usable.size() < candidates.size() * (1 - MOST_AVOIDED) ? candidates : usable;
     }
 
-    private boolean failing(Reports each) {
-        return each.failed >= FAILING_LEAST
-                && each.failed >= FAILING_SHARE * (each.answered + each.failed)
+    private boolean failing(Reports seen) {
+        return seen.failed >= FAILING_LEAST
+                && seen.failed >= FAILING_SHARE * (seen.answered + seen.failed)
                 && !mostFail();
     }
 
@@ -93,28 +93,28 @@
     private boolean mostFail() {
         double failed = 0;
         double all = 0;
-        for (Reports each : reports.values()) {
-            failed += each.failed;
-            all += each.answered + each.failed;
+        for (Reports seen : reports.values()) {
+            failed += seen.failed;
+            all += seen.answered + seen.failed;
         }
         return failed > COMMON_SHARE * all;
     }
 
-    private static boolean slow(Reports each, Map<String, Double> usual) {
+    private static boolean slow(Reports seen, Map<String, Double> usual) {
         double expected = 0;
         double seconds = 0;
-        for (Map.Entry<String, RouteTotal> route : each.routes.entrySet()) {
+        for (Map.Entry<String, RouteTotal> route : seen.routes.entrySet()) {
             expected += route.getValue().requests * usual.getOrDefault(route.getKey(), 0.0);
             seconds += route.getValue().seconds;
         }
-        return each.answered >= SLOW_LEAST_REQUESTS && seconds > SLOW_RATIO * expected;
+        return seen.answered >= SLOW_LEAST_REQUESTS && seconds > SLOW_RATIO * expected;
     }
 
     /** The median over upstreams of the mean time of a request, by route. */
     private Map<String, Double> usualSeconds() {
         Map<String, List<Double>> means = new HashMap<>();
-        for (Reports each : reports.values()) {
-            each.routes.forEach((route, total) -> {
+        for (Reports seen : reports.values()) {
+            seen.routes.forEach((route, total) -> {
                 if (total.requests > 0) {
                     means.computeIfAbsent(route, r -> new ArrayList<>()).add(total.seconds / total.requests);
                 }
@@ -128,19 +128,19 @@
         return usual;
     }
 
-    private static void avoid(String name, Reports each, long nowNanos) {
-        boolean recent = nowNanos - each.avoidedUntilNanos < CLEARED_AFTER.toNanos();
-        each.avoidances = each.avoidances > 0 && recent ? each.avoidances + 1 : 1;
-        long length = FIRST_AVOIDANCE.toNanos() << Math.min(each.avoidances - 1, DOUBLINGS);
-        each.avoidedUntilNanos = nowNanos + length;
+    private static void avoid(String name, Reports seen, long nowNanos) {
+        boolean recent = nowNanos - seen.avoidedUntilNanos < CLEARED_AFTER.toNanos();
+        seen.avoidances = seen.avoidances > 0 && recent ? seen.avoidances + 1 : 1;
+        long length = FIRST_AVOIDANCE.toNanos() << Math.min(seen.avoidances - 1, DOUBLINGS);
+        seen.avoidedUntilNanos = nowNanos + length;
         LOG.info(
                 "event=upstream_avoided id={} for_ms={} answered={} failed={} times={}",
                 name,
                 length / NANOS_PER_MILLI,
-                each.answered,
-                each.failed,
-                each.avoidances);
-        each.clear();
+                seen.answered,
+                seen.failed,
+                seen.avoidances);
+        seen.clear();
     }
 
     /** What hosts reported of one upstream. */
