Reading the change once more: one timer, limits worked out once, dead parts gone

Ruled out: a shared parser for the Host header (three lines at two places with different needs around them); one base for the settings readers (their forms differ). EdgeHost works its limits out when its state or settings change. WireNames.load and the follower's listed, lastContactNanos and close are gone. Whole seconds of Retry-After are written in one place, the problem document. A plan counts its objects once a choice. No test was changed. Conclusion: behaviour is meant to be the same.

--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -32,11 +32,13 @@
 import org.arbutusfield.proxy.LocalHandler;
 import org.arbutusfield.proxy.ProxyLimits;
 import org.arbutusfield.proxy.RequestObserver;
+import org.arbutusfield.route.RouteTable;
 import org.arbutusfield.steer.RetryShare;
 import org.arbutusfield.steer.RouteRouter;
 import org.arbutusfield.steer.SteeringPlacement;
 import org.arbutusfield.store.WatchedStore;
-import org.arbutusfield.timer.LoopTimer;
+import org.arbutusfield.timer.SystemTimer;
+import org.arbutusfield.timer.TimerService;
 import org.arbutusfield.wire.ControlClient;
 import org.arbutusfield.wire.ControlHandlers;
 import org.arbutusfield.wire.ControlLimits;
@@ -54,12 +56,13 @@
 
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
-    private final LoopTimer timer = LoopTimer.on(loop);
+    private final TimerService timer = SystemTimer.on(loop);
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final EdgeFormats formats;
     private volatile EdgeSettings settings;
     private volatile SteeringState state = SteeringState.empty();
+    private volatile ProxyLimits limits;
     private volatile boolean leaving;
     private HomePlanner planner;
     private HomeFinder homes;
@@ -72,6 +75,7 @@
     private EdgeHost(EdgeSettings settings, EdgeFormats formats) {
         this.settings = settings;
         this.formats = formats;
+        this.limits = currentLimits();
     }
 
     /**
@@ -106,6 +110,7 @@
     /** Takes over changed settings; addresses and names stay as they were at the start. */
     public void reload(EdgeSettings changed) {
         settings = changed;
+        limits = currentLimits();
         LOG.info("event=settings_reloaded host={}", changed.name());
     }
 
@@ -171,7 +176,7 @@
                 observer(),
                 LocalHandler.NONE,
                 address -> false,
-                this::limits,
+                () -> limits,
                 this::connectionShare,
                 formats.names());
         return EntryServer.bind(group, settings.callerAddress(), wiring).map(server -> {
@@ -213,6 +218,7 @@
 
     private void install(SteeringState next) {
         state = next;
+        limits = currentLimits();
         placement.stateChanged(next);
         registrar.stateChanged(next);
     }
@@ -221,9 +227,8 @@
         return !leaving && state.routes().isPresent();
     }
 
-    private ProxyLimits limits() {
-        SteeringState now = state;
-        return EdgeLimits.of(settings, now.routes().map(table -> table.limits()));
+    private ProxyLimits currentLimits() {
+        return EdgeLimits.of(settings, state.routes().map(RouteTable::limits));
     }
 
     private int connectionShare(Upstream upstream) {
--- a/src/main/java/org/arbutusfield/follow/StoreFollower.java
+++ b/src/main/java/org/arbutusfield/follow/StoreFollower.java
@@ -48,9 +48,6 @@
     private long listingRevision;
     private int failures;
     private long outageEndNanos;
-    private boolean listed;
-    private volatile long lastContactNanos;
-    private volatile boolean closed;
 
     private StoreFollower(
             WatchedStore store,
@@ -82,35 +79,17 @@
             Duration inForceWithin,
             Consumer<SteeringState> subscriber) {
         StoreFollower follower = new StoreFollower(store, timer, book, inForceWithin, subscriber);
-        follower.lastContactNanos = timer.nowNanos();
         timer.after(Duration.ZERO, follower::list);
         return follower;
     }
 
-    /** True once a whole listing was taken over. */
-    public boolean listed() {
-        return listed;
-    }
-
-    /** Monotonic time of the last answer of the store. */
-    public long lastContactNanos() {
-        return lastContactNanos;
-    }
-
-    /** Ends the following. */
-    public void close() {
-        closed = true;
-    }
-
     private void list() {
         listing.clear();
         listPage("");
     }
 
     private void listPage(String after) {
-        if (!closed) {
-            store.list(EVERYTHING, after).thenAccept(answer -> listPageDone(after, answer));
-        }
+        store.list(EVERYTHING, after).thenAccept(answer -> listPageDone(after, answer));
     }
 
     private void listPageDone(String after, Either<Failure, ItemPage> answer) {
@@ -131,16 +110,13 @@
         revision = listingRevision;
         book.list(listing, afterOutage(), timer.nowNanos());
         listing.clear();
-        listed = true;
         succeeded();
         publish();
         watch();
     }
 
     private void watch() {
-        if (!closed) {
-            store.watch(EVERYTHING, revision, WATCH_WAIT).thenAccept(this::watchDone);
-        }
+        store.watch(EVERYTHING, revision, WATCH_WAIT).thenAccept(this::watchDone);
     }
 
     private void watchDone(Either<Failure, ItemChanges> answer) {
@@ -188,7 +164,6 @@
             watchGrace();
         }
         failures = 0;
-        lastContactNanos = timer.nowNanos();
     }
 
     /** True while removed entries may have lapsed in an outage; their removal can be told a little after it. */
@@ -197,7 +172,7 @@
     }
 
     private void watchGrace() {
-        if (closed || !(book.inGrace() || afterOutage())) {
+        if (!book.inGrace() && !afterOutage()) {
             return;
         }
         if (book.expire(timer.nowNanos())) {
--- a/src/main/java/org/arbutusfield/home/HomePlan.java
+++ b/src/main/java/org/arbutusfield/home/HomePlan.java
@@ -158,7 +158,7 @@
     /** Gives each upstream without objects the lightest one of the fullest upstream that has several. */
     private void employIdle(List<Candidate> upstreams, long nowNanos) {
         for (Candidate idle : upstreams) {
-            if (count(idle.name()) == 0) {
+            if (!hasObjects(idle.name())) {
                 lightestSpare(idle, nowNanos).ifPresent(planned -> planned.move(idle.name(), nowNanos));
             }
         }
@@ -166,17 +166,17 @@
 
     private Optional<PlannedObject> lightestSpare(Candidate idle, long nowNanos) {
         Map<String, Double> loads = loads();
+        Map<String, Integer> counts = new HashMap<>();
+        objects.values().forEach(planned -> counts.merge(planned.upstream, 1, Integer::sum));
         return objects.values().stream()
-                .filter(planned -> planned.mayServe.contains(idle.name()) && count(planned.upstream) > 1)
+                .filter(planned -> planned.mayServe.contains(idle.name()) && counts.get(planned.upstream) > 1)
                 .filter(planned -> nowNanos - planned.movedNanos >= SETTLE.toNanos())
                 .min(Comparator.comparingDouble((PlannedObject planned) -> -loads.getOrDefault(planned.upstream, 0.0))
                         .thenComparingDouble(planned -> planned.load));
     }
 
-    private long count(String upstream) {
-        return objects.values().stream()
-                .filter(planned -> planned.upstream.equals(upstream))
-                .count();
+    private boolean hasObjects(String upstream) {
+        return objects.values().stream().anyMatch(planned -> planned.upstream.equals(upstream));
     }
 
     private boolean moveOne(Candidate from, List<Candidate> upstreams, Map<String, Double> loads, long nowNanos) {
--- a/src/main/java/org/arbutusfield/platform/PlatformFormats.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformFormats.java
@@ -34,7 +34,6 @@
                 Optional.of("x-expect-instance"),
                 Optional.of("x-affinity-key"),
                 Optional.of("x-server-seal"),
-                Optional.of("x-server-load"),
                 true);
     }
 
--- a/src/main/java/org/arbutusfield/platform/PlatformStore.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformStore.java
@@ -17,6 +17,7 @@
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.http.Body;
+import org.arbutusfield.http.Header;
 import org.arbutusfield.http.HttpAnswer;
 import org.arbutusfield.http.HttpCall;
 import org.arbutusfield.http.HttpCaller;
@@ -208,7 +209,7 @@
 
     private static HttpCall post(String target, ObjectNode body) {
         return HttpCall.of("POST", target, body.toString().getBytes(StandardCharsets.UTF_8))
-                .withHeaders(org.arbutusfield.http.Header.of("content-type", "application/json"));
+                .withHeaders(Header.of("content-type", "application/json"));
     }
 
     private static String encode(String text) {
--- a/src/main/java/org/arbutusfield/proxy/CallerConnection.java
+++ b/src/main/java/org/arbutusfield/proxy/CallerConnection.java
@@ -386,7 +386,9 @@
         failure.ifPresent(told -> {
             response.headers().set(NotRunStatement.ERROR_CODE, told.code().name());
             response.headers().set(ProxyHeaders.NOT_RUN, Boolean.toString(told.notRun()));
-            told.retryAfter().ifPresent(delay -> response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(delay)));
+            if (context.wiring().names().fractionalRetryAfter()) {
+                told.retryAfter().ifPresent(delay -> sayFractionalRetryAfter(response, delay));
+            }
         });
         closeAfter |= closing();
         if (closeAfter) {
@@ -396,11 +398,10 @@
         channel.write(response, channel.voidPromise());
     }
 
-    private String seconds(Duration delay) {
-        if (context.wiring().names().fractionalRetryAfter()) {
-            return String.format(Locale.ROOT, "%.3f", delay.toMillis() / MILLIS_PER_SECOND);
-        }
-        return Long.toString(Math.max(1, (long) Math.ceil(delay.toMillis() / MILLIS_PER_SECOND)));
+    /** Replaces the whole seconds that the problem document says, for callers that understand fractions. */
+    private void sayFractionalRetryAfter(FullHttpResponse response, Duration delay) {
+        String seconds = String.format(Locale.ROOT, "%.3f", delay.toMillis() / MILLIS_PER_SECOND);
+        response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds);
     }
 
     private void written(int bytes) {
--- a/src/main/java/org/arbutusfield/proxy/WireNames.java
+++ b/src/main/java/org/arbutusfield/proxy/WireNames.java
@@ -10,7 +10,6 @@
  * @param expectedInstance name of the only upstream that may run the request, if upstreams check that
  * @param objectKey the object that a request concerns, if callers name it
  * @param answerProof field without which an upstream's 2xx answer isn't genuine, if upstreams prove theirs
- * @param load an upstream's running and waiting requests and its slots, if upstreams tell
  * @param fractionalRetryAfter whether callers understand fractions of seconds in {@code Retry-After}
  */
 public record WireNames(
@@ -19,18 +18,11 @@
         Optional<String> expectedInstance,
         Optional<String> objectKey,
         Optional<String> answerProof,
-        Optional<String> load,
         boolean fractionalRetryAfter) {
 
     /** This product's own names. */
     public static WireNames standard() {
         return new WireNames(
-                "x-request-deadline-ms",
-                "x-not-run",
-                Optional.empty(),
-                Optional.empty(),
-                Optional.empty(),
-                Optional.empty(),
-                false);
+                "x-request-deadline-ms", "x-not-run", Optional.empty(), Optional.empty(), Optional.empty(), false);
     }
 }
--- a/src/main/java/org/arbutusfield/steer/Suspicions.java
+++ b/src/main/java/org/arbutusfield/steer/Suspicions.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Upstreams that failed this host lately and are left alone for a while, longer with each failure in a row. After that
@@ -44,7 +45,7 @@
     }
 
     /** Forgets upstreams that are no more. */
-    public void retain(java.util.Set<String> upstreams) {
+    public void retain(Set<String> upstreams) {
         suspicions.keySet().retainAll(upstreams);
     }
 
--- a/src/main/java/org/arbutusfield/timer/SystemTimer.java
+++ b/src/main/java/org/arbutusfield/timer/SystemTimer.java
@@ -8,7 +8,10 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
-/** The timer service of a running process: one daemon thread on the system's monotonic clock. */
+/**
+ * The timer service of a running process on the system's monotonic clock: on a daemon thread of its own, or on an
+ * executor with one thread, such as an event loop, so that timed calls and connections share it.
+ */
 public final class SystemTimer implements TimerService, AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(SystemTimer.class);
 
@@ -27,6 +30,11 @@
         }));
     }
 
+    /** A timer service whose subscribers run on the executor, which has one thread; closing it ends the executor. */
+    public static SystemTimer on(ScheduledExecutorService executor) {
+        return new SystemTimer(executor);
+    }
+
     @Override
     public long nowNanos() {
         return System.nanoTime();
