--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -209,7 +209,8 @@
                 settings.region(),
                 settings.failureDomain(),
                 Addresses.text(settings.callerAddress()),
-                Addresses.text(settings.controlAddress()));
+                Addresses.text(settings.controlAddress()),
+                settings.capacity());
         StateBook book = StateBook.create(formats.items(), settings.regions());
         HomeKeeper.start(planner, store, timer);
         registrar = HostRegistrar.start(store, timer, self);
--- a/src/main/java/org/arbutusfield/edge/EdgeSetting.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeSetting.java
@@ -19,6 +19,8 @@
     STORE_ADDRESS("storeAddress", Form.ADDRESS, "the platform's store"),
     REGIONS("regions", Form.TEXTS_BY_NAME, "region of each failure domain"),
     MAX_DESCRIPTORS("maxDescriptors", Form.COUNT, "file descriptors that the process may open"),
+    PROCESSOR_SHARE("processorShare", Form.FRACTION, "part of its cores that the process may use"),
+    CORES("cores", Form.FRACTION, "cores of this host, in cores of usual speed"),
     LOOKUP_MAX_AGE("lookupMaxAge", Form.DURATION, "longest time that callers may cache a look-up answer"),
     STOP_LIMIT("stopLimit", Form.DURATION, "time from the signal to stop until the process is ended"),
     ROUTES_WITHIN("routesInForceWithin", Form.DURATION, "time in which new routes must be in force"),
--- a/src/main/java/org/arbutusfield/edge/EdgeSettings.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeSettings.java
@@ -19,6 +19,7 @@
  * @param storeAddress the platform's store
  * @param regions region of each failure domain
  * @param maxDescriptors file descriptors that the process may open
+ * @param capacity share of processors, in thousandths of a core
  * @param lookupMaxAge how long callers may cache a look-up answer, at most
  * @param stopLimit time from the signal to stop until the process is ended
  * @param inForceWithin time in which a change of routes or upstreams must be in force
@@ -36,6 +37,7 @@
         InetSocketAddress storeAddress,
         Map<String, String> regions,
         int maxDescriptors,
+        int capacity,
         Duration lookupMaxAge,
         Duration stopLimit,
         Duration inForceWithin,
--- a/src/main/java/org/arbutusfield/edge/EdgeSettingsReader.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeSettingsReader.java
@@ -22,6 +22,7 @@
 public final class EdgeSettingsReader {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int LEAST_HOSTS_PER_DOMAIN = 2;
+    private static final int THOUSANDTHS = 1000;
 
     private final JsonNode root;
 
@@ -73,7 +74,7 @@
                 .properties()
                 .forEach(each -> regions.put(each.getKey(), each.getValue().asText()));
         RetryBounds retries = new RetryBounds(
-                root.get(EdgeSetting.RETRY_RATIO.field()).asDouble(),
+                number(EdgeSetting.RETRY_RATIO),
                 duration(EdgeSetting.RETRY_WINDOW),
                 count(EdgeSetting.RETRY_SLACK),
                 LEAST_HOSTS_PER_DOMAIN * Math.max(1, regions.size()));
@@ -89,6 +90,7 @@
                 address(EdgeSetting.STORE_ADDRESS),
                 regions,
                 count(EdgeSetting.MAX_DESCRIPTORS),
+                (int) (number(EdgeSetting.PROCESSOR_SHARE) * number(EdgeSetting.CORES) * THOUSANDTHS),
                 duration(EdgeSetting.LOOKUP_MAX_AGE),
                 duration(EdgeSetting.STOP_LIMIT),
                 shorter(duration(EdgeSetting.ROUTES_WITHIN), duration(EdgeSetting.DRAINS_WITHIN)),
@@ -103,6 +105,10 @@
         return root.get(setting.field()).asInt();
     }
 
+    private double number(EdgeSetting setting) {
+        return root.get(setting.field()).asDouble();
+    }
+
     private InetSocketAddress address(EdgeSetting setting) {
         return Addresses.parse(text(setting)).orElseThrow();
     }
--- a/src/main/java/org/arbutusfield/follow/HostEntry.java
+++ b/src/main/java/org/arbutusfield/follow/HostEntry.java
@@ -8,6 +8,7 @@
  * @param failureDomain failure domain that it stands in
  * @param callerAddress IP:port where it takes callers
  * @param controlAddress IP:port where it takes other hosts' messages
+ * @param capacity its share of processors, in thousandths of a core
  */
 public record HostEntry(
-        String name, String region, String failureDomain, String callerAddress, String controlAddress) {}
+        String name, String region, String failureDomain, String callerAddress, String controlAddress, int capacity) {}
--- a/src/main/java/org/arbutusfield/follow/HostEntryCodec.java
+++ b/src/main/java/org/arbutusfield/follow/HostEntryCodec.java
@@ -30,6 +30,7 @@
                 .put("failureDomain", entry.failureDomain())
                 .put("callers", entry.callerAddress())
                 .put("control", entry.controlAddress())
+                .put("capacity", entry.capacity())
                 .toString()
                 .getBytes(StandardCharsets.UTF_8);
     }
@@ -43,7 +44,8 @@
                     node.path("region").asText(),
                     node.path("failureDomain").asText(),
                     node.path("callers").asText(),
-                    node.path("control").asText());
+                    node.path("control").asText(),
+                    node.path("capacity").asInt());
             boolean whole = Addresses.parse(entry.callerAddress()).isPresent()
                     && Addresses.parse(entry.controlAddress()).isPresent();
             return whole
--- a/src/main/java/org/arbutusfield/home/HomePlan.java
+++ b/src/main/java/org/arbutusfield/home/HomePlan.java
@@ -7,8 +7,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.lookup.Rendezvous;
@@ -50,7 +52,11 @@
 
     private final Map<Long, String> stored;
     private final Map<Long, PlannedObject> objects = new HashMap<>();
+    /** Keys of objects by the version of the plan in which they got their present home. */
+    private final NavigableMap<Long, Long> changes = new TreeMap<>();
+
     private final UpstreamConduct conduct = new UpstreamConduct();
+    private long version;
     private long periodEndNanos;
     private boolean started;
 
@@ -75,6 +81,25 @@
         return homes;
     }
 
+    /**
+     * The homes that changed after a version.
+     *
+     * @param since version that the asker knows; 0 for all homes
+     * @param most changes to tell; later ones are left for the next question
+     */
+    PlanChanges changesSince(long since, int most) {
+        Map<Long, String> homes = new HashMap<>();
+        long told = since;
+        for (Map.Entry<Long, Long> change : changes.tailMap(since, false).entrySet()) {
+            if (homes.size() == most) {
+                return new PlanChanges(homes, told);
+            }
+            homes.put(change.getValue(), objects.get(change.getValue()).upstream);
+            told = change.getKey();
+        }
+        return new PlanChanges(homes, version);
+    }
+
     /**
      * The home of an object.
      *
@@ -103,11 +128,30 @@
         PlannedObject planned = objects.computeIfAbsent(use.key(), key -> new PlannedObject(nowNanos));
         if (!home.name().equals(planned.upstream)) {
             log("placed", use.key(), planned, home.name());
-            planned.move(home.name(), nowNanos);
+            move(use.key(), planned, home.name(), nowNanos);
         }
         planned.used(use, candidates, nowNanos);
     }
 
+    private void move(long key, PlannedObject planned, String to, long nowNanos) {
+        changes.remove(planned.changeVersion);
+        version++;
+        changes.put(version, key);
+        planned.changeVersion = version;
+        planned.upstream = to;
+        planned.movedNanos = nowNanos;
+    }
+
+    private void forgetUnused(long nowNanos) {
+        objects.values().removeIf(planned -> {
+            boolean unused = nowNanos - planned.usedNanos > FORGET.toNanos();
+            if (unused) {
+                changes.remove(planned.changeVersion);
+            }
+            return unused;
+        });
+    }
+
     /** Ends a period when it is time: takes over the reported loads, forgets unused objects and moves one if useful. */
     public void advance(List<Candidate> upstreams, long nowNanos) {
         if (!started) {
@@ -120,7 +164,7 @@
         }
         double seconds = (nowNanos - periodEndNanos + PERIOD.toNanos()) / 1e9;
         periodEndNanos = nowNanos + PERIOD.toNanos();
-        objects.values().removeIf(planned -> nowNanos - planned.usedNanos > FORGET.toNanos());
+        forgetUnused(nowNanos);
         objects.values().forEach(planned -> planned.endPeriod(seconds));
         conduct.endPeriod(upstreams, nowNanos);
         relieve(conduct.usable(upstreams, nowNanos), nowNanos);
@@ -159,20 +203,26 @@
     private void employIdle(List<Candidate> upstreams, long nowNanos) {
         for (Candidate idle : upstreams) {
             if (!hasObjects(idle.name())) {
-                lightestSpare(idle, nowNanos).ifPresent(planned -> planned.move(idle.name(), nowNanos));
+                lightestSpare(idle, nowNanos)
+                        .ifPresent(object -> move(object.getKey(), object.getValue(), idle.name(), nowNanos));
             }
         }
     }
 
-    private Optional<PlannedObject> lightestSpare(Candidate idle, long nowNanos) {
+    private Optional<Map.Entry<Long, PlannedObject>> lightestSpare(Candidate idle, long nowNanos) {
         Map<String, Double> loads = loads();
         Map<String, Integer> counts = new HashMap<>();
         objects.values().forEach(planned -> counts.merge(planned.upstream, 1, Integer::sum));
-        return objects.values().stream()
-                .filter(planned -> planned.mayServe.contains(idle.name()) && counts.get(planned.upstream) > 1)
-                .filter(planned -> nowNanos - planned.movedNanos >= SETTLE.toNanos())
-                .min(Comparator.comparingDouble((PlannedObject planned) -> -loads.getOrDefault(planned.upstream, 0.0))
-                        .thenComparingDouble(planned -> planned.load));
+        return objects.entrySet().stream()
+                .filter(object ->
+                        mayMove(object.getValue(), idle, nowNanos) && counts.get(object.getValue().upstream) > 1)
+                .min(Comparator.comparingDouble((Map.Entry<Long, PlannedObject> object) ->
+                                -loads.getOrDefault(object.getValue().upstream, 0.0))
+                        .thenComparingDouble(object -> object.getValue().load));
+    }
+
+    private static boolean mayMove(PlannedObject planned, Candidate to, long nowNanos) {
+        return planned.mayServe.contains(to.name()) && nowNanos - planned.movedNanos >= SETTLE.toNanos();
     }
 
     private boolean hasObjects(String upstream) {
@@ -207,7 +257,7 @@
             return false;
         }
         log("relieved", bestKey, best, bestTo.name());
-        best.move(bestTo.name(), nowNanos);
+        move(bestKey, best, bestTo.name(), nowNanos);
         return true;
     }
 
@@ -259,17 +309,13 @@
         private boolean reported;
         private long movedNanos;
         private long usedNanos;
+        private long changeVersion;
         private Set<String> mayServe = Set.of();
 
         private PlannedObject(long nowNanos) {
             movedNanos = nowNanos;
         }
 
-        private void move(String to, long nowNanos) {
-            upstream = to;
-            movedNanos = nowNanos;
-        }
-
         private void used(ObjectUse use, List<Candidate> candidates, long nowNanos) {
             usedNanos = nowNanos;
             busySeconds += use.busyMicros() / 1e6;
--- a/src/main/java/org/arbutusfield/home/HomePlanner.java
+++ b/src/main/java/org/arbutusfield/home/HomePlanner.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.follow.LiveUpstream;
@@ -19,6 +20,7 @@
 import org.arbutusfield.wire.gen.HomeAnswer;
 import org.arbutusfield.wire.gen.HomeQuestion;
 import org.arbutusfield.wire.gen.ObjectHome;
+import org.arbutusfield.wire.gen.RouteUse;
 
 /**
  * Answers other hosts' questions for the homes of objects, one plan a service. Every host can do it; hosts ask the one
@@ -26,10 +28,13 @@
  */
 public final class HomePlanner {
     private static final Duration CURRENT = Duration.ofSeconds(3);
+    /** Changes told in one answer, so that it stays well below the limit of a frame; the rest follows. */
+    private static final int MOST_CHANGES = 1000;
 
     private final Supplier<SteeringState> state;
     private final TimerService timer;
     private final Map<String, HomePlan> plans = new HashMap<>();
+    private final Map<String, Long> planIds = new HashMap<>();
     private final Map<String, Long> askedNanos = new HashMap<>();
 
     private HomePlanner(Supplier<SteeringState> state, TimerService timer) {
@@ -63,29 +68,48 @@
         return homes;
     }
 
-    /** Answers one question; objects without a home are left out. */
+    /**
+     * Answers one question: with the homes that changed since the version of the plan that the host knows, and those of
+     * the objects that it asked for. Objects without a home are left out.
+     */
     HomeAnswer answer(HomeQuestion question) {
         SteeringState now = state.get();
         long nanos = timer.nowNanos();
+        String service = question.getServiceName();
         HomePlan plan = plans.computeIfAbsent(
-                question.getGroup(), service -> HomePlan.after(now.homes().getOrDefault(service, Map.of())));
-        askedNanos.put(question.getGroup(), nanos);
-        plan.advance(candidates(question.getGroup(), now, Optional.empty(), "", nanos), nanos);
-        Optional<Route> route = now.routes().flatMap(table -> table.named(question.getRoute()));
-        List<Candidate> candidates = candidates(question.getGroup(), now, route, question.getRegion(), nanos);
-        List<ObjectHome> homes = new ArrayList<>();
-        for (ObjectHome object : question.getObjects()) {
+                service, name -> HomePlan.after(now.homes().getOrDefault(name, Map.of())));
+        long planId = planIds.computeIfAbsent(
+                service, name -> ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE));
+        askedNanos.put(service, nanos);
+        plan.advance(candidates(service, now, Optional.empty(), "", nanos), nanos);
+        Map<Long, String> homes = new HashMap<>();
+        for (RouteUse use : question.getUses()) {
+            homes.putAll(homes(plan, service, use, now, nanos));
+        }
+        long since = question.getPlanId() == planId ? question.getPlanVersion() : 0;
+        PlanChanges changes = plan.changesSince(since, MOST_CHANGES);
+        homes.putAll(changes.homes());
+        List<ObjectHome> objects = new ArrayList<>();
+        homes.forEach((key, home) -> objects.add(new ObjectHome(key, 0, 0, home, 0)));
+        return new HomeAnswer(objects, planId, changes.version());
+    }
+
+    private static Map<Long, String> homes(
+            HomePlan plan, String service, RouteUse uses, SteeringState now, long nanos) {
+        Optional<Route> route = now.routes().flatMap(table -> table.named(uses.getRoute()));
+        List<Candidate> candidates = candidates(service, now, route, uses.getRegion(), nanos);
+        Map<Long, String> homes = new HashMap<>();
+        for (ObjectHome object : uses.getObjects()) {
             ObjectUse use = new ObjectUse(
-                    question.getRoute(),
+                    uses.getRoute(),
                     object.getKey(),
                     object.getRequests(),
                     object.getFailures(),
                     object.getBusyMicros(),
                     object.getUpstream());
-            plan.home(use, candidates, nanos)
-                    .ifPresent(home -> homes.add(new ObjectHome(object.getKey(), 0, 0, home.name(), 0)));
+            plan.home(use, candidates, nanos).ifPresent(home -> homes.put(object.getKey(), home.name()));
         }
-        return new HomeAnswer(homes);
+        return homes;
     }
 
     private static List<Candidate> candidates(
--- /dev/null
+++ b/src/main/java/org/arbutusfield/home/PlanChanges.java
@@ -0,0 +1,11 @@
+package org.arbutusfield.home;
+
+import java.util.Map;
+
+/**
+ * Homes that changed in a plan.
+ *
+ * @param homes names of upstreams by object key
+ * @param version version of the plan up to which the changes are told
+ */
+record PlanChanges(Map<Long, String> homes, long version) {}
--- a/src/main/java/org/arbutusfield/lab/platform/ArchiveTraining.java
+++ b/src/main/java/org/arbutusfield/lab/platform/ArchiveTraining.java
@@ -97,6 +97,7 @@
                 store,
                 Map.of("d", "g"),
                 2_000,
+                420,
                 PATIENCE,
                 PATIENCE,
                 PATIENCE,
--- a/src/main/java/org/arbutusfield/wire/gen/HomeAnswer.java
+++ b/src/main/java/org/arbutusfield/wire/gen/HomeAnswer.java
@@ -11,15 +11,21 @@
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("HomeAnswer");
 
   private static final org.apache.thrift.protocol.TField OBJECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("objects", org.apache.thrift.protocol.TType.LIST, (short)1);
+  private static final org.apache.thrift.protocol.TField PLAN_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("planId", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField PLAN_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("planVersion", org.apache.thrift.protocol.TType.I64, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new HomeAnswerStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new HomeAnswerTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable java.util.List<ObjectHome> objects; // required
+  private long planId; // required
+  private long planVersion; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    OBJECTS((short)1, "objects");
+    OBJECTS((short)1, "objects"),
+    PLAN_ID((short)2, "planId"),
+    PLAN_VERSION((short)3, "planVersion");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -37,6 +43,10 @@
       switch(fieldId) {
         case 1: // OBJECTS
           return OBJECTS;
+        case 2: // PLAN_ID
+          return PLAN_ID;
+        case 3: // PLAN_VERSION
+          return PLAN_VERSION;
         default:
           return null;
       }
@@ -80,12 +90,19 @@
   }
 
   // isset id assignments
+  private static final int __PLANID_ISSET_ID = 0;
+  private static final int __PLANVERSION_ISSET_ID = 1;
+  private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
     tmpMap.put(_Fields.OBJECTS, new org.apache.thrift.meta_data.FieldMetaData("objects", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ObjectHome.class))));
+    tmpMap.put(_Fields.PLAN_ID, new org.apache.thrift.meta_data.FieldMetaData("planId", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.PLAN_VERSION, new org.apache.thrift.meta_data.FieldMetaData("planVersion", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(HomeAnswer.class, metaDataMap);
   }
@@ -94,16 +111,23 @@
   }
 
   public HomeAnswer(
-    java.util.List<ObjectHome> objects)
+    java.util.List<ObjectHome> objects,
+    long planId,
+    long planVersion)
   {
     this();
     this.objects = objects;
+    this.planId = planId;
+    setPlanIdIsSet(true);
+    this.planVersion = planVersion;
+    setPlanVersionIsSet(true);
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
   public HomeAnswer(HomeAnswer other) {
+    __isset_bitfield = other.__isset_bitfield;
     if (other.isSetObjects()) {
       java.util.List<ObjectHome> __this__objects = new java.util.ArrayList<ObjectHome>(other.objects.size());
       for (ObjectHome other_element : other.objects) {
@@ -111,6 +135,8 @@
       }
       this.objects = __this__objects;
     }
+    this.planId = other.planId;
+    this.planVersion = other.planVersion;
   }
 
   @Override
@@ -121,6 +147,10 @@
   @Override
   public void clear() {
     this.objects = null;
+    setPlanIdIsSet(false);
+    this.planId = 0;
+    setPlanVersionIsSet(false);
+    this.planVersion = 0;
   }
 
   public int getObjectsSize() {
@@ -164,6 +194,52 @@
     }
   }
 
+  public long getPlanId() {
+    return this.planId;
+  }
+
+  public HomeAnswer setPlanId(long planId) {
+    this.planId = planId;
+    setPlanIdIsSet(true);
+    return this;
+  }
+
+  public void unsetPlanId() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PLANID_ISSET_ID);
+  }
+
+  /** Returns true if field planId is set (has been assigned a value) and false otherwise */
+  public boolean isSetPlanId() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PLANID_ISSET_ID);
+  }
+
+  public void setPlanIdIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PLANID_ISSET_ID, value);
+  }
+
+  public long getPlanVersion() {
+    return this.planVersion;
+  }
+
+  public HomeAnswer setPlanVersion(long planVersion) {
+    this.planVersion = planVersion;
+    setPlanVersionIsSet(true);
+    return this;
+  }
+
+  public void unsetPlanVersion() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PLANVERSION_ISSET_ID);
+  }
+
+  /** Returns true if field planVersion is set (has been assigned a value) and false otherwise */
+  public boolean isSetPlanVersion() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PLANVERSION_ISSET_ID);
+  }
+
+  public void setPlanVersionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PLANVERSION_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -175,6 +251,22 @@
       }
       break;
 
+    case PLAN_ID:
+      if (value == null) {
+        unsetPlanId();
+      } else {
+        setPlanId((java.lang.Long)value);
+      }
+      break;
+
+    case PLAN_VERSION:
+      if (value == null) {
+        unsetPlanVersion();
+      } else {
+        setPlanVersion((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -185,6 +277,12 @@
     case OBJECTS:
       return getObjects();
 
+    case PLAN_ID:
+      return getPlanId();
+
+    case PLAN_VERSION:
+      return getPlanVersion();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -199,6 +297,10 @@
     switch (field) {
     case OBJECTS:
       return isSetObjects();
+    case PLAN_ID:
+      return isSetPlanId();
+    case PLAN_VERSION:
+      return isSetPlanVersion();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -225,6 +327,24 @@
         return false;
     }
 
+    boolean this_present_planId = true;
+    boolean that_present_planId = true;
+    if (this_present_planId || that_present_planId) {
+      if (!(this_present_planId && that_present_planId))
+        return false;
+      if (this.planId != that.planId)
+        return false;
+    }
+
+    boolean this_present_planVersion = true;
+    boolean that_present_planVersion = true;
+    if (this_present_planVersion || that_present_planVersion) {
+      if (!(this_present_planVersion && that_present_planVersion))
+        return false;
+      if (this.planVersion != that.planVersion)
+        return false;
+    }
+
     return true;
   }
 
@@ -236,6 +356,10 @@
     if (isSetObjects())
       hashCode = hashCode * 8191 + objects.hashCode();
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(planId);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(planVersion);
+
     return hashCode;
   }
 
@@ -257,6 +381,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetPlanId(), other.isSetPlanId());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPlanId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.planId, other.planId);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetPlanVersion(), other.isSetPlanVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPlanVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.planVersion, other.planVersion);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -288,6 +432,14 @@
       sb.append(this.objects);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("planId:");
+    sb.append(this.planId);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("planVersion:");
+    sb.append(this.planVersion);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -307,6 +459,8 @@
 
   private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
     try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
       read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
     } catch (org.apache.thrift.TException te) {
       throw new java.io.IOException(te);
@@ -336,14 +490,14 @@
           case 1: // OBJECTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
-                struct.objects = new java.util.ArrayList<ObjectHome>(_list40.size);
-                @org.apache.thrift.annotation.Nullable ObjectHome _elem41;
-                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
+                org.apache.thrift.protocol.TList _list48 = iprot.readListBegin();
+                struct.objects = new java.util.ArrayList<ObjectHome>(_list48.size);
+                @org.apache.thrift.annotation.Nullable ObjectHome _elem49;
+                for (int _i50 = 0; _i50 < _list48.size; ++_i50)
                 {
-                  _elem41 = new ObjectHome();
-                  _elem41.read(iprot);
-                  struct.objects.add(_elem41);
+                  _elem49 = new ObjectHome();
+                  _elem49.read(iprot);
+                  struct.objects.add(_elem49);
                 }
                 iprot.readListEnd();
               }
@@ -352,6 +506,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 2: // PLAN_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.planId = iprot.readI64();
+              struct.setPlanIdIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 3: // PLAN_VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.planVersion = iprot.readI64();
+              struct.setPlanVersionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -372,14 +542,20 @@
         oprot.writeFieldBegin(OBJECTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.objects.size()));
-          for (ObjectHome _iter43 : struct.objects)
+          for (ObjectHome _iter51 : struct.objects)
           {
-            _iter43.write(oprot);
+            _iter51.write(oprot);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(PLAN_ID_FIELD_DESC);
+      oprot.writeI64(struct.planId);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(PLAN_VERSION_FIELD_DESC);
+      oprot.writeI64(struct.planVersion);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -402,36 +578,56 @@
       if (struct.isSetObjects()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetPlanId()) {
+        optionals.set(1);
+      }
+      if (struct.isSetPlanVersion()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetObjects()) {
         {
           oprot.writeI32(struct.objects.size());
-          for (ObjectHome _iter44 : struct.objects)
+          for (ObjectHome _iter52 : struct.objects)
           {
-            _iter44.write(oprot);
+            _iter52.write(oprot);
           }
         }
       }
+      if (struct.isSetPlanId()) {
+        oprot.writeI64(struct.planId);
+      }
+      if (struct.isSetPlanVersion()) {
+        oprot.writeI64(struct.planVersion);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, HomeAnswer struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.objects = new java.util.ArrayList<ObjectHome>(_list45.size);
-          @org.apache.thrift.annotation.Nullable ObjectHome _elem46;
-          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
+          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.objects = new java.util.ArrayList<ObjectHome>(_list53.size);
+          @org.apache.thrift.annotation.Nullable ObjectHome _elem54;
+          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
           {
-            _elem46 = new ObjectHome();
-            _elem46.read(iprot);
-            struct.objects.add(_elem46);
+            _elem54 = new ObjectHome();
+            _elem54.read(iprot);
+            struct.objects.add(_elem54);
           }
         }
         struct.setObjectsIsSet(true);
       }
+      if (incoming.get(1)) {
+        struct.planId = iprot.readI64();
+        struct.setPlanIdIsSet(true);
+      }
+      if (incoming.get(2)) {
+        struct.planVersion = iprot.readI64();
+        struct.setPlanVersionIsSet(true);
+      }
     }
   }
 
--- a/src/main/java/org/arbutusfield/wire/gen/HomeQuestion.java
+++ b/src/main/java/org/arbutusfield/wire/gen/HomeQuestion.java
@@ -10,25 +10,25 @@
 public class HomeQuestion implements org.apache.thrift.TBase<HomeQuestion, HomeQuestion._Fields>, java.io.Serializable, Cloneable, Comparable<HomeQuestion> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("HomeQuestion");
 
-  private static final org.apache.thrift.protocol.TField GROUP_FIELD_DESC = new org.apache.thrift.protocol.TField("group", org.apache.thrift.protocol.TType.STRING, (short)1);
-  private static final org.apache.thrift.protocol.TField ROUTE_FIELD_DESC = new org.apache.thrift.protocol.TField("route", org.apache.thrift.protocol.TType.STRING, (short)2);
-  private static final org.apache.thrift.protocol.TField REGION_FIELD_DESC = new org.apache.thrift.protocol.TField("region", org.apache.thrift.protocol.TType.STRING, (short)3);
-  private static final org.apache.thrift.protocol.TField OBJECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("objects", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField SERVICE_NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("serviceName", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField USES_FIELD_DESC = new org.apache.thrift.protocol.TField("uses", org.apache.thrift.protocol.TType.LIST, (short)5);
+  private static final org.apache.thrift.protocol.TField PLAN_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("planId", org.apache.thrift.protocol.TType.I64, (short)6);
+  private static final org.apache.thrift.protocol.TField PLAN_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("planVersion", org.apache.thrift.protocol.TType.I64, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new HomeQuestionStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new HomeQuestionTupleSchemeFactory();
 
-  private @org.apache.thrift.annotation.Nullable java.lang.String group; // required
-  private @org.apache.thrift.annotation.Nullable java.lang.String route; // required
-  private @org.apache.thrift.annotation.Nullable java.lang.String region; // required
-  private @org.apache.thrift.annotation.Nullable java.util.List<ObjectHome> objects; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String serviceName; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<RouteUse> uses; // required
+  private long planId; // required
+  private long planVersion; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    GROUP((short)1, "group"),
-    ROUTE((short)2, "route"),
-    REGION((short)3, "region"),
-    OBJECTS((short)4, "objects");
+    SERVICE_NAME((short)1, "serviceName"),
+    USES((short)5, "uses"),
+    PLAN_ID((short)6, "planId"),
+    PLAN_VERSION((short)7, "planVersion");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -44,14 +44,14 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // GROUP
-          return GROUP;
-        case 2: // ROUTE
-          return ROUTE;
-        case 3: // REGION
-          return REGION;
-        case 4: // OBJECTS
-          return OBJECTS;
+        case 1: // SERVICE_NAME
+          return SERVICE_NAME;
+        case 5: // USES
+          return USES;
+        case 6: // PLAN_ID
+          return PLAN_ID;
+        case 7: // PLAN_VERSION
+          return PLAN_VERSION;
         default:
           return null;
       }
@@ -95,18 +95,21 @@
   }
 
   // isset id assignments
+  private static final int __PLANID_ISSET_ID = 0;
+  private static final int __PLANVERSION_ISSET_ID = 1;
+  private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-    tmpMap.put(_Fields.GROUP, new org.apache.thrift.meta_data.FieldMetaData("group", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+    tmpMap.put(_Fields.SERVICE_NAME, new org.apache.thrift.meta_data.FieldMetaData("serviceName", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.ROUTE, new org.apache.thrift.meta_data.FieldMetaData("route", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.REGION, new org.apache.thrift.meta_data.FieldMetaData("region", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.OBJECTS, new org.apache.thrift.meta_data.FieldMetaData("objects", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+    tmpMap.put(_Fields.USES, new org.apache.thrift.meta_data.FieldMetaData("uses", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ObjectHome.class))));
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RouteUse.class))));
+    tmpMap.put(_Fields.PLAN_ID, new org.apache.thrift.meta_data.FieldMetaData("planId", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.PLAN_VERSION, new org.apache.thrift.meta_data.FieldMetaData("planVersion", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(HomeQuestion.class, metaDataMap);
   }
@@ -115,38 +118,37 @@
   }
 
   public HomeQuestion(
-    java.lang.String group,
-    java.lang.String route,
-    java.lang.String region,
-    java.util.List<ObjectHome> objects)
+    java.lang.String serviceName,
+    java.util.List<RouteUse> uses,
+    long planId,
+    long planVersion)
   {
     this();
-    this.group = group;
-    this.route = route;
-    this.region = region;
-    this.objects = objects;
+    this.serviceName = serviceName;
+    this.uses = uses;
+    this.planId = planId;
+    setPlanIdIsSet(true);
+    this.planVersion = planVersion;
+    setPlanVersionIsSet(true);
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
   public HomeQuestion(HomeQuestion other) {
-    if (other.isSetGroup()) {
-      this.group = other.group;
-    }
-    if (other.isSetRoute()) {
-      this.route = other.route;
-    }
-    if (other.isSetRegion()) {
-      this.region = other.region;
-    }
-    if (other.isSetObjects()) {
-      java.util.List<ObjectHome> __this__objects = new java.util.ArrayList<ObjectHome>(other.objects.size());
-      for (ObjectHome other_element : other.objects) {
-        __this__objects.add(new ObjectHome(other_element));
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetServiceName()) {
+      this.serviceName = other.serviceName;
+    }
+    if (other.isSetUses()) {
+      java.util.List<RouteUse> __this__uses = new java.util.ArrayList<RouteUse>(other.uses.size());
+      for (RouteUse other_element : other.uses) {
+        __this__uses.add(new RouteUse(other_element));
       }
-      this.objects = __this__objects;
+      this.uses = __this__uses;
     }
+    this.planId = other.planId;
+    this.planVersion = other.planVersion;
   }
 
   @Override
@@ -156,160 +158,158 @@
 
   @Override
   public void clear() {
-    this.group = null;
-    this.route = null;
-    this.region = null;
-    this.objects = null;
+    this.serviceName = null;
+    this.uses = null;
+    setPlanIdIsSet(false);
+    this.planId = 0;
+    setPlanVersionIsSet(false);
+    this.planVersion = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.lang.String getGroup() {
-    return this.group;
+  public java.lang.String getServiceName() {
+    return this.serviceName;
   }
 
-  public HomeQuestion setGroup(@org.apache.thrift.annotation.Nullable java.lang.String group) {
-    this.group = group;
+  public HomeQuestion setServiceName(@org.apache.thrift.annotation.Nullable java.lang.String serviceName) {
+    this.serviceName = serviceName;
     return this;
   }
 
-  public void unsetGroup() {
-    this.group = null;
+  public void unsetServiceName() {
+    this.serviceName = null;
   }
 
-  /** Returns true if field group is set (has been assigned a value) and false otherwise */
-  public boolean isSetGroup() {
-    return this.group != null;
+  /** Returns true if field serviceName is set (has been assigned a value) and false otherwise */
+  public boolean isSetServiceName() {
+    return this.serviceName != null;
   }
 
-  public void setGroupIsSet(boolean value) {
+  public void setServiceNameIsSet(boolean value) {
     if (!value) {
-      this.group = null;
+      this.serviceName = null;
     }
   }
 
-  @org.apache.thrift.annotation.Nullable
-  public java.lang.String getRoute() {
-    return this.route;
+  public int getUsesSize() {
+    return (this.uses == null) ? 0 : this.uses.size();
   }
 
-  public HomeQuestion setRoute(@org.apache.thrift.annotation.Nullable java.lang.String route) {
-    this.route = route;
-    return this;
-  }
-
-  public void unsetRoute() {
-    this.route = null;
-  }
-
-  /** Returns true if field route is set (has been assigned a value) and false otherwise */
-  public boolean isSetRoute() {
-    return this.route != null;
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<RouteUse> getUsesIterator() {
+    return (this.uses == null) ? null : this.uses.iterator();
   }
 
-  public void setRouteIsSet(boolean value) {
-    if (!value) {
-      this.route = null;
+  public void addToUses(RouteUse elem) {
+    if (this.uses == null) {
+      this.uses = new java.util.ArrayList<RouteUse>();
     }
+    this.uses.add(elem);
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.lang.String getRegion() {
-    return this.region;
+  public java.util.List<RouteUse> getUses() {
+    return this.uses;
   }
 
-  public HomeQuestion setRegion(@org.apache.thrift.annotation.Nullable java.lang.String region) {
-    this.region = region;
+  public HomeQuestion setUses(@org.apache.thrift.annotation.Nullable java.util.List<RouteUse> uses) {
+    this.uses = uses;
     return this;
   }
 
-  public void unsetRegion() {
-    this.region = null;
+  public void unsetUses() {
+    this.uses = null;
   }
 
-  /** Returns true if field region is set (has been assigned a value) and false otherwise */
-  public boolean isSetRegion() {
-    return this.region != null;
+  /** Returns true if field uses is set (has been assigned a value) and false otherwise */
+  public boolean isSetUses() {
+    return this.uses != null;
   }
 
-  public void setRegionIsSet(boolean value) {
+  public void setUsesIsSet(boolean value) {
     if (!value) {
-      this.region = null;
+      this.uses = null;
     }
   }
 
-  public int getObjectsSize() {
-    return (this.objects == null) ? 0 : this.objects.size();
+  public long getPlanId() {
+    return this.planId;
   }
 
-  @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<ObjectHome> getObjectsIterator() {
-    return (this.objects == null) ? null : this.objects.iterator();
+  public HomeQuestion setPlanId(long planId) {
+    this.planId = planId;
+    setPlanIdIsSet(true);
+    return this;
   }
 
-  public void addToObjects(ObjectHome elem) {
-    if (this.objects == null) {
-      this.objects = new java.util.ArrayList<ObjectHome>();
-    }
-    this.objects.add(elem);
+  public void unsetPlanId() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PLANID_ISSET_ID);
   }
 
-  @org.apache.thrift.annotation.Nullable
-  public java.util.List<ObjectHome> getObjects() {
-    return this.objects;
+  /** Returns true if field planId is set (has been assigned a value) and false otherwise */
+  public boolean isSetPlanId() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PLANID_ISSET_ID);
+  }
+
+  public void setPlanIdIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PLANID_ISSET_ID, value);
   }
 
-  public HomeQuestion setObjects(@org.apache.thrift.annotation.Nullable java.util.List<ObjectHome> objects) {
-    this.objects = objects;
+  public long getPlanVersion() {
+    return this.planVersion;
+  }
+
+  public HomeQuestion setPlanVersion(long planVersion) {
+    this.planVersion = planVersion;
+    setPlanVersionIsSet(true);
     return this;
   }
 
-  public void unsetObjects() {
-    this.objects = null;
+  public void unsetPlanVersion() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PLANVERSION_ISSET_ID);
   }
 
-  /** Returns true if field objects is set (has been assigned a value) and false otherwise */
-  public boolean isSetObjects() {
-    return this.objects != null;
+  /** Returns true if field planVersion is set (has been assigned a value) and false otherwise */
+  public boolean isSetPlanVersion() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PLANVERSION_ISSET_ID);
   }
 
-  public void setObjectsIsSet(boolean value) {
-    if (!value) {
-      this.objects = null;
-    }
+  public void setPlanVersionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PLANVERSION_ISSET_ID, value);
   }
 
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
-    case GROUP:
+    case SERVICE_NAME:
       if (value == null) {
-        unsetGroup();
+        unsetServiceName();
       } else {
-        setGroup((java.lang.String)value);
+        setServiceName((java.lang.String)value);
       }
       break;
 
-    case ROUTE:
+    case USES:
       if (value == null) {
-        unsetRoute();
+        unsetUses();
       } else {
-        setRoute((java.lang.String)value);
+        setUses((java.util.List<RouteUse>)value);
       }
       break;
 
-    case REGION:
+    case PLAN_ID:
       if (value == null) {
-        unsetRegion();
+        unsetPlanId();
       } else {
-        setRegion((java.lang.String)value);
+        setPlanId((java.lang.Long)value);
       }
       break;
 
-    case OBJECTS:
+    case PLAN_VERSION:
       if (value == null) {
-        unsetObjects();
+        unsetPlanVersion();
       } else {
-        setObjects((java.util.List<ObjectHome>)value);
+        setPlanVersion((java.lang.Long)value);
       }
       break;
 
@@ -320,17 +320,17 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
-    case GROUP:
-      return getGroup();
+    case SERVICE_NAME:
+      return getServiceName();
 
-    case ROUTE:
-      return getRoute();
+    case USES:
+      return getUses();
 
-    case REGION:
-      return getRegion();
+    case PLAN_ID:
+      return getPlanId();
 
-    case OBJECTS:
-      return getObjects();
+    case PLAN_VERSION:
+      return getPlanVersion();
 
     }
     throw new java.lang.IllegalStateException();
@@ -344,14 +344,14 @@
     }
 
     switch (field) {
-    case GROUP:
-      return isSetGroup();
-    case ROUTE:
-      return isSetRoute();
-    case REGION:
-      return isSetRegion();
-    case OBJECTS:
-      return isSetObjects();
+    case SERVICE_NAME:
+      return isSetServiceName();
+    case USES:
+      return isSetUses();
+    case PLAN_ID:
+      return isSetPlanId();
+    case PLAN_VERSION:
+      return isSetPlanVersion();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -369,39 +369,39 @@
     if (this == that)
       return true;
 
-    boolean this_present_group = true && this.isSetGroup();
-    boolean that_present_group = true && that.isSetGroup();
-    if (this_present_group || that_present_group) {
-      if (!(this_present_group && that_present_group))
+    boolean this_present_serviceName = true && this.isSetServiceName();
+    boolean that_present_serviceName = true && that.isSetServiceName();
+    if (this_present_serviceName || that_present_serviceName) {
+      if (!(this_present_serviceName && that_present_serviceName))
         return false;
-      if (!this.group.equals(that.group))
+      if (!this.serviceName.equals(that.serviceName))
         return false;
     }
 
-    boolean this_present_route = true && this.isSetRoute();
-    boolean that_present_route = true && that.isSetRoute();
-    if (this_present_route || that_present_route) {
-      if (!(this_present_route && that_present_route))
+    boolean this_present_uses = true && this.isSetUses();
+    boolean that_present_uses = true && that.isSetUses();
+    if (this_present_uses || that_present_uses) {
+      if (!(this_present_uses && that_present_uses))
         return false;
-      if (!this.route.equals(that.route))
+      if (!this.uses.equals(that.uses))
         return false;
     }
 
-    boolean this_present_region = true && this.isSetRegion();
-    boolean that_present_region = true && that.isSetRegion();
-    if (this_present_region || that_present_region) {
-      if (!(this_present_region && that_present_region))
+    boolean this_present_planId = true;
+    boolean that_present_planId = true;
+    if (this_present_planId || that_present_planId) {
+      if (!(this_present_planId && that_present_planId))
         return false;
-      if (!this.region.equals(that.region))
+      if (this.planId != that.planId)
         return false;
     }
 
-    boolean this_present_objects = true && this.isSetObjects();
-    boolean that_present_objects = true && that.isSetObjects();
-    if (this_present_objects || that_present_objects) {
-      if (!(this_present_objects && that_present_objects))
+    boolean this_present_planVersion = true;
+    boolean that_present_planVersion = true;
+    if (this_present_planVersion || that_present_planVersion) {
+      if (!(this_present_planVersion && that_present_planVersion))
         return false;
-      if (!this.objects.equals(that.objects))
+      if (this.planVersion != that.planVersion)
         return false;
     }
 
@@ -412,21 +412,17 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + ((isSetGroup()) ? 131071 : 524287);
-    if (isSetGroup())
-      hashCode = hashCode * 8191 + group.hashCode();
+    hashCode = hashCode * 8191 + ((isSetServiceName()) ? 131071 : 524287);
+    if (isSetServiceName())
+      hashCode = hashCode * 8191 + serviceName.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetRoute()) ? 131071 : 524287);
-    if (isSetRoute())
-      hashCode = hashCode * 8191 + route.hashCode();
+    hashCode = hashCode * 8191 + ((isSetUses()) ? 131071 : 524287);
+    if (isSetUses())
+      hashCode = hashCode * 8191 + uses.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetRegion()) ? 131071 : 524287);
-    if (isSetRegion())
-      hashCode = hashCode * 8191 + region.hashCode();
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(planId);
 
-    hashCode = hashCode * 8191 + ((isSetObjects()) ? 131071 : 524287);
-    if (isSetObjects())
-      hashCode = hashCode * 8191 + objects.hashCode();
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(planVersion);
 
     return hashCode;
   }
@@ -439,42 +435,42 @@
 
     int lastComparison = 0;
 
-    lastComparison = java.lang.Boolean.compare(isSetGroup(), other.isSetGroup());
+    lastComparison = java.lang.Boolean.compare(isSetServiceName(), other.isSetServiceName());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetGroup()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.group, other.group);
+    if (isSetServiceName()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.serviceName, other.serviceName);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetRoute(), other.isSetRoute());
+    lastComparison = java.lang.Boolean.compare(isSetUses(), other.isSetUses());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetRoute()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.route, other.route);
+    if (isSetUses()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.uses, other.uses);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetRegion(), other.isSetRegion());
+    lastComparison = java.lang.Boolean.compare(isSetPlanId(), other.isSetPlanId());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetRegion()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.region, other.region);
+    if (isSetPlanId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.planId, other.planId);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetObjects(), other.isSetObjects());
+    lastComparison = java.lang.Boolean.compare(isSetPlanVersion(), other.isSetPlanVersion());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetObjects()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.objects, other.objects);
+    if (isSetPlanVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.planVersion, other.planVersion);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -503,36 +499,28 @@
     java.lang.StringBuilder sb = new java.lang.StringBuilder("HomeQuestion(");
     boolean first = true;
 
-    sb.append("group:");
-    if (this.group == null) {
+    sb.append("serviceName:");
+    if (this.serviceName == null) {
       sb.append("null");
     } else {
-      sb.append(this.group);
+      sb.append(this.serviceName);
     }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("route:");
-    if (this.route == null) {
+    sb.append("uses:");
+    if (this.uses == null) {
       sb.append("null");
     } else {
-      sb.append(this.route);
+      sb.append(this.uses);
     }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("region:");
-    if (this.region == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.region);
-    }
+    sb.append("planId:");
+    sb.append(this.planId);
     first = false;
     if (!first) sb.append(", ");
-    sb.append("objects:");
-    if (this.objects == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.objects);
-    }
+    sb.append("planVersion:");
+    sb.append(this.planVersion);
     first = false;
     sb.append(")");
     return sb.toString();
@@ -553,6 +541,8 @@
 
   private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
     try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
       read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
     } catch (org.apache.thrift.TException te) {
       throw new java.io.IOException(te);
@@ -579,45 +569,45 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // GROUP
+          case 1: // SERVICE_NAME
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.group = iprot.readString();
-              struct.setGroupIsSet(true);
+              struct.serviceName = iprot.readString();
+              struct.setServiceNameIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // ROUTE
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.route = iprot.readString();
-              struct.setRouteIsSet(true);
+          case 5: // USES
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
+                struct.uses = new java.util.ArrayList<RouteUse>(_list40.size);
+                @org.apache.thrift.annotation.Nullable RouteUse _elem41;
+                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
+                {
+                  _elem41 = new RouteUse();
+                  _elem41.read(iprot);
+                  struct.uses.add(_elem41);
+                }
+                iprot.readListEnd();
+              }
+              struct.setUsesIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // REGION
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.region = iprot.readString();
-              struct.setRegionIsSet(true);
+          case 6: // PLAN_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.planId = iprot.readI64();
+              struct.setPlanIdIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 4: // OBJECTS
-            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-              {
-                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
-                struct.objects = new java.util.ArrayList<ObjectHome>(_list32.size);
-                @org.apache.thrift.annotation.Nullable ObjectHome _elem33;
-                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
-                {
-                  _elem33 = new ObjectHome();
-                  _elem33.read(iprot);
-                  struct.objects.add(_elem33);
-                }
-                iprot.readListEnd();
-              }
-              struct.setObjectsIsSet(true);
+          case 7: // PLAN_VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.planVersion = iprot.readI64();
+              struct.setPlanVersionIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -638,33 +628,29 @@
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      if (struct.group != null) {
-        oprot.writeFieldBegin(GROUP_FIELD_DESC);
-        oprot.writeString(struct.group);
-        oprot.writeFieldEnd();
-      }
-      if (struct.route != null) {
-        oprot.writeFieldBegin(ROUTE_FIELD_DESC);
-        oprot.writeString(struct.route);
+      if (struct.serviceName != null) {
+        oprot.writeFieldBegin(SERVICE_NAME_FIELD_DESC);
+        oprot.writeString(struct.serviceName);
         oprot.writeFieldEnd();
       }
-      if (struct.region != null) {
-        oprot.writeFieldBegin(REGION_FIELD_DESC);
-        oprot.writeString(struct.region);
-        oprot.writeFieldEnd();
-      }
-      if (struct.objects != null) {
-        oprot.writeFieldBegin(OBJECTS_FIELD_DESC);
+      if (struct.uses != null) {
+        oprot.writeFieldBegin(USES_FIELD_DESC);
         {
-          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.objects.size()));
-          for (ObjectHome _iter35 : struct.objects)
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
+          for (RouteUse _iter43 : struct.uses)
           {
-            _iter35.write(oprot);
+            _iter43.write(oprot);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(PLAN_ID_FIELD_DESC);
+      oprot.writeI64(struct.planId);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(PLAN_VERSION_FIELD_DESC);
+      oprot.writeI64(struct.planVersion);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -684,37 +670,37 @@
     public void write(org.apache.thrift.protocol.TProtocol prot, HomeQuestion struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet optionals = new java.util.BitSet();
-      if (struct.isSetGroup()) {
+      if (struct.isSetServiceName()) {
         optionals.set(0);
       }
-      if (struct.isSetRoute()) {
+      if (struct.isSetUses()) {
         optionals.set(1);
       }
-      if (struct.isSetRegion()) {
+      if (struct.isSetPlanId()) {
         optionals.set(2);
       }
-      if (struct.isSetObjects()) {
+      if (struct.isSetPlanVersion()) {
         optionals.set(3);
       }
       oprot.writeBitSet(optionals, 4);
-      if (struct.isSetGroup()) {
-        oprot.writeString(struct.group);
-      }
-      if (struct.isSetRoute()) {
-        oprot.writeString(struct.route);
-      }
-      if (struct.isSetRegion()) {
-        oprot.writeString(struct.region);
+      if (struct.isSetServiceName()) {
+        oprot.writeString(struct.serviceName);
       }
-      if (struct.isSetObjects()) {
+      if (struct.isSetUses()) {
         {
-          oprot.writeI32(struct.objects.size());
-          for (ObjectHome _iter36 : struct.objects)
+          oprot.writeI32(struct.uses.size());
+          for (RouteUse _iter44 : struct.uses)
           {
-            _iter36.write(oprot);
+            _iter44.write(oprot);
           }
         }
       }
+      if (struct.isSetPlanId()) {
+        oprot.writeI64(struct.planId);
+      }
+      if (struct.isSetPlanVersion()) {
+        oprot.writeI64(struct.planVersion);
+      }
     }
 
     @Override
@@ -722,30 +708,30 @@
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
-        struct.group = iprot.readString();
-        struct.setGroupIsSet(true);
+        struct.serviceName = iprot.readString();
+        struct.setServiceNameIsSet(true);
       }
       if (incoming.get(1)) {
-        struct.route = iprot.readString();
-        struct.setRouteIsSet(true);
-      }
-      if (incoming.get(2)) {
-        struct.region = iprot.readString();
-        struct.setRegionIsSet(true);
-      }
-      if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.objects = new java.util.ArrayList<ObjectHome>(_list37.size);
-          @org.apache.thrift.annotation.Nullable ObjectHome _elem38;
-          for (int _i39 = 0; _i39 < _list37.size; ++_i39)
+          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.uses = new java.util.ArrayList<RouteUse>(_list45.size);
+          @org.apache.thrift.annotation.Nullable RouteUse _elem46;
+          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
           {
-            _elem38 = new ObjectHome();
-            _elem38.read(iprot);
-            struct.objects.add(_elem38);
+            _elem46 = new RouteUse();
+            _elem46.read(iprot);
+            struct.uses.add(_elem46);
           }
         }
-        struct.setObjectsIsSet(true);
+        struct.setUsesIsSet(true);
+      }
+      if (incoming.get(2)) {
+        struct.planId = iprot.readI64();
+        struct.setPlanIdIsSet(true);
+      }
+      if (incoming.get(3)) {
+        struct.planVersion = iprot.readI64();
+        struct.setPlanVersionIsSet(true);
       }
     }
   }
--- a/src/main/thrift/control.thrift
+++ b/src/main/thrift/control.thrift
@@ -163,16 +163,27 @@
   5: i32 failures
 }
 
-// A host asks the planner of a service which upstreams serve objects of a route.
+// Objects of one route, served in one region or, where it is empty, in all that the route allows.
+struct RouteUse {
+  1: string route
+  2: string region
+  3: list<ObjectHome> objects
+}
+
+// A host asks the planner of a service which upstreams serve its objects, and tells what it saw of them. Fields 2 to 4
+// were one route's objects.
 struct HomeQuestion {
-  1: string group
-  2: string route
-  3: string region
-  4: list<ObjectHome> objects
+  1: string serviceName
+  5: list<RouteUse> uses
+  6: i64 planId
+  7: i64 planVersion
 }
 
+// The homes that changed since the version of the plan that the host knows, and those of the objects it asked for.
 struct HomeAnswer {
   1: list<ObjectHome> objects
+  2: i64 planId
+  3: i64 planVersion
 }
 
 union ControlMessage {
--- a/src/test/java/org/arbutusfield/edge/EdgeSettingsReaderTest.java
+++ b/src/test/java/org/arbutusfield/edge/EdgeSettingsReaderTest.java
@@ -18,7 +18,7 @@
             {"name": "h", "region": "gulf", "failureDomain": "gulf-a", "callerAddress": "127.0.0.1:1",
              "readyAddress": "127.0.0.1:2", "lookupAddress": "127.0.0.1:3", "controlAddress": "127.0.0.1:4",
              "metricsAddress": "127.0.0.1:5", "storeAddress": "127.0.0.1:6", "regions": {"gulf-a": "gulf"},
-             "maxDescriptors": 2870, "lookupMaxAge": "5s", "stopLimit": "6s", "routesInForceWithin": "2000ms",
+             "maxDescriptors": 2870, "processorShare": 0.42, "cores": 1, "lookupMaxAge": "5s", "stopLimit": "6s", "routesInForceWithin": "2000ms",
              "drainsInForceWithin": "1500ms", "retryRatio": 0.2, "retryWindow": "10s", "retrySlack": 112}
             """;
 
--- a/src/test/java/org/arbutusfield/edge/NearbyHostsTest.java
+++ b/src/test/java/org/arbutusfield/edge/NearbyHostsTest.java
@@ -32,7 +32,7 @@
 
     private static void add(List<HostEntry> hosts, int count, String region, String domain) {
         for (int i = 0; i < count; i++) {
-            hosts.add(new HostEntry(domain + "-" + i, region, domain, "127.0.0.1:1", "127.0.0.1:2"));
+            hosts.add(new HostEntry(domain + "-" + i, region, domain, "127.0.0.1:1", "127.0.0.1:2", 420));
         }
     }
 }
--- a/src/test/java/org/arbutusfield/home/HomeFinderTest.java
+++ b/src/test/java/org/arbutusfield/home/HomeFinderTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.arbutusfield.error.ErrorCode;
@@ -31,6 +32,7 @@
     private final Map<PeerAddress, HomePlanner> planners = new HashMap<>();
     private final List<HomeFinder> finders = new ArrayList<>();
     private final List<PeerAddress> dead = new ArrayList<>();
+    private int questions;
     private SteeringState state = state(List.of("u0", "u1", "u2", "u3"), 4);
 
     private static SteeringState state(List<String> upstreams, int hosts) {
@@ -44,12 +46,19 @@
                 .toList();
         List<HostEntry> entries = new ArrayList<>();
         for (int i = 0; i < hosts; i++) {
-            entries.add(new HostEntry("h" + i, "gulf", "gulf-a", "127.0.0.1:" + (100 + i), "127.0.0.1:" + (200 + i)));
+            entries.add(new HostEntry(
+                    "h" + i,
+                    "gulf",
+                    "gulf-a",
+                    "127.0.0.1:" + (100 + i),
+                    "127.0.0.1:" + (200 + i),
+                    i == 2 ? 1500 : 210));
         }
         return new SteeringState(Optional.empty(), Map.of("desk", live), Set.of(), entries, Map.of(), 1);
     }
 
     private CompletableFuture<Either<Failure, ControlMessage>> call(PeerAddress peer, ControlMessage message) {
+        questions++;
         if (dead.contains(peer)) {
             return CompletableFuture.completedFuture(Either.left(Failure.of(ErrorCode.PEER_TIMEOUT)));
         }
@@ -58,7 +67,11 @@
     }
 
     private void start() {
-        for (int i = 0; i < 4; i++) {
+        start(4);
+    }
+
+    private void start(int hosts) {
+        for (int i = 0; i < hosts; i++) {
             HomePlanner planner = HomePlanner.create(() -> state, timer);
             planners.put(new PeerAddress("127.0.0.1", 200 + i), planner);
             finders.add(HomeFinder.start(
@@ -94,6 +107,36 @@
         assertThat(find(3, 7)).isEqualTo(next);
     }
 
+    /**
+     * The pattern of a grown fleet: more hosts than requests for an object, so that nearly every request concerns an
+     * object that is new to its host.
+     */
+    @Test
+    void questionsGrowWithObjectsAndNotWithObjectsTimesHosts() {
+        int hosts = 40;
+        int objects = 60;
+        int seconds = 6;
+        int perSecond = 400;
+        Random random = new Random(5);
+        state = state(List.of("u0", "u1", "u2", "u3"), hosts);
+        start(hosts);
+        for (int second = 0; second < seconds; second++) {
+            for (int i = 0; i < perSecond; i++) {
+                assertThat(find(random.nextInt(hosts), random.nextInt(objects))).isPresent();
+            }
+            timer.advance(Duration.ofSeconds(1));
+        }
+        int reports = hosts * (seconds + 1);
+        assertThat(questions).isLessThanOrEqualTo(reports + perSecond);
+    }
+
+    @Test
+    void theHostWithTheMostProcessorsPlans() {
+        start();
+        find(0, 7);
+        assertThat(planners.get(new PeerAddress("127.0.0.1", 202)).homes()).containsKey("desk");
+    }
+
     /** Without the planner known homes stay in use, and a new object is left to hashing, at once. */
     @Test
     void withoutThePlanner() {
--- a/src/test/java/org/arbutusfield/home/HomePlanTest.java
+++ b/src/test/java/org/arbutusfield/home/HomePlanTest.java
@@ -168,6 +168,26 @@
         }
     }
 
+    /** A host that comes late learns the whole plan in steps, and then only what changes. */
+    @Test
+    void changesAreToldInTheirOrderAndOnce() {
+        HomePlan plan = HomePlan.create();
+        List<Candidate> upstreams = upstreams(4);
+        for (long key = 0; key < 5; key++) {
+            plan.home(use(key), upstreams, 0);
+        }
+        PlanChanges first = plan.changesSince(0, 3);
+        PlanChanges second = plan.changesSince(first.version(), 3);
+        assertThat(first.homes()).containsOnlyKeys(0L, 1L, 2L);
+        assertThat(second.homes()).containsOnlyKeys(3L, 4L);
+        plan.home(use(1), List.of(upstreams.get(0)), 0);
+        plan.home(use(5), upstreams, 0);
+        assertThat(plan.changesSince(second.version(), 3).homes())
+                .containsKey(5L)
+                .doesNotContainKeys(0L, 3L, 4L);
+        assertThat(plan.changesSince(0, 9).homes()).isEqualTo(plan.homes());
+    }
+
     @Test
     void unusedObjectsAreForgotten() {
         HomePlan plan = HomePlan.create();
--- a/src/test/java/org/arbutusfield/platform/PlatformPathTest.java
+++ b/src/test/java/org/arbutusfield/platform/PlatformPathTest.java
@@ -65,6 +65,7 @@
                 store.address(),
                 Map.of("gulf-a", "gulf"),
                 2_000,
+                420,
                 Duration.ofSeconds(5),
                 Duration.ofSeconds(2),
                 Duration.ofSeconds(2),
--- a/src/test/java/org/arbutusfield/steer/ShareOverHostsTest.java
+++ b/src/test/java/org/arbutusfield/steer/ShareOverHostsTest.java
@@ -26,7 +26,7 @@
     private static List<HostEntry> hosts(int count) {
         List<HostEntry> hosts = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            hosts.add(new HostEntry("host-" + i, "gulf", "gulf-a", "127.0.0.1:1", "127.0.0.1:2"));
+            hosts.add(new HostEntry("host-" + i, "gulf", "gulf-a", "127.0.0.1:1", "127.0.0.1:2", 420));
         }
         return hosts;
     }
