Soak, first version; connections to the store are used again

Cause: every call to the store opened a connection of its own, some 1.2 a second and host, which is most of what an idle host does on the grown site. And the product had no soak of real processes.

Change: HttpCaller.reusing keeps connections; the soak's parts in lab.soak.

Tests: HttpCallerTest.

--- a/src/main/java/org/arbutusfield/http/HttpCaller.java
+++ b/src/main/java/org/arbutusfield/http/HttpCaller.java
@@ -1,36 +1,30 @@
 package org.arbutusfield.http;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Deque;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 
 /**
- * Sends small whole HTTP requests, each on a connection of its own, so that no call meets a connection that has gone
- * silent.
+ * Sends small whole HTTP requests, each on a connection of its own or on one that answered before.
+ *
+ * <p>A connection is used again only right after a whole answer, and for a while only. One that shows no answer in time
+ * is closed. A {@code GET} that met a kept connection which the peer had closed is sent once more on a new one.
  *
  * <p>Errors: {@code PEER_UNREACHABLE} when no connection came about (not run); {@code PEER_TIMEOUT} and
  * {@code PEER_PROTOCOL} after that (outcome unknown).
@@ -40,15 +34,29 @@
 
     private final EventLoopGroup group;
     private final Duration connectTimeout;
+    private final Duration keepIdle;
+    private final Map<InetSocketAddress, Deque<CallConnection>> idle = new ConcurrentHashMap<>();
 
-    private HttpCaller(EventLoopGroup group, Duration connectTimeout) {
+    private HttpCaller(EventLoopGroup group, Duration connectTimeout, Duration keepIdle) {
         this.group = group;
         this.connectTimeout = connectTimeout;
+        this.keepIdle = keepIdle;
     }
 
-    /** A caller on the given event loops. */
+    /** A caller on the given event loops that opens a connection for each call. */
     public static HttpCaller create(EventLoopGroup group, Duration connectTimeout) {
-        return new HttpCaller(group, connectTimeout);
+        return new HttpCaller(group, connectTimeout, Duration.ZERO);
+    }
+
+    /**
+     * A caller on the given event loops that uses connections again.
+     *
+     * @param group event loops
+     * @param connectTimeout longest time to establish a connection
+     * @param keepIdle how long a connection may have been idle to be used again; below the peer's idle timeout
+     */
+    public static HttpCaller reusing(EventLoopGroup group, Duration connectTimeout, Duration keepIdle) {
+        return new HttpCaller(group, connectTimeout, keepIdle);
     }
 
     /**
@@ -61,8 +69,29 @@
      */
     public CompletableFuture<Either<Failure, HttpAnswer>> call(
             InetSocketAddress address, HttpCall call, Duration timeout) {
+        CallConnection kept = takeIdle(address);
+        if (kept == null) {
+            return callOnNew(address, call, timeout);
+        }
+        CompletableFuture<Either<Failure, HttpAnswer>> result = new CompletableFuture<>();
+        long start = System.nanoTime();
+        send(kept, address, call, timeout).thenAccept(answer -> {
+            Duration left = timeout.minusNanos(System.nanoTime() - start);
+            boolean closedBefore = answer.isLeft() && answer.getLeft().code() == ErrorCode.PEER_PROTOCOL;
+            if (closedBefore && call.method().equals("GET") && !left.isNegative()) {
+                callOnNew(address, call, left).thenAccept(result::complete);
+            } else {
+                result.complete(answer);
+            }
+        });
+        return result;
+    }
+
+    private CompletableFuture<Either<Failure, HttpAnswer>> callOnNew(
+            InetSocketAddress address, HttpCall call, Duration timeout) {
         CompletableFuture<Either<Failure, HttpAnswer>> result = new CompletableFuture<>();
         int connectMillis = (int) Math.min(connectTimeout.toMillis(), timeout.toMillis());
+        CallConnection connection = new CallConnection();
         new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
@@ -73,76 +102,41 @@
                         channel.pipeline()
                                 .addLast(new HttpClientCodec())
                                 .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
-                                .addLast(new Answer(result));
+                                .addLast(connection);
                     }
                 })
                 .connect(address)
-                .addListener((io.netty.channel.ChannelFuture connected) -> {
-                    if (!connected.isSuccess()) {
+                .addListener((ChannelFuture connected) -> {
+                    if (connected.isSuccess()) {
+                        send(connection, address, call, timeout).thenAccept(result::complete);
+                    } else {
                         result.complete(Either.left(Failure.of(ErrorCode.PEER_UNREACHABLE, address.toString())));
-                        return;
                     }
-                    send(connected.channel(), address, call, timeout, result);
                 });
         return result;
     }
 
-    private static void send(
-            Channel channel,
-            InetSocketAddress address,
-            HttpCall call,
-            Duration timeout,
-            CompletableFuture<Either<Failure, HttpAnswer>> result) {
-        FullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                HttpMethod.valueOf(call.method()),
-                call.target(),
-                Unpooled.wrappedBuffer(call.body().bytes()));
-        call.headers().forEach(h -> request.headers().add(h.name(), h.value()));
-        if (!request.headers().contains(HttpHeaderNames.HOST)) {
-            request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
-        }
-        request.headers().set(HttpHeaderNames.CONNECTION, "close");
-        HttpUtil.setContentLength(request, call.body().length());
-        Failure late = Failure.of(ErrorCode.PEER_TIMEOUT, address.toString());
-        java.util.concurrent.Future<?> timer = channel.eventLoop()
-                .schedule(() -> result.complete(Either.left(late)), timeout.toMillis(), TimeUnit.MILLISECONDS);
-        result.whenComplete((answer, error) -> {
-            timer.cancel(false);
-            channel.close();
+    private CompletableFuture<Either<Failure, HttpAnswer>> send(
+            CallConnection connection, InetSocketAddress address, HttpCall call, Duration timeout) {
+        boolean keep = !keepIdle.isZero();
+        return connection.send(address, call, timeout, keep).thenApply(answer -> {
+            if (keep && answer.isRight() && connection.reusable()) {
+                idle.computeIfAbsent(address, a -> new ConcurrentLinkedDeque<>())
+                        .push(connection);
+            } else {
+                connection.close();
+            }
+            return answer;
         });
-        channel.writeAndFlush(request);
     }
 
-    private static final class Answer extends SimpleChannelInboundHandler<FullHttpResponse> {
-        private final CompletableFuture<Either<Failure, HttpAnswer>> result;
-
-        private Answer(CompletableFuture<Either<Failure, HttpAnswer>> result) {
-            this.result = result;
-        }
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (response.decoderResult().isFailure()) {
-                result.complete(Either.left(Failure.of(ErrorCode.PEER_PROTOCOL)));
-                return;
-            }
-            result.complete(Either.right(new HttpAnswer(
-                    response.status().code(),
-                    response.headers().entries().stream()
-                            .map(e -> Header.of(e.getKey(), e.getValue()))
-                            .toList(),
-                    Body.of(ByteBufUtil.getBytes(response.content())))));
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            result.complete(Either.left(Failure.of(ErrorCode.PEER_PROTOCOL, "", "connection closed early")));
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            result.complete(Either.left(Failure.of(ErrorCode.PEER_PROTOCOL, "", cause.toString())));
+    private CallConnection takeIdle(InetSocketAddress address) {
+        Deque<CallConnection> connections = idle.get(address);
+        CallConnection newest = connections == null ? null : connections.poll();
+        while (newest != null && !newest.idleFor(keepIdle)) {
+            newest.close();
+            newest = connections.poll();
         }
+        return newest;
     }
 }
--- a/src/main/java/org/arbutusfield/lab/ArbutusLab.java
+++ b/src/main/java/org/arbutusfield/lab/ArbutusLab.java
@@ -18,12 +18,15 @@
 import org.arbutusfield.http.HttpCaller;
 import org.arbutusfield.lab.load.LoadGenerator;
 import org.arbutusfield.lab.load.LoadPlan;
+import org.arbutusfield.lab.soak.Soak;
+import org.arbutusfield.lab.soak.SoakPlan;
+import org.arbutusfield.lab.soak.SoakReport;
 import org.arbutusfield.note.NoteReader;
 import org.arbutusfield.timer.SystemTimer;
 
 /**
- * The program {@code arbutuslab}: {@code store}, {@code upstreams} and {@code load}. Exit codes: 0 done, 1 failed or a
- * promise was broken, 2 usage.
+ * The program {@code arbutuslab}: {@code store}, {@code upstreams}, {@code load} and {@code soak}. Exit codes: 0 done,
+ * 1 failed or a promise was broken, 2 usage.
  */
 public final class ArbutusLab {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
@@ -50,7 +53,10 @@
                 .addOption(null, "booking", true, "load: path of requests that may not be repeated; default /holds")
                 .addOption(null, "rate", true, "load: requests a second; default 100")
                 .addOption(null, "seconds", true, "load: length of the run; default 10")
-                .addOption(null, "seed", true, "load: seed of the mix; default 1");
+                .addOption(null, "seed", true, "load, soak: seed, or first one; default 1")
+                .addOption(null, "runs", true, "soak: runs, each with the next seed; default 1")
+                .addOption(null, "processes", true, "soak: edge hosts; default 6")
+                .addOption(null, "directory", true, "soak: gets settings and logs of the hosts; default a new one");
         try {
             System.exit(new ArbutusLab(new DefaultParser().parse(options, args)).run());
         } catch (ParseException e) {
@@ -70,8 +76,9 @@
                         timer));
             case "upstreams" -> upstreams();
             case "load" -> load();
+            case "soak" -> soak();
             default -> {
-                System.err.println("usage: arbutuslab store|upstreams|load [options]");
+                System.err.println("usage: arbutuslab store|upstreams|load|soak [options]");
                 yield EXIT_USAGE;
             }
         };
@@ -114,6 +121,31 @@
         return generator.report().cutShort() + generator.report().wrong() == 0 ? 0 : EXIT_FAILED;
     }
 
+    private int soak() throws InterruptedException, IOException {
+        int seconds = (int) number("seconds", "20");
+        int processes = (int) number("processes", "6");
+        Path directory = line.hasOption("directory")
+                ? Files.createDirectories(Path.of(line.getOptionValue("directory")))
+                : Files.createTempDirectory("soak");
+        long first = number("seed", "1");
+        int broken = 0;
+        for (long seed = first; seed < first + number("runs", "1"); seed++) {
+            SoakPlan plan = new SoakPlan(
+                    seed, processes, processes, 3 * processes, Duration.ofSeconds(seconds), processes * seconds / 5);
+            SoakReport report = Soak.run(plan, Files.createDirectories(directory.resolve("seed-" + seed)));
+            System.out.printf(
+                    "seed=%d requests=%d served=%d broken=%d logs=%s%n",
+                    seed,
+                    report.requests(),
+                    report.served(),
+                    report.violations().size(),
+                    directory);
+            report.violations().forEach(violation -> System.out.println("  " + violation));
+            broken += report.violations().size();
+        }
+        return broken == 0 ? 0 : EXIT_FAILED;
+    }
+
     private static int serve(Either<Failure, ? extends AutoCloseable> started) throws InterruptedException {
         if (started.isLeft()) {
             System.err.println(started.getLeft());
--- a/src/main/java/org/arbutusfield/lab/proxy/BlockingCaller.java
+++ b/src/main/java/org/arbutusfield/lab/proxy/BlockingCaller.java
@@ -7,14 +7,15 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.Locale;
+import java.util.Map;
 
 /** A caller that sends one request after the other on one connection and waits for each answer. */
-final class BlockingCaller implements AutoCloseable {
+public final class BlockingCaller implements AutoCloseable {
     private static final int TIMEOUT_MILLIS = 10_000;
     private static final int STATUS_START = 9;
     private static final int STATUS_END = 12;
-    private static final String LENGTH = "content-length:";
 
     private final Socket socket;
     private final InputStream in;
@@ -24,7 +25,8 @@
         in = new BufferedInputStream(socket.getInputStream());
     }
 
-    static BlockingCaller connect(InetSocketAddress address) throws IOException {
+    /** Opens a connection. */
+    public static BlockingCaller connect(InetSocketAddress address) throws IOException {
         Socket socket = new Socket();
         socket.setTcpNoDelay(true);
         socket.connect(address, TIMEOUT_MILLIS);
@@ -34,20 +36,48 @@
 
     /** Calls GET and returns the status. */
     int call(String target) throws IOException {
-        String request = "GET " + target + " HTTP/1.1\r\nhost: bench\r\n\r\n";
+        return exchange("GET " + target + " HTTP/1.1\r\nhost: bench\r\n\r\n").status();
+    }
+
+    /**
+     * Sends a request and reads its answer.
+     *
+     * @param request the whole request
+     * @return the answer; the connection is usable again if {@link Answer#keepsConnection} says so
+     */
+    public Answer exchange(String request) throws IOException {
         socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
         int status = Integer.parseInt(line().substring(STATUS_START, STATUS_END));
-        int length = 0;
+        Map<String, String> headers = new HashMap<>();
         String line = line();
         while (!line.isEmpty()) {
-            String lower = line.toLowerCase(Locale.ROOT);
-            if (lower.startsWith(LENGTH)) {
-                length = Integer.parseInt(lower.substring(LENGTH.length()).strip());
-            }
+            int colon = line.indexOf(':');
+            headers.put(
+                    line.substring(0, colon).toLowerCase(Locale.ROOT),
+                    line.substring(colon + 1).strip());
             line = line();
         }
-        in.skipNBytes(length);
-        return status;
+        byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
+        return new Answer(status, headers, new String(body, StandardCharsets.ISO_8859_1));
+    }
+
+    /**
+     * An answer.
+     *
+     * @param status its status
+     * @param headers its header fields, with names in lower case
+     * @param body its body, which is shorter than announced if the connection ended early
+     */
+    public record Answer(int status, Map<String, String> headers, String body) {
+        /** True when the body has the announced length. */
+        public boolean whole() {
+            return body.length() == Integer.parseInt(headers.getOrDefault("content-length", "-1"));
+        }
+
+        /** True when the host keeps the connection. */
+        public boolean keepsConnection() {
+            return !"close".equalsIgnoreCase(headers.getOrDefault("connection", ""));
+        }
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/org/arbutusfield/lab/soak/FaultProxy.java
@@ -0,0 +1,142 @@
+package org.arbutusfield.lab.soak;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+/** Passes connections on to a target on loopback, and harms them as told. */
+final class FaultProxy {
+    private static final Duration DELAY = Duration.ofMillis(150);
+
+    private final InetSocketAddress target;
+    private final ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private volatile LinkMode mode = LinkMode.PASS;
+    private Channel listener;
+
+    private FaultProxy(InetSocketAddress target) {
+        this.target = target;
+    }
+
+    /** Starts a proxy on a free port. */
+    static FaultProxy start(EventLoopGroup group, InetSocketAddress target) {
+        FaultProxy proxy = new FaultProxy(target);
+        proxy.listener = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel accepted) {
+                        proxy.accept(accepted);
+                    }
+                })
+                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .syncUninterruptibly()
+                .channel();
+        return proxy;
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    /** Switches the mode for open and new connections. */
+    void mode(LinkMode next) {
+        mode = next;
+        if (next == LinkMode.RESET) {
+            open.forEach(FaultProxy::reset);
+        }
+    }
+
+    private void accept(SocketChannel accepted) {
+        if (mode == LinkMode.RESET) {
+            reset(accepted);
+            return;
+        }
+        open.add(accepted);
+        ChannelFuture connecting = new Bootstrap()
+                .group(accepted.eventLoop())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.AUTO_READ, false)
+                .handler(new Pipe(accepted, true))
+                .connect(target);
+        accepted.pipeline().addLast(new Pipe(connecting.channel(), false));
+        connecting.addListener(connected -> {
+            if (connected.isSuccess()) {
+                open.add(connecting.channel());
+                accepted.config().setAutoRead(true);
+                connecting.channel().config().setAutoRead(true);
+            } else {
+                reset(accepted);
+            }
+        });
+    }
+
+    private static void reset(Channel channel) {
+        if (channel instanceof SocketChannel socket && channel.isOpen()) {
+            socket.config().setSoLinger(0);
+        }
+        channel.close();
+    }
+
+    /** Moves bytes and the end of a connection to its other half. */
+    private final class Pipe extends ChannelInboundHandlerAdapter {
+        private final Channel other;
+        private final boolean towardsCaller;
+
+        private Pipe(Channel other, boolean towardsCaller) {
+            this.other = other;
+            this.towardsCaller = towardsCaller;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            boolean dropped = mode == LinkMode.SILENT || (mode == LinkMode.ONE_WAY && towardsCaller);
+            if (dropped) {
+                // The rest of this connection would not fit what was lost.
+                ctx.channel().config().setAutoRead(false);
+                ((ByteBuf) message).release();
+            } else if (mode == LinkMode.DELAY) {
+                ctx.channel().config().setAutoRead(false);
+                ctx.executor()
+                        .schedule(
+                                () -> {
+                                    other.writeAndFlush(message);
+                                    ctx.channel().config().setAutoRead(true);
+                                },
+                                DELAY.toMillis(),
+                                TimeUnit.MILLISECONDS);
+            } else {
+                other.writeAndFlush(message);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            other.close();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            reset(other);
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/lab/soak/SoakHost.java
@@ -0,0 +1,130 @@
+package org.arbutusfield.lab.soak;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.arbutusfield.misc.Addresses;
+
+/** One edge host as a process of its own, with its settings file and its link to the store. */
+final class SoakHost {
+    /** Below the ports that the system gives to outgoing connections, so that a restart finds its ports free. */
+    private static final int FIRST_PORT = 24_000;
+
+    private static final int PORTS = 5;
+    private static final String SETTINGS = """
+            {"name": "%s", "region": "%s", "failureDomain": "%s", "callerAddress": "%s", "readyAddress": "%s",
+             "lookupAddress": "%s", "controlAddress": "%s", "metricsAddress": "%s", "storeAddress": "%s",
+             "regions": {"east-a": "east", "west-a": "west"}, "maxDescriptors": 1000, "processorShare": 0.5,
+             "cores": 1, "lookupMaxAge": "2s", "stopLimit": "4s", "routesInForceWithin": "2s",
+             "drainsInForceWithin": "2s", "retryRatio": 0.2, "retryWindow": "10s", "retrySlack": 100}
+            """;
+
+    private final String name;
+    private final FaultProxy storeLink;
+    private final InetSocketAddress callers;
+    private final Path settingsFile;
+    private final Path log;
+    private Process process;
+    private int starts;
+
+    private SoakHost(String name, FaultProxy storeLink, InetSocketAddress callers, Path directory) {
+        this.name = name;
+        this.storeLink = storeLink;
+        this.callers = callers;
+        settingsFile = directory.resolve(name + ".json");
+        log = directory.resolve(name + ".log");
+    }
+
+    /** A host that is not started yet. */
+    static SoakHost prepare(int number, FaultProxy storeLink, Path directory) throws IOException {
+        List<String> addresses = new ArrayList<>();
+        for (int i = 0; i < PORTS; i++) {
+            addresses.add("127.0.0.1:" + (FIRST_PORT + number * PORTS + i));
+        }
+        String region = number % 2 == 0 ? "east" : "west";
+        String name = "host-" + number;
+        SoakHost host =
+                new SoakHost(name, storeLink, Addresses.parse(addresses.get(0)).orElseThrow(), directory);
+        Files.writeString(
+                host.settingsFile,
+                SETTINGS.formatted(
+                        name,
+                        region,
+                        region + "-a",
+                        addresses.get(0),
+                        addresses.get(1),
+                        addresses.get(2),
+                        addresses.get(3),
+                        addresses.get(4),
+                        Addresses.text(storeLink.address())));
+        return host;
+    }
+
+    String name() {
+        return name;
+    }
+
+    InetSocketAddress callers() {
+        return callers;
+    }
+
+    FaultProxy storeLink() {
+        return storeLink;
+    }
+
+    /** Starts so far; tells the lives of the host apart. */
+    synchronized int starts() {
+        return starts;
+    }
+
+    synchronized void start() throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx64m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "org.arbutusfield.platform.PlatformMain");
+        builder.environment().put("ARBUTUSFIELD_NODE_FILE", settingsFile.toString());
+        builder.redirectErrorStream(true);
+        builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        process = builder.start();
+        starts++;
+    }
+
+    synchronized boolean alive() {
+        return process != null && process.isAlive();
+    }
+
+    /** Sends the process a signal, by its id. */
+    synchronized void signal(String signal) throws IOException, InterruptedException {
+        if (alive()) {
+            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                    .inheritIO()
+                    .start()
+                    .waitFor();
+        }
+    }
+
+    /** Waits for the end; the exit status, or -1 if it did not end in time. */
+    int awaitEnd(Duration limit) throws InterruptedException {
+        Process ending;
+        synchronized (this) {
+            ending = process;
+        }
+        return ending.waitFor(limit.toMillis(), TimeUnit.MILLISECONDS) ? ending.exitValue() : -1;
+    }
+
+    /** Ends the process for good. */
+    synchronized void destroy() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/arbutusfield/lab/soak/SoakUpstream.java
@@ -0,0 +1,121 @@
+package org.arbutusfield.lab.soak;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.arbutusfield.http.Body;
+import org.arbutusfield.http.Header;
+import org.arbutusfield.http.HttpAnswer;
+import org.arbutusfield.http.HttpCall;
+import org.arbutusfield.http.HttpListener;
+import org.arbutusfield.lab.platform.KeyValueContent;
+import org.arbutusfield.misc.Addresses;
+import org.arbutusfield.timer.TimerService;
+
+/** One start of an upstream behind a fault proxy; it notes what it runs and registers itself in the store. */
+final class SoakUpstream {
+    private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    private static final int MOST_BODY_BYTES = 1 << 20;
+    private static final int LONGEST_WORK_MILLIS = 120;
+    private static final String ENTRY = "{\"address\":\"%s\",\"details\":{\"service\":\"desk\",\"version\":\"v1\","
+            + "\"zone\":\"%s\",\"slots\":8},\"status\":{\"state\":\"%s\",\"cold_remaining\":\"0ms\"},\"born\":%d}";
+
+    private final String id;
+    private final String failureDomain;
+    private final SoakLedger ledger;
+    private final KeyValueContent store;
+    private final TimerService timer;
+    private final Random random;
+    private final long born = System.currentTimeMillis();
+    private FaultProxy proxy;
+    private volatile boolean shedding;
+
+    private SoakUpstream(
+            String id,
+            String failureDomain,
+            SoakLedger ledger,
+            KeyValueContent store,
+            TimerService timer,
+            Random random) {
+        this.id = id;
+        this.failureDomain = failureDomain;
+        this.ledger = ledger;
+        this.store = store;
+        this.timer = timer;
+        this.random = random;
+    }
+
+    static SoakUpstream start(
+            String id,
+            String failureDomain,
+            SoakLedger ledger,
+            KeyValueContent store,
+            TimerService timer,
+            EventLoopGroup group) {
+        SoakUpstream upstream = new SoakUpstream(id, failureDomain, ledger, store, timer, new Random(id.hashCode()));
+        HttpListener listener =
+                HttpListener.bind(group, ANY, MOST_BODY_BYTES, upstream::handle).get();
+        upstream.proxy = FaultProxy.start(group, listener.address());
+        upstream.register("ready");
+        return upstream;
+    }
+
+    FaultProxy proxy() {
+        return proxy;
+    }
+
+    void shedding(boolean sheds) {
+        shedding = sheds;
+    }
+
+    /** Tells the store that it drains; from the store's answer on, the time runs in which requests must end. */
+    void drain() {
+        register("draining");
+        ledger.drained(id);
+    }
+
+    /** Leaves the store, and drops what still comes. */
+    void leave() {
+        store.remove(key());
+        proxy.mode(LinkMode.RESET);
+    }
+
+    private String key() {
+        return "servers/" + id;
+    }
+
+    private void register(String state) {
+        String entry = ENTRY.formatted(Addresses.text(proxy.address()), failureDomain, state, born);
+        store.put(key(), entry.getBytes(StandardCharsets.UTF_8), 0);
+    }
+
+    private CompletableFuture<HttpAnswer> handle(HttpCall call) {
+        String requestId = call.header("x-request-id").orElse("");
+        boolean meant = call.header("x-expect-instance").orElse("").equals(id);
+        if (!meant) {
+            return CompletableFuture.completedFuture(new HttpAnswer(421, List.of(), Body.empty()));
+        }
+        ledger.arrived(requestId, id);
+        if (shedding) {
+            return CompletableFuture.completedFuture(
+                    new HttpAnswer(503, List.of(Header.of("x-not-executed", "1")), Body.empty()));
+        }
+        ledger.ran(requestId, id);
+        HttpAnswer answer = new HttpAnswer(
+                200,
+                List.of(Header.of("x-server-seal", "seal-" + id), Header.of("x-request-id", requestId)),
+                Body.of(SoakLedger.answerBody(requestId)));
+        CompletableFuture<HttpAnswer> later = new CompletableFuture<>();
+        int work;
+        synchronized (random) {
+            work = random.nextInt(LONGEST_WORK_MILLIS);
+        }
+        timer.after(Duration.ofMillis(work), () -> later.complete(answer));
+        return later;
+    }
+}
--- a/src/main/java/org/arbutusfield/platform/PlatformMain.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformMain.java
@@ -21,6 +21,9 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(600);
 
+    /** A renewal comes each 1.4 s; a connection that was idle for longer may have gone silent meanwhile. */
+    private static final Duration KEEP_IDLE = Duration.ofSeconds(2);
+
     private PlatformMain() {}
 
     /** Runs the program; arguments are ignored, since one role does all work. */
@@ -41,7 +44,7 @@
     }
 
     private static WatchedStore store(EdgeContext context) {
-        HttpCaller caller = HttpCaller.create(context.group(), CONNECT_TIMEOUT);
+        HttpCaller caller = HttpCaller.reusing(context.group(), CONNECT_TIMEOUT, KEEP_IDLE);
         return PlatformStore.create(
                 caller,
                 context.settings().storeAddress(),
--- /dev/null
+++ b/src/test/java/org/arbutusfield/http/HttpCallerTest.java
@@ -0,0 +1,120 @@
+package org.arbutusfield.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Calls on kept connections, against a peer that answers each connection by a script. */
+class HttpCallerTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(5);
+    private static final Duration SHORT = Duration.ofMillis(200);
+
+    private final EventLoopGroup group = new NioEventLoopGroup(1);
+    private final HttpCaller caller = HttpCaller.reusing(group, PATIENCE, PATIENCE);
+    private final AtomicInteger connections = new AtomicInteger();
+    private ServerSocket server;
+
+    @BeforeEach
+    void bind() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        server.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    /** Answers so many calls on each connection, and then closes it or goes silent. */
+    private void serve(int answers, boolean silent, String connectionHeader) {
+        Thread peer = new Thread(() -> {
+            try {
+                while (true) {
+                    Socket socket = server.accept();
+                    connections.incrementAndGet();
+                    for (int i = 0; i < answers; i++) {
+                        readHead(socket);
+                        String answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + connectionHeader + "\r\nx";
+                        socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                    }
+                    if (!silent) {
+                        socket.close();
+                    }
+                }
+            } catch (IOException e) {
+                // The test is over.
+            }
+        });
+        peer.setDaemon(true);
+        peer.start();
+    }
+
+    private static void readHead(Socket socket) throws IOException {
+        int last = 0;
+        while (true) {
+            int next = socket.getInputStream().read();
+            if (next < 0 || (last == '\n' && next == '\r')) {
+                socket.getInputStream().read();
+                return;
+            }
+            last = next;
+        }
+    }
+
+    private Either<Failure, HttpAnswer> call(String method, Duration timeout) {
+        InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
+        return caller.call(address, HttpCall.of(method, "/x"), timeout).join();
+    }
+
+    @Test
+    void callsShareAConnection() {
+        serve(100, false, "");
+        for (int i = 0; i < 5; i++) {
+            assertThat(call("GET", PATIENCE).get().text()).isEqualTo("x");
+        }
+        assertThat(connections).hasValue(1);
+    }
+
+    @Test
+    void aConnectionThatThePeerDoesNotKeepIsNotUsedAgain() {
+        serve(1, false, "Connection: close\r\n");
+        for (int i = 0; i < 3; i++) {
+            assertThat(call("POST", PATIENCE).isRight()).isTrue();
+        }
+        assertThat(connections).hasValue(3);
+    }
+
+    /** The peer closed or silenced a kept connection; what may be repeated is, and the next call gets a new one. */
+    @ParameterizedTest
+    @CsvSource({
+        "closed, GET,  , 2",
+        "silent, GET,  PEER_TIMEOUT, 1",
+        "silent, POST, PEER_TIMEOUT, 1",
+    })
+    void aKeptConnectionThatBroke(String how, String method, ErrorCode failure, int connectionsUsed) {
+        serve(1, how.equals("silent"), "");
+        assertThat(call("GET", PATIENCE).isRight()).isTrue();
+        Either<Failure, HttpAnswer> second = call(method, SHORT);
+        assertThat(second.isLeft() ? second.getLeft().code() : null).isEqualTo(failure);
+        assertThat(connections).hasValue(connectionsUsed);
+        assertThat(call("GET", PATIENCE).isRight()).isTrue();
+    }
+}
