--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -18,6 +18,7 @@
 import org.arbutusfield.follow.StateBook;
 import org.arbutusfield.follow.SteeringState;
 import org.arbutusfield.follow.StoreFollower;
+import org.arbutusfield.follow.StoreHealth;
 import org.arbutusfield.home.HomeFinder;
 import org.arbutusfield.home.HomeKeeper;
 import org.arbutusfield.home.HomePlanner;
@@ -213,8 +214,9 @@
                 settings.capacity());
         StateBook book = StateBook.create(formats.items(), settings.regions());
         HomeKeeper.start(planner, store, timer);
-        registrar = HostRegistrar.start(store, timer, self);
-        StoreFollower.start(store, timer, book, settings.inForceWithin(), this::install);
+        StoreHealth health = StoreHealth.create();
+        registrar = HostRegistrar.start(store, timer, self, health);
+        StoreFollower.start(store, timer, book, settings.inForceWithin(), health, this::install);
     }
 
     private void install(SteeringState next) {
--- a/src/main/java/org/arbutusfield/edge/EdgeRunner.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeRunner.java
@@ -2,6 +2,8 @@
 
 import io.vavr.control.Either;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -39,14 +41,17 @@
             complain(settings.getLeft());
             return EXIT_SETTINGS;
         }
+        CompletableFuture<EdgeHost> running = new CompletableFuture<>();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(running), "graceful-stop"));
         Either<Failure, EdgeHost> host = starter.apply(settings.get());
         if (host.isLeft()) {
             complain(List.of(host.getLeft()));
+            running.cancel(false);
             return EXIT_FAILED;
         }
+        running.complete(host.get());
         AtomicReference<EdgeSettings> current = new AtomicReference<>(settings.get());
         Signals.on(RELOAD_SIGNAL, () -> reload(reader, host.get(), current));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(host.get()), "graceful-stop"));
         host.get().awaitStop();
         return EXIT_STOPPED;
     }
@@ -73,9 +78,17 @@
         }
     }
 
-    /** Ends the process with status 0 after a graceful stop, where the runtime would report the signal instead. */
-    private static void stop(EdgeHost host) {
-        host.stopGracefully();
+    /**
+     * Ends the process with status 0 after a graceful stop, where the runtime would report the signal instead. A host
+     * that is still starting is stopped once it runs.
+     */
+    private static void stop(CompletableFuture<EdgeHost> running) {
+        Optional<EdgeHost> host = running.handle((started, failure) -> Optional.ofNullable(started))
+                .join();
+        if (host.isEmpty()) {
+            return;
+        }
+        host.get().stopGracefully();
         LogManager.shutdown();
         Runtime.getRuntime().halt(EXIT_STOPPED);
     }
--- a/src/main/java/org/arbutusfield/edge/HostRegistrar.java
+++ b/src/main/java/org/arbutusfield/edge/HostRegistrar.java
@@ -9,6 +9,7 @@
 import org.arbutusfield.follow.HostEntry;
 import org.arbutusfield.follow.HostEntryCodec;
 import org.arbutusfield.follow.SteeringState;
+import org.arbutusfield.follow.StoreHealth;
 import org.arbutusfield.store.WatchedStore;
 import org.arbutusfield.timer.TimerService;
 
@@ -27,21 +28,23 @@
     private final WatchedStore store;
     private final TimerService timer;
     private final HostEntry self;
+    private final StoreHealth health;
     private long lease;
     private long registeredRevision;
     private boolean registered;
     private boolean busy;
     private boolean leaving;
 
-    private HostRegistrar(WatchedStore store, TimerService timer, HostEntry self) {
+    private HostRegistrar(WatchedStore store, TimerService timer, HostEntry self, StoreHealth health) {
         this.store = store;
         this.timer = timer;
         this.self = self;
+        this.health = health;
     }
 
     /** Starts to register the host; everything runs on the timer's thread. */
-    static HostRegistrar start(WatchedStore store, TimerService timer, HostEntry self) {
-        HostRegistrar registrar = new HostRegistrar(store, timer, self);
+    static HostRegistrar start(WatchedStore store, TimerService timer, HostEntry self, StoreHealth health) {
+        HostRegistrar registrar = new HostRegistrar(store, timer, self, health);
         timer.after(Duration.ZERO, registrar::register);
         return registrar;
     }
@@ -110,10 +113,16 @@
             return;
         }
         if (answer.isLeft() && answer.getLeft().code() == ErrorCode.LEASE_LAPSED) {
+            health.answered();
             registered = false;
             register();
             return;
         }
+        if (answer.isRight()) {
+            health.answered();
+        } else {
+            health.failed();
+        }
         timer.after(answer.isRight() ? RENEWAL : RETRY, () -> renew(of));
     }
 }
--- a/src/main/java/org/arbutusfield/follow/StoreFollower.java
+++ b/src/main/java/org/arbutusfield/follow/StoreFollower.java
@@ -20,18 +20,19 @@
  * Keeps a {@link StateBook} current: lists the store once, then watches it, and lists it again when the store no longer
  * knows the changes in between.
  *
- * <p>One watch over all keys is open at a time. After changes the next one waits a little, so that a burst of changes
- * costs few calls. While the store is away the state stays as it was, and calls are repeated ever more slowly up to a
- * limit that lies within the time that a host has to catch up.
+ * <p>One watch over all keys is open at a time. It waits for long, so that it costs little; outages and connections
+ * that went silent are shown by {@link StoreHealth} and by the keep-alive probes of the connection. After changes the
+ * next one waits a little, so that a burst of changes costs few calls. While the store is away the state stays as it
+ * was, and calls are repeated ever more slowly up to a limit that lies within the time that a host has to catch up.
  *
  * <p>Runs on the timer's thread, on which the store's futures must complete too.
  */
 public final class StoreFollower {
     private static final Logger LOG = LogManager.getLogger(StoreFollower.class);
     private static final String EVERYTHING = "";
-    private static final Duration WATCH_WAIT = Duration.ofSeconds(2);
+    private static final Duration WATCH_WAIT = Duration.ofSeconds(6);
     /** Part of the time in which a change must be in force that goes into gathering further changes. */
-    private static final int GATHER_PART = 3;
+    private static final int GATHER_PART = 2;
 
     private static final Duration FIRST_RETRY = Duration.ofMillis(150);
     private static final Duration LAST_RETRY = Duration.ofMillis(900);
@@ -42,23 +43,28 @@
     private final TimerService timer;
     private final StateBook book;
     private final Duration gather;
+    private final StoreHealth health;
     private final Consumer<SteeringState> subscriber;
     private final List<StoreItem> listing = new ArrayList<>();
     private long revision;
     private long listingRevision;
     private int failures;
     private long outageEndNanos;
+    private long watches;
+    private boolean watching;
 
     private StoreFollower(
             WatchedStore store,
             TimerService timer,
             StateBook book,
             Duration inForceWithin,
+            StoreHealth health,
             Consumer<SteeringState> subscriber) {
         this.store = store;
         this.timer = timer;
         this.book = book;
         this.gather = inForceWithin.dividedBy(GATHER_PART);
+        this.health = health;
         this.subscriber = subscriber;
         this.outageEndNanos = timer.nowNanos();
     }
@@ -70,6 +76,7 @@
      * @param timer time, and the thread on which everything runs
      * @param book keeps what is known
      * @param inForceWithin time in which a change must be in force
+     * @param health tells of outages that the watch doesn't show
      * @param subscriber gets each new state
      */
     public static StoreFollower start(
@@ -77,8 +84,10 @@
             TimerService timer,
             StateBook book,
             Duration inForceWithin,
+            StoreHealth health,
             Consumer<SteeringState> subscriber) {
-        StoreFollower follower = new StoreFollower(store, timer, book, inForceWithin, subscriber);
+        StoreFollower follower = new StoreFollower(store, timer, book, inForceWithin, health, subscriber);
+        health.subscribe(follower::outageOver);
         timer.after(Duration.ZERO, follower::list);
         return follower;
     }
@@ -116,7 +125,24 @@
     }
 
     private void watch() {
-        store.watch(EVERYTHING, revision, WATCH_WAIT).thenAccept(this::watchDone);
+        watches++;
+        watching = true;
+        long number = watches;
+        store.watch(EVERYTHING, revision, WATCH_WAIT).thenAccept(answer -> {
+            if (number == watches) {
+                watching = false;
+                watchDone(answer);
+            }
+        });
+    }
+
+    /** Watches anew after an outage that other calls showed; the open watch may have been forgotten by the store. */
+    private void outageOver() {
+        outageEnded();
+        if (watching) {
+            LOG.info("event=watch_renewed revision={}", revision);
+            watch();
+        }
     }
 
     private void watchDone(Either<Failure, ItemChanges> answer) {
@@ -160,15 +186,19 @@
     private void succeeded() {
         if (failures > 0) {
             LOG.info("event=store_regained failures={} revision={}", failures, revision);
-            outageEndNanos = timer.nowNanos() + OUTAGE_TAIL.toNanos();
-            watchGrace();
+            failures = 0;
+            outageEnded();
         }
-        failures = 0;
+    }
+
+    private void outageEnded() {
+        outageEndNanos = timer.nowNanos() + OUTAGE_TAIL.toNanos();
+        watchGrace();
     }
 
     /** True while removed entries may have lapsed in an outage; their removal can be told a little after it. */
     private boolean afterOutage() {
-        return failures > 0 || outageEndNanos - timer.nowNanos() > 0;
+        return failures > 0 || health.lost() || outageEndNanos - timer.nowNanos() > 0;
     }
 
     private void watchGrace() {
--- a/src/main/java/org/arbutusfield/http/HttpCaller.java
+++ b/src/main/java/org/arbutusfield/http/HttpCaller.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -17,6 +18,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import jdk.net.ExtendedSocketOptions;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 
@@ -31,6 +33,8 @@
  */
 public final class HttpCaller {
     private static final int MAX_ANSWER_BYTES = 64 << 20;
+    private static final int PROBE_SECONDS = 1;
+    private static final int PROBES = 1;
 
     private final EventLoopGroup group;
     private final Duration connectTimeout;
@@ -92,7 +96,7 @@
         CompletableFuture<Either<Failure, HttpAnswer>> result = new CompletableFuture<>();
         int connectMillis = (int) Math.min(connectTimeout.toMillis(), timeout.toMillis());
         CallConnection connection = new CallConnection();
-        new Bootstrap()
+        bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.max(1, connectMillis))
@@ -116,6 +120,19 @@
         return result;
     }
 
+    /** A kept connection that went silent is shown by probes, since a call on it may wait for long. */
+    private Bootstrap bootstrap() {
+        Bootstrap bootstrap = new Bootstrap();
+        if (!keepIdle.isZero()) {
+            bootstrap
+                    .option(ChannelOption.SO_KEEPALIVE, true)
+                    .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_SECONDS)
+                    .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_SECONDS)
+                    .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES);
+        }
+        return bootstrap;
+    }
+
     private CompletableFuture<Either<Failure, HttpAnswer>> send(
             CallConnection connection, InetSocketAddress address, HttpCall call, Duration timeout) {
         boolean keep = !keepIdle.isZero();
--- a/src/main/java/org/arbutusfield/lab/soak/FaultProxy.java
+++ b/src/main/java/org/arbutusfield/lab/soak/FaultProxy.java
@@ -90,10 +90,12 @@
     }
 
     private static void reset(Channel channel) {
-        if (channel instanceof SocketChannel socket && channel.isOpen()) {
-            socket.config().setSoLinger(0);
-        }
-        channel.close();
+        channel.eventLoop().execute(() -> {
+            if (channel instanceof SocketChannel socket && channel.isOpen()) {
+                socket.config().setSoLinger(0);
+            }
+            channel.close();
+        });
     }
 
     /** Moves bytes and the end of a connection to its other half. */
--- a/src/main/java/org/arbutusfield/lab/soak/Soak.java
+++ b/src/main/java/org/arbutusfield/lab/soak/Soak.java
@@ -33,6 +33,8 @@
     private static final Duration DRAIN = Duration.ofMillis(2300);
     private static final double SERVED_AGAIN = 0.9;
     private static final String STOP_SIGNAL = "TERM";
+    /** 128 and the number of the signal. */
+    private static final int STOPPED_BY_SIGNAL = 143;
 
     private final SoakPlan plan;
     private final EventLoopGroup group = new NioEventLoopGroup(2);
@@ -253,9 +255,11 @@
         }
     }
 
-    private void checkEnd(SoakHost host) throws InterruptedException {
+    /** A process that is stopped before its program runs ends with the status of the signal; it has served nobody. */
+    private void checkEnd(SoakHost host) throws IOException, InterruptedException {
         int status = host.awaitEnd(STOP_LIMIT);
-        if (status != 0) {
+        boolean tooEarly = status == STOPPED_BY_SIGNAL && !host.hasServed();
+        if (status != 0 && !tooEarly) {
             ledger.broken(Promise.GRACEFUL_STOP, host.name(), "exit status " + status);
         }
     }
--- a/src/main/java/org/arbutusfield/lab/soak/SoakHost.java
+++ b/src/main/java/org/arbutusfield/lab/soak/SoakHost.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -31,6 +32,7 @@
     private final Path log;
     private Process process;
     private int starts;
+    private long logBytesAtStart;
 
     private SoakHost(String name, FaultProxy storeLink, InetSocketAddress callers, Path directory) {
         this.name = name;
@@ -94,6 +96,7 @@
         builder.environment().put("ARBUTUSFIELD_NODE_FILE", settingsFile.toString());
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        logBytesAtStart = Files.exists(log) ? Files.size(log) : 0;
         process = builder.start();
         starts++;
     }
@@ -121,6 +124,13 @@
         return ending.waitFor(limit.toMillis(), TimeUnit.MILLISECONDS) ? ending.exitValue() : -1;
     }
 
+    /** True when this start of the process has come as far as to serve callers. */
+    synchronized boolean hasServed() throws IOException {
+        byte[] lines = Files.readAllBytes(log);
+        int from = (int) Math.min(logBytesAtStart, lines.length);
+        return new String(lines, from, lines.length - from, StandardCharsets.UTF_8).contains("event=host_started");
+    }
+
     /** Ends the process for good. */
     synchronized void destroy() {
         if (process != null) {
--- a/src/test/java/org/arbutusfield/follow/StoreFollowerTest.java
+++ b/src/test/java/org/arbutusfield/follow/StoreFollowerTest.java
@@ -29,6 +29,7 @@
 
     private final VirtualTimer timer = VirtualTimer.create();
     private final ScriptedStore store = new ScriptedStore();
+    private final StoreHealth health = StoreHealth.create();
     private SteeringState state = SteeringState.empty();
 
     /** Answers by switches; a watch without news is answered when the test says so. */
@@ -102,7 +103,7 @@
             store.items.add(item(key));
         }
         StateBook book = StateBook.create(StoreFollowerTest::decode, Map.of("gulf-a", "gulf"));
-        StoreFollower.start(store, timer, book, IN_FORCE, next -> state = next);
+        StoreFollower.start(store, timer, book, IN_FORCE, health, next -> state = next);
         timer.advance(Duration.ofMillis(1));
     }
 
@@ -128,7 +129,7 @@
         store.tell(removed("a"));
         assertThat(names()).containsExactly("b");
         assertThat(store.watches).hasSize(1);
-        timer.advance(IN_FORCE.dividedBy(3).plusMillis(1));
+        timer.advance(IN_FORCE.dividedBy(2).plusMillis(1));
         assertThat(store.watches).hasSize(2);
     }
 
@@ -160,4 +161,29 @@
         timer.advance(Duration.ofMillis(2200));
         assertThat(names()).containsExactly("b");
     }
+
+    /** An outage in which the open watch neither fails nor hears anything, because the store has forgotten it. */
+    @Test
+    void anOutageThatOnlyOtherCallsShow() {
+        start("a", "b");
+        health.failed();
+        timer.advance(Duration.ofSeconds(2));
+        health.answered();
+        assertThat(store.watches).hasSize(2);
+        store.watches.get(0).complete(removed("b"));
+        assertThat(names()).as("the forgotten watch is ignored").containsExactly("a", "b");
+        store.tell(removed("a"));
+        assertThat(names()).as("in its grace").containsExactly("a", "b");
+        timer.advance(Duration.ofMillis(2200));
+        assertThat(names()).containsExactly("b");
+    }
+
+    /** What lapsed in an outage is told by a watch that survived it, before any other call is answered. */
+    @Test
+    void aWatchThatSurvivesAnOutage() {
+        start("a", "b");
+        health.failed();
+        store.tell(removed("a"));
+        assertThat(names()).as("in its grace").containsExactly("a", "b");
+    }
 }
