A shed on a kept connection excludes its upstream; settings follow their file

A statement is an answer, so the connection works and the upstream is full. (2) The settings file may change without a signal; only the signal was heard.

Change: TryHistory tells what the place stated from what the connection lost.

Ruled out: excluding the place after any failure on a kept connection; a connection that the upstream closed while idle says nothing about it.

--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -108,6 +108,11 @@
         return started;
     }
 
+    /** Time, and the thread on which the host's decisions run. */
+    TimerService timer() {
+        return timer;
+    }
+
     /** Takes over changed settings; addresses and names stay as they were at the start. */
     public void reload(EdgeSettings changed) {
         settings = changed;
--- a/src/main/java/org/arbutusfield/edge/EdgeRunner.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeRunner.java
@@ -1,12 +1,12 @@
 package org.arbutusfield.edge;
 
 import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
-import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.Failure;
@@ -22,21 +22,24 @@
 
     private static final Logger LOG = LogManager.getLogger(EdgeRunner.class);
     private static final String RELOAD_SIGNAL = "HUP";
+    private static final Duration SETTINGS_CHECK = Duration.ofSeconds(2);
 
     private EdgeRunner() {}
 
     /**
-     * Runs a host until it is stopped.
+     * Runs a host until it is stopped. Settings are read again on the signal to reload, and when their file changes.
      *
-     * @param reader reads the settings anew each time
+     * @param file the settings file
+     * @param reader reads it anew each time
      * @param starter starts the host
      * @return the exit code
      */
     public static int run(
-            Supplier<Either<List<Failure>, EdgeSettings>> reader,
+            Path file,
+            Function<Path, Either<List<Failure>, EdgeSettings>> reader,
             Function<EdgeSettings, Either<Failure, EdgeHost>> starter)
             throws InterruptedException {
-        Either<List<Failure>, EdgeSettings> settings = reader.get();
+        Either<List<Failure>, EdgeSettings> settings = reader.apply(file);
         if (settings.isLeft()) {
             complain(settings.getLeft());
             return EXIT_SETTINGS;
@@ -50,8 +53,9 @@
             return EXIT_FAILED;
         }
         running.complete(host.get());
-        AtomicReference<EdgeSettings> current = new AtomicReference<>(settings.get());
-        Signals.on(RELOAD_SIGNAL, () -> reload(reader, host.get(), current));
+        SettingsReload reload = SettingsReload.of(file, reader, settings.get(), host.get()::reload);
+        Signals.on(RELOAD_SIGNAL, reload::readAgain);
+        host.get().timer().every(SETTINGS_CHECK, reload::readIfChanged);
         host.get().awaitStop();
         return EXIT_STOPPED;
     }
@@ -62,22 +66,6 @@
                 f -> LOG.error("event=start_failed code={} subject={} detail={}", f.code(), f.subject(), f.detail()));
     }
 
-    private static void reload(
-            Supplier<Either<List<Failure>, EdgeSettings>> reader,
-            EdgeHost host,
-            AtomicReference<EdgeSettings> current) {
-        Either<List<Failure>, EdgeSettings> read = reader.get();
-        if (read.isLeft()) {
-            read.getLeft()
-                    .forEach(f -> LOG.error(
-                            "event=reload_failed code={} subject={} detail={}", f.code(), f.subject(), f.detail()));
-            return;
-        }
-        if (!read.get().equals(current.getAndSet(read.get()))) {
-            host.reload(read.get());
-        }
-    }
-
     /**
      * Ends the process with status 0 after a graceful stop, where the runtime would report the signal instead. A host
      * that is still starting is stopped once it runs.
--- a/src/main/java/org/arbutusfield/platform/PlatformMain.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformMain.java
@@ -35,7 +35,7 @@
             return;
         }
         Path path = Path.of(file);
-        System.exit(EdgeRunner.run(() -> EdgeSettingsReader.read(path), PlatformMain::start));
+        System.exit(EdgeRunner.run(path, EdgeSettingsReader::read, PlatformMain::start));
     }
 
     /** Starts a host with the platform's formats and store. */
--- a/src/main/java/org/arbutusfield/proxy/TryHistory.java
+++ b/src/main/java/org/arbutusfield/proxy/TryHistory.java
@@ -44,12 +44,14 @@
         tries++;
     }
 
-    /** A try ended before any answer. */
+    /** A try ended without an answer to pass on. */
     void failed(Attempt by, Failure failure, boolean notRun) {
         runs += notRun ? 0 : 1;
         lastFailure = Optional.of(failure);
-        freshOnly |= by.onReusedConnection();
-        if (!by.onReusedConnection()) {
+        boolean statedByPlace = notRun && by.sent();
+        boolean connectionAtFault = by.onReusedConnection() && !statedByPlace;
+        freshOnly |= connectionAtFault;
+        if (!connectionAtFault) {
             tried.add(by.placed().name());
         }
     }
--- a/src/test/java/org/arbutusfield/edge/EdgeSettingsReaderTest.java
+++ b/src/test/java/org/arbutusfield/edge/EdgeSettingsReaderTest.java
@@ -14,7 +14,7 @@
 
 /** Settings files of an edge host, valid and not. */
 class EdgeSettingsReaderTest {
-    private static final String VALID = """
+    static final String VALID = """
             {"name": "h", "region": "gulf", "failureDomain": "gulf-a", "callerAddress": "127.0.0.1:1",
              "readyAddress": "127.0.0.1:2", "lookupAddress": "127.0.0.1:3", "controlAddress": "127.0.0.1:4",
              "metricsAddress": "127.0.0.1:5", "storeAddress": "127.0.0.1:6", "regions": {"gulf-a": "gulf"},
--- a/src/test/java/org/arbutusfield/platform/PlatformPathTest.java
+++ b/src/test/java/org/arbutusfield/platform/PlatformPathTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import org.arbutusfield.edge.EdgeHost;
 import org.arbutusfield.edge.EdgeSettings;
@@ -221,6 +222,27 @@
         assertThat(runs).doesNotContainKey("1");
     }
 
+    /** A server that begins to shed is not asked again on the connection that it keeps. */
+    @Test
+    void aShedOnAKeptConnectionMovesTheRequestToAnotherServer() {
+        configure(4, "idempotent");
+        AtomicReference<String> what = new AtomicReference<>("answer");
+        AtomicInteger arrivals = new AtomicInteger();
+        HttpListener first = HttpListener.bind(group, ANY, 1 << 20, call -> {
+                    arrivals.incrementAndGet();
+                    return CompletableFuture.completedFuture(answer("i-1", what.get(), call));
+                })
+                .get();
+        enter("i-1", first.address());
+        eventually(() -> request("warm", "/p/x").status() == 200);
+        enter("i-2", server("i-2", "answer").address());
+        eventually(() -> store.calls("/kv-watch") > 2);
+        what.set("shed");
+        int before = arrivals.get();
+        assertThat(request("1", "/p/x").text()).startsWith("i-2");
+        assertThat(arrivals.get() - before).isLessThanOrEqualTo(1);
+    }
+
     /** The state stays in force through each trouble of the store, and a change made meanwhile is seen after it. */
     @ParameterizedTest
     @CsvSource({"SILENT", "BUSY", "LIMITED", "LOST_ANSWERS", "DEAF_WATCHES"})
