A reload signal during the start no longer ends the process

The handler was set after the start, and the signal's default ends a process (status 129; the log shows no host_started for that start).

Change: both handlers come first, before the settings are read; the process says process_started then. A reload that comes before there is a host does nothing, since the file is looked at each 2 s anyway. The soak takes the status of a signal as allowed only while this line is missing: before the program runs no program can handle a signal; such a process is started again, as the platform does.

--- a/src/main/java/org/arbutusfield/edge/EdgeRunner.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeRunner.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -39,13 +40,15 @@
             Function<Path, Either<List<Failure>, EdgeSettings>> reader,
             Function<EdgeSettings, Either<Failure, EdgeHost>> starter)
             throws InterruptedException {
+        CompletableFuture<EdgeHost> running = new CompletableFuture<>();
+        AtomicReference<Runnable> onReload = new AtomicReference<>(() -> {});
+        handleSignals(running, onReload);
         Either<List<Failure>, EdgeSettings> settings = reader.apply(file);
         if (settings.isLeft()) {
             complain(settings.getLeft());
+            running.cancel(false);
             return EXIT_SETTINGS;
         }
-        CompletableFuture<EdgeHost> running = new CompletableFuture<>();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(running), "graceful-stop"));
         Either<Failure, EdgeHost> host = starter.apply(settings.get());
         if (host.isLeft()) {
             complain(List.of(host.getLeft()));
@@ -54,12 +57,19 @@
         }
         running.complete(host.get());
         SettingsReload reload = SettingsReload.of(file, reader, settings.get(), host.get()::reload);
-        Signals.on(RELOAD_SIGNAL, reload::readAgain);
+        onReload.set(reload::readAgain);
         host.get().timer().every(SETTINGS_CHECK, reload::readIfChanged);
         host.get().awaitStop();
         return EXIT_STOPPED;
     }
 
+    /** Comes first, because the default of these signals ends the process, and they may come while it starts. */
+    private static void handleSignals(CompletableFuture<EdgeHost> running, AtomicReference<Runnable> onReload) {
+        Signals.on(RELOAD_SIGNAL, () -> onReload.get().run());
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(running), "graceful-stop"));
+        LOG.info("event=process_started pid={}", ProcessHandle.current().pid());
+    }
+
     /** Logs each failure. */
     public static void complain(List<Failure> failures) {
         failures.forEach(
--- a/src/main/java/org/arbutusfield/lab/soak/Soak.java
+++ b/src/main/java/org/arbutusfield/lab/soak/Soak.java
@@ -34,7 +34,9 @@
     private static final double SERVED_AGAIN = 0.9;
     private static final String STOP_SIGNAL = "TERM";
     /** 128 and the number of the signal. */
-    private static final int STOPPED_BY_SIGNAL = 143;
+    private static final int ENDED_BY_STOP_SIGNAL = 143;
+
+    private static final int ENDED_BY_RELOAD_SIGNAL = 129;
 
     private final SoakPlan plan;
     private final EventLoopGroup group = new NioEventLoopGroup(2);
@@ -154,7 +156,7 @@
                 case HOST_KILL -> kill(host);
                 case HOST_STOP -> stopAndStart(host);
                 case HOST_PAUSE -> pause(host, fault);
-                case HOST_RELOAD -> host.signal("HUP");
+                case HOST_RELOAD -> reload(host);
                 case ROUTES_CHANGE -> routes.change();
                 default -> throw new IllegalStateException(fault.toString());
             }
@@ -245,6 +247,19 @@
         }
     }
 
+    /** A process that gets the signal before its program runs ends, and is started again as the platform would. */
+    private void reload(SoakHost host) throws IOException, InterruptedException {
+        synchronized (host) {
+            host.signal("HUP");
+            boolean ended = host.awaitEnd(DOWN) == ENDED_BY_RELOAD_SIGNAL;
+            if (ended && !host.handlesSignals()) {
+                Runnable over = disruptions.begin(host.name());
+                host.start();
+                over.run();
+            }
+        }
+    }
+
     private void pause(SoakHost host, SoakFault fault) throws IOException, InterruptedException {
         synchronized (host) {
             Runnable over = disruptions.begin(host.name());
@@ -258,7 +273,7 @@
     /** A process that is stopped before its program runs ends with the status of the signal; it has served nobody. */
     private void checkEnd(SoakHost host) throws IOException, InterruptedException {
         int status = host.awaitEnd(STOP_LIMIT);
-        boolean tooEarly = status == STOPPED_BY_SIGNAL && !host.hasServed();
+        boolean tooEarly = status == ENDED_BY_STOP_SIGNAL && !host.handlesSignals();
         if (status != 0 && !tooEarly) {
             ledger.broken(Promise.GRACEFUL_STOP, host.name(), "exit status " + status);
         }
--- a/src/main/java/org/arbutusfield/lab/soak/SoakHost.java
+++ b/src/main/java/org/arbutusfield/lab/soak/SoakHost.java
@@ -124,11 +124,11 @@
         return ending.waitFor(limit.toMillis(), TimeUnit.MILLISECONDS) ? ending.exitValue() : -1;
     }
 
-    /** True when this start of the process has come as far as to serve callers. */
-    synchronized boolean hasServed() throws IOException {
+    /** True when this start of the process has come as far as to handle signals. */
+    synchronized boolean handlesSignals() throws IOException {
         byte[] lines = Files.readAllBytes(log);
         int from = (int) Math.min(logBytesAtStart, lines.length);
-        return new String(lines, from, lines.length - from, StandardCharsets.UTF_8).contains("event=host_started");
+        return new String(lines, from, lines.length - from, StandardCharsets.UTF_8).contains("event=process_started");
     }
 
     /** Ends the process for good. */
