Large answers come from far when nobody near can serve them

Large answers are kept within the caller's region whenever it has an upstream, also when that one is cold, drains in a moment or has just failed the request.

Change: where none of the near upstreams can take the request, all that its route allows are considered.

Ruled out: the retry budget (it was the first try); an unknown configuration (other requests of that host were served then).

Test: SteeringPlacementTest#aLargeAnswerComesFromFarWhenNobodyNearCanServeIt, two of its four rows failed first.

--- a/src/main/java/org/arbutusfield/steer/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steer/SteeringPlacement.java
@@ -33,6 +33,7 @@
  */
 public final class SteeringPlacement implements Placement {
     private static final Duration NO_UPSTREAM_WAIT = Duration.ofMillis(400);
+    private static final String EVERYWHERE = "";
 
     private final String region;
     private final Supplier<SteeringState> state;
@@ -116,7 +117,7 @@
         SteeringState now = state.get();
         Optional<LiveUpstream> atHome = home.flatMap(
                         name -> now.upstream(facts.service().name(), name))
-                .filter(upstream -> allowed(facts, object, upstream, now))
+                .filter(upstream -> allowed(regionOf(object), facts, upstream, now))
                 .filter(upstream -> !suspicions.suspected(upstream.name(), timer.nowNanos()));
         if (atHome.isPresent()) {
             return placed(facts, object, now, atHome.get(), new Decision(Choice.Reason.HOME, home, 1));
@@ -155,19 +156,25 @@
                 && route.allows(region)
                 && state.get().upstreams(service).stream()
                         .anyMatch(upstream -> upstream.region().equals(region));
-        ObjectGroup group = new ObjectGroup(service, route.name(), near ? region : "");
+        ObjectGroup group = new ObjectGroup(service, route.name(), near ? region : EVERYWHERE);
         long key = ObjectAffinity.keyOf(
                 route.name() + group.region(), facts.objectKey().get());
         return Optional.of(new ObjectInGroup(group, key));
     }
 
-    /** The upstreams that may serve the request; those that failed this host lately only if there are no others. */
+    /** The upstreams that may serve the request: those near its object, or all when none of them can. */
     private List<LiveUpstream> candidates(RequestFacts facts, Optional<ObjectInGroup> object, SteeringState now) {
+        List<LiveUpstream> near = candidatesWithin(regionOf(object), facts, now);
+        return near.isEmpty() ? candidatesWithin(EVERYWHERE, facts, now) : near;
+    }
+
+    /** Upstreams in a region; those that failed this host lately only if there are no others. */
+    private List<LiveUpstream> candidatesWithin(String within, RequestFacts facts, SteeringState now) {
         List<LiveUpstream> allowed = new ArrayList<>();
         List<LiveUpstream> trusted = new ArrayList<>();
         long nanos = timer.nowNanos();
         for (LiveUpstream upstream : now.upstreams(facts.service().name())) {
-            if (!allowed(facts, object, upstream, now)) {
+            if (!allowed(within, facts, upstream, now)) {
                 continue;
             }
             allowed.add(upstream);
@@ -178,11 +185,13 @@
         return trusted.isEmpty() ? allowed : trusted;
     }
 
-    /** True when route, object and warmth let the upstream serve the request, and it was not tried before. */
-    private boolean allowed(
-            RequestFacts facts, Optional<ObjectInGroup> object, LiveUpstream upstream, SteeringState now) {
-        String within = object.map(o -> o.group().region()).orElse("");
-        boolean near = within.isEmpty() || upstream.region().equals(within);
+    private static String regionOf(Optional<ObjectInGroup> object) {
+        return object.map(o -> o.group().region()).orElse(EVERYWHERE);
+    }
+
+    /** True when region, route and warmth let the upstream serve the request, and it was not tried before. */
+    private boolean allowed(String within, RequestFacts facts, LiveUpstream upstream, SteeringState now) {
+        boolean near = within.equals(EVERYWHERE) || upstream.region().equals(within);
         return near && mayServe(facts, upstream) && warmEnough(upstream, now, timer.nowNanos());
     }
 
--- /dev/null
+++ b/src/test/java/org/arbutusfield/steer/SteeringPlacementTest.java
@@ -0,0 +1,112 @@
+package org.arbutusfield.steer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.follow.LiveUpstream;
+import org.arbutusfield.follow.SteeringState;
+import org.arbutusfield.home.HomeFinder;
+import org.arbutusfield.home.HomePlanner;
+import org.arbutusfield.lookup.Rendezvous;
+import org.arbutusfield.model.RequestClass;
+import org.arbutusfield.model.Service;
+import org.arbutusfield.model.Upstream;
+import org.arbutusfield.proxy.Placed;
+import org.arbutusfield.proxy.RequestFacts;
+import org.arbutusfield.route.Route;
+import org.arbutusfield.route.Share;
+import org.arbutusfield.timer.VirtualTimer;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Where a large answer comes from when the upstreams near its caller can't serve it. */
+class SteeringPlacementTest {
+    private static final Duration COLD = Duration.ofSeconds(3);
+
+    private final VirtualTimer timer = VirtualTimer.create();
+
+    private static LiveUpstream upstream(String name, String region, long coldUntilNanos) {
+        Upstream upstream = new Upstream(name, "vault", region + "-a", "127.0.0.1", 1, 3, 10);
+        return new LiveUpstream(upstream, region, coldUntilNanos, 0, Rendezvous.hash(name));
+    }
+
+    private static Route download(Set<String> regions) {
+        return new Route(
+                "r",
+                "h",
+                "/",
+                true,
+                true,
+                Duration.ofSeconds(2),
+                Duration.ofMillis(400),
+                2,
+                2,
+                regions,
+                true,
+                List.of(new Share("vault", 1)));
+    }
+
+    private static RequestFacts request(Set<String> tried, Route route) {
+        RequestClass requestClass = new RequestClass("r", List.of(), "/", true, true, 2_000);
+        Service service = new Service("vault", 0, 0, 0, List.of(requestClass), List.of());
+        return new RequestFacts(
+                "1",
+                service,
+                requestClass,
+                "GET",
+                "/",
+                Duration.ofSeconds(2),
+                new InetSocketAddress(0),
+                0,
+                tried,
+                Optional.of(route),
+                Optional.of("17"));
+    }
+
+    private String placedAt(SteeringState state, RequestFacts request) {
+        HomePlanner planner = HomePlanner.create(() -> state, timer);
+        HomeFinder homes = HomeFinder.start(
+                "h",
+                () -> state,
+                (peer, message, timeout) ->
+                        CompletableFuture.completedFuture(Either.left(Failure.of(ErrorCode.PEER_TIMEOUT))),
+                planner,
+                timer);
+        RetryShare retries = RetryShare.create(new RetryBounds(0.2, COLD, 10, 2), () -> 1, timer);
+        SteeringPlacement placement =
+                SteeringPlacement.create("h", "near", () -> state, homes, retries, (facts, choice) -> {}, timer);
+        Either<Failure, Placed> placed = placement.place(request).join();
+        return placed.fold(failure -> failure.code().name(), Placed::name);
+    }
+
+    /** The pattern of an uneven region, whose only upstream of a service is cold, or has just failed the request. */
+    @ParameterizedTest
+    @CsvSource({
+        "warm, '',  '',   u-near",
+        "cold, '',  '',   u-far",
+        "warm, u-near, '', u-far",
+        "cold, '',  near, NO_UPSTREAM",
+    })
+    void aLargeAnswerComesFromFarWhenNobodyNearCanServeIt(String near, String tried, String only, String expected) {
+        long coldUntil = near.equals("cold") ? timer.nowNanos() + COLD.toNanos() : timer.nowNanos();
+        SteeringState state = new SteeringState(
+                Optional.empty(),
+                Map.of("vault", List.of(upstream("u-far", "far", 0), upstream("u-near", "near", coldUntil))),
+                Set.of(),
+                List.of(),
+                Map.of(),
+                1);
+        Set<String> regions = only.isEmpty() ? Set.of() : Set.of(only);
+        Set<String> before = tried.isEmpty() ? Set.of() : Set.of(tried);
+        assertThat(placedAt(state, request(before, download(regions)))).isEqualTo(expected);
+    }
+}
