--- a/src/main/java/org/arbutusfield/home/KnownHomes.java
+++ b/src/main/java/org/arbutusfield/home/KnownHomes.java
@@ -13,7 +13,7 @@
  * <p>Runs on one event loop.
  */
 final class KnownHomes {
-    /** More are forgotten; the planner tells those in use again. */
+    /** When there are more, all are forgotten, and this host asks anew for those in use. */
     private static final int MOST = 20_000;
 
     private final Map<Long, String> homes = new HashMap<>();
