--- a/src/main/java/org/arbutusfield/lab/soak/Soak.java
+++ b/src/main/java/org/arbutusfield/lab/soak/Soak.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.arbutusfield.lab.platform.KeyValueStandIn;
@@ -44,7 +45,7 @@
     private final Disruptions disruptions = new Disruptions();
     private final SoakLedger ledger = SoakLedger.of(disruptions);
     private final SoakTally tally = SoakTally.create();
-    private final List<SoakHost> hosts = new ArrayList<>();
+    private final List<SoakHost> hosts = new CopyOnWriteArrayList<>();
     private final List<SoakUpstream> upstreams = new ArrayList<>();
     private final List<SoakCaller> callers = new ArrayList<>();
     private final List<Thread> threads = new ArrayList<>();
@@ -69,6 +70,8 @@
      */
     public static SoakReport run(SoakPlan plan, Path directory) throws IOException, InterruptedException {
         try (Soak soak = new Soak(plan)) {
+            // An interrupted run must not leave processes behind.
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> soak.hosts.forEach(SoakHost::destroy), "soak-end"));
             soak.startAll(directory);
             soak.injectFaults();
             soak.checkRecovery();
