--- a/src/main/java/org/arbutusfield/lab/soak/Disruptions.java
+++ b/src/main/java/org/arbutusfield/lab/soak/Disruptions.java
@@ -17,6 +17,13 @@
 
     private final Map<String, List<Span>> spans = new ConcurrentHashMap<>();
 
+    private Disruptions() {}
+
+    /** Nothing harmed yet. */
+    static Disruptions none() {
+        return new Disruptions();
+    }
+
     /** One time in which a part was harmed; monotonic nanoseconds. */
     private static final class Span {
         private final long from;
--- a/src/main/java/org/arbutusfield/lab/soak/Soak.java
+++ b/src/main/java/org/arbutusfield/lab/soak/Soak.java
@@ -42,7 +42,7 @@
     private final SoakPlan plan;
     private final EventLoopGroup group = new NioEventLoopGroup(2);
     private final SystemTimer timer = SystemTimer.start();
-    private final Disruptions disruptions = new Disruptions();
+    private final Disruptions disruptions = Disruptions.none();
     private final SoakLedger ledger = SoakLedger.of(disruptions);
     private final SoakTally tally = SoakTally.create();
     private final List<SoakHost> hosts = new CopyOnWriteArrayList<>();
@@ -76,7 +76,11 @@
             soak.injectFaults();
             soak.checkRecovery();
             soak.stopAll();
-            return new SoakReport(soak.ledger.requests(), soak.tally.servedSoFar(), soak.ledger.violations());
+            return new SoakReport(
+                    soak.ledger.requests(),
+                    soak.tally.servedSoFar(),
+                    soak.tally.closeFailuresSoFar(),
+                    soak.ledger.violations());
         }
     }
 
--- a/src/main/java/org/arbutusfield/lab/soak/SoakCaller.java
+++ b/src/main/java/org/arbutusfield/lab/soak/SoakCaller.java
@@ -16,6 +16,8 @@
     private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
+    private static final int DEADLINE_MILLIS = 2000;
+    private static final String BOOKING = "book";
     private static final int PAUSE_MILLIS = 60;
     private static final int OBJECTS = 12;
     private static final int STAY_MOST = 60;
@@ -110,11 +112,7 @@
         ledger.sending(new SoakLedger.Sent(id, host.name(), repeatable, sentNanos));
         tally.sent();
         try {
-            Answer answer =
-                    connection.exchange((repeatable ? "GET " : "POST ") + target + " HTTP/1.1\r\nHost: soak.example"
-                            + "\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 2000\r\nX-Affinity-Key: "
-                            + random.nextInt(OBJECTS) + (repeatable ? "" : "\r\nContent-Length: 4") + "\r\n\r\n"
-                            + (repeatable ? "" : "book"));
+            Answer answer = connection.exchange(requestText(repeatable, target, id));
             judge(id, answer);
             judgeVersion(id, answer.status(), version, start, sentNanos);
             if (!answer.keepsConnection()) {
@@ -123,12 +121,24 @@
         } catch (IOException e) {
             long after = System.nanoTime() - sentNanos;
             if (after > CROSSING_NANOS && ledger.calmBut(host.name(), sentNanos)) {
-                ledger.broken(Promise.GRACEFUL_STOP, id, host.name() + " closed after " + after / 1_000_000 + " ms");
+                ledger.broken(
+                        Promise.GRACEFUL_STOP,
+                        id,
+                        host.name() + " closed after " + TimeUnit.NANOSECONDS.toMillis(after) + " ms");
             }
             throw e;
         }
     }
 
+    private String requestText(boolean repeatable, String target, String id) {
+        String head = (repeatable ? "GET " : "POST ") + target + " HTTP/1.1\r\n"
+                + "Host: soak.example\r\n"
+                + "X-Request-Id: " + id + "\r\n"
+                + "X-Deadline-Ms: " + DEADLINE_MILLIS + "\r\n"
+                + "X-Affinity-Key: " + random.nextInt(OBJECTS) + "\r\n";
+        return repeatable ? head + "\r\n" : head + "Content-Length: " + BOOKING.length() + "\r\n\r\n" + BOOKING;
+    }
+
     private void judge(String id, Answer answer) {
         boolean proved = answer.headers().containsKey("x-server-seal");
         if (answer.status() == OK) {
--- a/src/main/java/org/arbutusfield/lab/soak/SoakLedger.java
+++ b/src/main/java/org/arbutusfield/lab/soak/SoakLedger.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.arbutusfield.lab.soak.Violation.Promise;
 
@@ -73,7 +74,10 @@
                 && disruptions.calm(Disruptions.STORE, STABLE, drained, now)
                 && disruptions.calm(Disruptions.UPSTREAMS, STABLE, request.atNanos(), now);
         if (bound) {
-            broken(Promise.DRAINED, id, upstream + " " + (now - drained) / 1_000_000 + " ms after it drained");
+            broken(
+                    Promise.DRAINED,
+                    id,
+                    upstream + " " + TimeUnit.NANOSECONDS.toMillis(now - drained) + " ms after it drained");
         }
     }
 
--- a/src/main/java/org/arbutusfield/lab/soak/SoakReport.java
+++ b/src/main/java/org/arbutusfield/lab/soak/SoakReport.java
@@ -7,6 +7,7 @@
  *
  * @param requests requests that callers sent
  * @param served requests that were answered with success
+ * @param closeFailures connections that callers could not close
  * @param violations promises that were broken
  */
-public record SoakReport(int requests, int served, List<Violation> violations) {}
+public record SoakReport(int requests, int served, int closeFailures, List<Violation> violations) {}
--- a/src/main/java/org/arbutusfield/lab/soak/SoakTally.java
+++ b/src/main/java/org/arbutusfield/lab/soak/SoakTally.java
@@ -33,4 +33,8 @@
     int servedSoFar() {
         return served.get();
     }
+
+    int closeFailuresSoFar() {
+        return closeFailures.get();
+    }
 }
