Test of failing servers: routes are written after both servers

The host had listed the store between the entries of the two servers, so it knew the routes and only the server that fails; the test went on as soon as an answer was not 503, which that server's 502 is.

Change: the routes are written last; a host that has them has read both entries before, since the store tells changes in their order. The assertions are as they were.

--- a/src/test/java/org/arbutusfield/platform/PlatformPathTest.java
+++ b/src/test/java/org/arbutusfield/platform/PlatformPathTest.java
@@ -197,9 +197,10 @@
         "unproved,    non_idempotent, 502, 1",
     })
     void aServerThatFails(String what, String kind, int status, int mostRuns) {
-        configure(4, kind);
         enter("i-1", server("i-1", what).address());
         enter("i-2", server("i-2", "answer").address());
+        // Written last, so that a host that has the routes knows both servers.
+        configure(4, kind);
         eventually(() -> request("warm", "/p/x").status() != 503);
         for (int i = 0; i < 5; i++) {
             String id = "r" + i;
