--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -19,9 +19,8 @@
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.http.HttpServer;
 import org.arbutusfield.misc.Addresses;
-import org.arbutusfield.model.Configuration;
 import org.arbutusfield.model.Upstream;
-import org.arbutusfield.observe.RequestMeter;
+import org.arbutusfield.observe.RequestMetrics;
 import org.arbutusfield.proxy.IdempotencyGuard;
 import org.arbutusfield.proxy.LocalHandler;
 import org.arbutusfield.proxy.ProxyComponents;
@@ -197,9 +196,7 @@
     }
 
     private RequestObserver observer() {
-        RequestMeter meter =
-                RequestMeter.create(settings.name(), 0, settings.region(), registry, Configuration::empty, timer);
-        return new CompositeRequestObserver(log, meter);
+        return new CompositeRequestObserver(log, RequestMetrics.of(registry));
     }
 
     private Either<Failure, EdgeHost> openEndpoints() {
--- a/src/main/java/org/arbutusfield/log/LineFormat.java
+++ b/src/main/java/org/arbutusfield/log/LineFormat.java
@@ -1,8 +1,5 @@
 package org.arbutusfield.log;
 
-import java.time.Instant;
-import java.time.format.DateTimeFormatter;
-import java.time.format.DateTimeFormatterBuilder;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.core.LogEvent;
 
@@ -10,10 +7,6 @@
  * Formats each event as one line: time, level, the message's {@code key=value} pairs, and the error if there is one.
  */
 final class LineFormat {
-    private static final int MILLIS_DIGITS = 3;
-    private static final DateTimeFormatter TIME =
-            new DateTimeFormatterBuilder().appendInstant(MILLIS_DIGITS).toFormatter();
-
     private LineFormat() {}
 
     static String line(LogEvent event) {
@@ -24,8 +17,7 @@
     }
 
     static String line(long timeMillis, Level level, String message, String suffix) {
-        return "ts=" + TIME.format(Instant.ofEpochMilli(timeMillis)) + " level=" + level + ' ' + escapeLineEnds(message)
-                + suffix + '\n';
+        return "ts=" + UtcTime.format(timeMillis) + " level=" + level + ' ' + escapeLineEnds(message) + suffix + '\n';
     }
 
     private static String messageOrClassName(Throwable error) {
--- a/src/main/java/org/arbutusfield/observe/RequestMeter.java
+++ b/src/main/java/org/arbutusfield/observe/RequestMeter.java
@@ -1,8 +1,6 @@
 package org.arbutusfield.observe;
 
-import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
-import io.micrometer.core.instrument.Timer;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -27,13 +25,10 @@
     private final String host;
     private final long incarnation;
     private final String region;
-    private final MeterRegistry registry;
+    private final RequestMetrics metrics;
     private final Supplier<Configuration> configurationInForce;
     private final TimerService timer;
     private final Map<ObjectiveKey, BurnCounter> counters = new ConcurrentHashMap<>();
-    private final Map<RequestKey, Counter> requests = new ConcurrentHashMap<>();
-    private final Map<String, Counter> retries = new ConcurrentHashMap<>();
-    private final Map<ClassKey, Timer> timers = new ConcurrentHashMap<>();
 
     private RequestMeter(
             String host,
@@ -45,7 +40,7 @@
         this.host = host;
         this.incarnation = incarnation;
         this.region = region;
-        this.registry = registry;
+        this.metrics = RequestMetrics.of(registry);
         this.configurationInForce = configurationInForce;
         this.timer = timer;
     }
@@ -72,7 +67,7 @@
 
     @Override
     public void finished(RequestRecord request) {
-        countMetrics(request);
+        metrics.finished(request);
         objective(request.service(), request.requestClass())
                 .ifPresent(objective -> countAgainstObjective(request, objective));
     }
@@ -85,40 +80,6 @@
         return new HostBurn(host, incarnation, rows);
     }
 
-    private void countMetrics(RequestRecord request) {
-        String failure = request.failure().map(Enum::name).orElse("none");
-        RequestKey key = new RequestKey(request.service(), request.requestClass(), request.outcome(), failure);
-        requests.computeIfAbsent(key, this::requestCounter).increment();
-        if (request.retries() > 0) {
-            retries.computeIfAbsent(request.service(), this::retryCounter).increment(request.retries());
-        }
-        if (request.outcome() == RequestRecord.Result.WHOLE) {
-            timers.computeIfAbsent(new ClassKey(request.service(), request.requestClass()), this::requestTimer)
-                    .record(request.totalNanos(), TimeUnit.NANOSECONDS);
-        }
-    }
-
-    private Counter requestCounter(RequestKey key) {
-        return Counter.builder("arbutusfield.requests")
-                .tag("service", key.service())
-                .tag("class", key.requestClass())
-                .tag("outcome", key.outcome().name())
-                .tag("failure", key.failure())
-                .register(registry);
-    }
-
-    private Counter retryCounter(String service) {
-        return Counter.builder("arbutusfield.retries").tag("service", service).register(registry);
-    }
-
-    private Timer requestTimer(ClassKey key) {
-        return Timer.builder("arbutusfield.request.time")
-                .tag("service", key.service())
-                .tag("class", key.requestClass())
-                .publishPercentileHistogram()
-                .register(registry);
-    }
-
     private void countAgainstObjective(RequestRecord request, Objective objective) {
         if (request.outcome() == RequestRecord.Result.CALLER_GONE) {
             return;
@@ -167,13 +128,4 @@
     private long nowSeconds() {
         return TimeUnit.NANOSECONDS.toSeconds(timer.nowNanos());
     }
-
-    /**
-     * Key of the request counters. They are cached, because a lookup in the registry builds and sorts the tags each
-     * time.
-     */
-    private record RequestKey(String service, String requestClass, RequestRecord.Result outcome, String failure) {}
-
-    /** Key of the request timers. */
-    private record ClassKey(String service, String requestClass) {}
 }
--- a/src/main/java/org/arbutusfield/route/Route.java
+++ b/src/main/java/org/arbutusfield/route/Route.java
@@ -51,8 +51,13 @@
      * @param point position of the request, uniform in [0, 1)
      */
     public String serviceAt(double point) {
-        long total =
-                weightedServices.stream().mapToLong(WeightedService::weight).sum();
+        if (weightedServices.size() == 1) {
+            return weightedServices.get(0).service();
+        }
+        long total = 0;
+        for (WeightedService weightedService : weightedServices) {
+            total += weightedService.weight();
+        }
         double remaining = point * total;
         for (WeightedService weightedService : weightedServices) {
             remaining -= weightedService.weight();
