Start later requests of a connection while earlier ones are in progress

Cause: one request of a caller's connection was in progress at a time, so callers that send several without waiting got each answer one service time later than the one before.

Change: CallerRequest is one request and the output for its response; writes are held until its turn, within a limit. A request that may run twice and has no body starts at once, up to six on a connection; any other waits as before. While the host drains the last started request announces the close, so that each started one is answered.

--- a/src/main/java/org/arbutusfield/proxy/CallerConnection.java
+++ b/src/main/java/org/arbutusfield/proxy/CallerConnection.java
@@ -9,34 +9,34 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.Locale;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
-import java.util.function.Consumer;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
-import org.arbutusfield.http.SimpleHttpResponse;
 
 /**
- * One connection from a caller: reads one message at a time on demand, handles at most one request at a time, writes
- * responses, and closes without truncating a response. Confined to its event loop.
+ * One connection from a caller: reads one message at a time on demand, starts requests, gives each its turn to respond,
+ * and closes without truncating a response. Confined to its event loop.
+ *
+ * <p>A request that arrives while earlier ones are in progress is started at once if running it twice is harmless and
+ * it has no body, up to a limit. Any other waits until those before it are answered. Once a response has announced that
+ * the connection closes, no further request is started; the caller knows that the ones behind it were not read. While
+ * the host drains, the last request that was started announces it.
  *
  * <p>Connections are closed with a lingering close: the output is shut down first, and input is read and discarded
  * until the caller closes as well or a timeout passes. A plain close with unread input would reset the connection and
@@ -44,31 +44,35 @@
  * run.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
-    private static final String LOCAL_PREFIX = "/-/";
-    private static final double MILLIS_PER_SECOND = 1000.0;
+    /** Requests in progress on one connection; more are read when one of them is answered. */
+    private static final int MAX_REQUESTS_IN_PROGRESS = 6;
 
     private final ProxyContext context;
     private final StrictRequestDecoder decoder;
     private final CallerResponseEncoder encoder;
+    private final RequestParser parser;
+    /** Requests in progress, in the order in which they arrived. The first one has its turn to respond. */
+    private final Deque<CallerRequest> requests = new ArrayDeque<>();
+
     private Channel channel;
     private ChannelHandlerContext ctx;
-    private DeadlineTimer exchangeTimer;
+    private RequestTimers requestTimers;
     private DeadlineTimer idleTimer;
-    private RequestHandler current;
-    private HttpRequest request;
-    private HttpRequest pipelined;
-    private boolean continueSent;
+    /** The request whose body is being received. */
+    private Optional<CallerRequest> receiving = Optional.empty();
+    /** The head of a request that can't be started yet. */
+    private Optional<HttpRequest> waiting = Optional.empty();
+
     private boolean closeAfterResponse;
     private boolean draining;
     private boolean lingering;
     private boolean dispatching;
     private boolean readRequested;
-    private long pendingBytes;
-    private long writtenBytes;
 
     private CallerConnection(ProxyContext context, CallerResponseEncoder encoder) {
         this.context = context;
         this.encoder = encoder;
+        parser = RequestParser.of(context);
         decoder = StrictRequestDecoder.create(context.limits().headBytes(), this::headStarted);
     }
 
@@ -88,27 +92,8 @@
         return (InetSocketAddress) channel.remoteAddress();
     }
 
-    /** The timer of the current request. */
-    DeadlineTimer timer() {
-        return exchangeTimer;
-    }
-
-    /**
-     * False while the response has to wait, because this caller reads too slowly or the response buffers of the host
-     * are full.
-     */
-    boolean acceptsMore() {
-        return channel.isWritable()
-                && (pendingBytes == 0 || !context.responseBuffers().exhausted());
-    }
-
-    /** Body bytes written to the socket. */
-    long writtenBytes() {
-        return writtenBytes;
-    }
-
-    boolean speaksHttp10() {
-        return request.protocolVersion().equals(HttpVersion.HTTP_1_0);
+    Channel channel() {
+        return channel;
     }
 
     // ---- reading
@@ -117,18 +102,14 @@
     public void handlerAdded(ChannelHandlerContext handlerContext) {
         ctx = handlerContext;
         channel = handlerContext.channel();
-        exchangeTimer = DeadlineTimer.create(loop(), () -> {
-            if (current != null) {
-                current.expired();
-            }
-        });
+        requestTimers = RequestTimers.create(loop());
         idleTimer = DeadlineTimer.create(loop(), this::idleExpired);
     }
 
     @Override
     public void channelActive(ChannelHandlerContext unused) {
         if (context.callerConnections().incrementAndGet() > context.limits().callerConnections()) {
-            refuseAndClose(Failure.of(ErrorCode.CONNECTION_LIMIT));
+            refuseAndClose(RequestParser.UNREADABLE, Failure.of(ErrorCode.CONNECTION_LIMIT));
             return;
         }
         idleTimer.set(System.nanoTime() + context.limits().headTimeout().toNanos());
@@ -148,45 +129,31 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext unused) {
-        if (current != null) {
-            current.writabilityChanged();
+        CallerRequest first = requests.peek();
+        if (first != null && !first.isDone()) {
+            first.handler().writabilityChanged();
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext unused) {
         context.callerConnections().decrementAndGet();
-        exchangeTimer.close();
+        requestTimers.close();
         idleTimer.close();
-        if (current != null) {
-            current.callerGone();
-        }
+        abandonRequests();
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext unused, Throwable cause) {
         if (!(cause instanceof DecoderException)) {
             channel.close();
-        } else if (current == null && !lingering) {
-            refuseAndClose(Failure.of(ErrorCode.REQUEST_MALFORMED, "head"));
+        } else if (requests.isEmpty() && !lingering) {
+            refuseAndClose(RequestParser.UNREADABLE, Failure.of(ErrorCode.REQUEST_MALFORMED, "head"));
         } else {
             closeAfterResponse = true;
         }
     }
 
-    /** Requests the next part of the body; sends {@code 100 Continue} first if the caller waits for it. */
-    void demandBody(boolean expectsContinue) {
-        if (expectsContinue && !continueSent) {
-            continueSent = true;
-            encoder.setHeadRequest(false);
-            channel.writeAndFlush(
-                    new DefaultFullHttpResponse(
-                            HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
-                    channel.voidPromise());
-        }
-        read();
-    }
-
     /** Closes the connection immediately. */
     void close() {
         channel.close();
@@ -195,89 +162,67 @@
     /** Closes the connection once no request is in progress; a request in progress is answered first. */
     void drain() {
         draining = true;
-        if (current == null && !decoder.receivingHead()) {
+        if (requests.isEmpty() && !decoder.receivingHead()) {
             linger();
         }
     }
 
-    // ---- writing
-
-    void writeHead(HttpResponse head, boolean closeDelimited) {
-        closeAfterResponse |= closeDelimited || closing();
-        encoder.setHeadRequest(request.method().equals(HttpMethod.HEAD));
-        if (closeAfterResponse) {
-            head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        } else if (speaksHttp10()) {
-            head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
-        }
-        channel.write(head, channel.voidPromise());
-    }
+    // ---- called by requests
 
-    void writeBody(DefaultHttpContent part, int bytes) {
-        pendingBytes += bytes;
-        context.responseBuffers().add(bytes);
-        channel.write(part).addListener(done -> bodyWritten(bytes));
+    void writeContinue() {
+        encoder.setHeadRequest(false);
+        channel.writeAndFlush(
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
+                channel.voidPromise());
     }
 
-    void writeEnd(LastHttpContent last, int bytes) {
-        if (bytes > 0) {
-            pendingBytes += bytes;
-            context.responseBuffers().add(bytes);
-            channel.write(last).addListener(done -> bodyWritten(bytes));
-        } else {
-            channel.write(last, channel.voidPromise());
+    /** Completes the head of a response just before it is written. */
+    void prepareHead(CallerRequest from, HttpResponse head) {
+        boolean last = requests.isEmpty() || requests.peekLast() == from;
+        closeAfterResponse |= from.closes() || (last && closing());
+        encoder.setHeadRequest(from.isHeadRequest());
+        if (closeAfterResponse && last) {
+            head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        } else if (from.speaksHttp10()) {
+            head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
         }
     }
 
-    /**
-     * Writes a problem document; the connection is closed afterwards unless the request's body was received completely.
-     */
-    void writeProblem(Failure failure, String requestId, boolean bodyReceived) {
-        closeAfterResponse |= !bodyReceived;
-        writeFullResponse(SimpleHttpResponse.problem(failure), requestId, Optional.of(failure));
-    }
-
-    /** Writes a complete response generated by this host. */
-    void writeResponse(SimpleHttpResponse response, String requestId) {
-        writeFullResponse(response, requestId, Optional.empty());
-    }
-
     void flush() {
         channel.flush();
     }
 
-    /** Runs the callback when everything written so far has reached the socket or failed, with whether it succeeded. */
-    void afterWrites(Consumer<Boolean> callback) {
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> callback.accept(done.isSuccess()));
-    }
-
-    /** Resets the connection, so that the caller cannot mistake a partial response for a complete one. */
     void reset() {
         channel.config().setOption(ChannelOption.SO_LINGER, 0);
         channel.close();
     }
 
-    /** Ends the current request; the connection then waits for the next one or is closed. */
-    void exchangeDone(boolean reusable) {
-        current = null;
+    /** Ends a request; the next one gets its turn, or the connection waits for one or is closed. */
+    void requestDone(CallerRequest finished, boolean reusable) {
         context.inFlight().decrementAndGet();
-        if (!channel.isActive()) {
+        requestTimers.release(finished.timer());
+        receiving = receiving.filter(request -> request != finished);
+        if (!channel.isActive() || finished.awaitsTurn()) {
+            // Either all requests end, or this one was given up and resets the connection at its turn.
             return;
         }
-        if (!reusable || closeAfterResponse || draining) {
+        requests.remove(finished);
+        if (!reusable) {
+            linger();
+        } else if (!requests.isEmpty()) {
+            requests.peek().takeTurn();
+            startWaiting();
+        } else if (closeAfterResponse || draining) {
             linger();
-            return;
-        }
-        Duration limit = decoder.receivingHead()
-                ? context.limits().headTimeout()
-                : context.limits().idleTimeout();
-        idleTimer.set(System.nanoTime() + limit.toNanos());
-        if (pipelined != null) {
-            HttpRequest next = pipelined;
-            pipelined = null;
-            begin(next);
         } else {
-            read();
+            awaitRequest();
+        }
+    }
+
+    void read() {
+        readRequested = true;
+        if (!dispatching) {
+            readWhileRequested();
         }
     }
 
@@ -285,14 +230,19 @@
 
     private void dispatch(Object message) {
         if (message instanceof HttpRequest head && !lingering) {
-            if (current == null) {
+            if (requests.isEmpty()) {
                 begin(head);
             } else {
-                pipelined = head;
+                waiting = Optional.of(head);
+                startWaiting();
             }
-        } else if (message instanceof HttpContent part && !lingering && current != null) {
+        } else if (message instanceof HttpContent part && !lingering && receiving.isPresent()) {
             boolean last = part instanceof LastHttpContent;
-            current.bodyPart(part);
+            RequestHandler handler = receiving.get().handler();
+            if (last) {
+                receiving = Optional.empty();
+            }
+            handler.bodyPart(part);
             if (last) {
                 read();
             }
@@ -302,10 +252,17 @@
         }
     }
 
-    private void read() {
-        readRequested = true;
-        if (!dispatching) {
-            readWhileRequested();
+    private void awaitRequest() {
+        Duration limit = decoder.receivingHead()
+                ? context.limits().headTimeout()
+                : context.limits().idleTimeout();
+        idleTimer.set(System.nanoTime() + limit.toNanos());
+        if (waiting.isPresent()) {
+            HttpRequest next = waiting.get();
+            waiting = Optional.empty();
+            begin(next);
+        } else {
+            read();
         }
     }
 
@@ -319,115 +276,93 @@
     }
 
     private void begin(HttpRequest head) {
-        request = head;
-        continueSent = false;
         closeAfterResponse |= !HttpUtil.isKeepAlive(head);
         idleTimer.clear();
-        if (head.decoderResult().isFailure()) {
-            refuseAndClose(decodingFailure(head.decoderResult().cause()));
-            return;
-        }
-        Optional<Failure> fault = RequestHead.validate(head, context.limits());
+        Optional<Failure> fault = parser.fault(head);
         if (fault.isPresent()) {
-            refuseAndClose(fault.get());
+            refuseAndClose(head, fault.get());
             return;
         }
         String id = ProxyHeaders.requestId(head.headers());
-        if (head.uri().startsWith(LOCAL_PREFIX)) {
-            startHandling(LocalExchange.of(this, context, head, id)).start();
+        if (RequestParser.isLocal(head)) {
+            CallerRequest request = newRequest(head);
+            LocalExchange exchange = LocalExchange.of(request, context, head, id);
+            open(request, exchange);
+            exchange.start();
             return;
         }
-        Either<Failure, RequestHead> read = context.components()
-                .router()
-                .route(head, id)
-                .flatMap(route ->
-                        RequestHead.parse(head, id, route, context.components().headerNames()));
+        Either<Failure, RequestHead> read = parser.route(head, id);
         if (read.isLeft()) {
-            refuseAndKeepOpen(read.getLeft(), id);
+            refuseAndKeepOpen(head, read.getLeft(), id);
+            return;
+        }
+        startExchange(head, read.get());
+    }
+
+    /** Starts the waiting request if it may run beside those in progress. */
+    private void startWaiting() {
+        if (waiting.isEmpty() || requests.isEmpty()) {
             return;
         }
-        startHandling(Exchange.of(this, context, read.get(), System.nanoTime())).start();
+        HttpRequest head = waiting.get();
+        boolean connectionAllows =
+                requests.size() < MAX_REQUESTS_IN_PROGRESS && receiving.isEmpty() && !closeAfterResponse && !closing();
+        Optional<RequestHead> early = connectionAllows ? parser.repeatableWithoutBody(head) : Optional.empty();
+        if (early.isPresent()) {
+            waiting = Optional.empty();
+            startExchange(head, early.get());
+        }
+    }
+
+    private void startExchange(HttpRequest head, RequestHead read) {
+        CallerRequest request = newRequest(head);
+        Exchange exchange = Exchange.of(request, context, read, System.nanoTime());
+        open(request, exchange);
+        exchange.start();
+    }
+
+    private CallerRequest newRequest(HttpRequest head) {
+        return CallerRequest.of(this, context, head, requestTimers::acquire);
     }
 
-    private <T extends RequestHandler> T startHandling(T handler) {
-        current = handler;
+    private void open(CallerRequest request, RequestHandler handler) {
+        request.startWith(handler, requests.isEmpty());
+        requests.add(request);
+        receiving = Optional.of(request);
         context.inFlight().incrementAndGet();
-        return handler;
     }
 
-    private void refuseAndKeepOpen(Failure failure, String id) {
-        boolean body = HttpUtil.isTransferEncodingChunked(request) || HttpUtil.getContentLength(request, 0L) > 0;
-        if (body) {
-            refuseAndClose(failure);
-            return;
+    private void abandonRequests() {
+        for (CallerRequest request : List.copyOf(requests)) {
+            request.connectionLost();
         }
-        context.components().observer().refused(id, failure);
-        startHandling(LocalExchange.refusing(this, context, request, id, failure))
-                .start();
+        requests.clear();
+        receiving = Optional.empty();
+        waiting = Optional.empty();
     }
 
-    private static Failure decodingFailure(Throwable cause) {
-        boolean tooLong = cause instanceof TooLongHttpLineException || cause instanceof TooLongHttpHeaderException;
-        return Failure.of(tooLong ? ErrorCode.REQUEST_HEAD_TOO_LARGE : ErrorCode.REQUEST_MALFORMED, "head");
+    private void refuseAndKeepOpen(HttpRequest head, Failure failure, String id) {
+        if (RequestParser.hasBody(head)) {
+            refuseAndClose(head, failure);
+            return;
+        }
+        context.components().observer().refused(id, failure);
+        CallerRequest request = newRequest(head);
+        LocalExchange exchange = LocalExchange.refusing(request, context, head, id, failure);
+        open(request, exchange);
+        exchange.start();
     }
 
-    private void refuseAndClose(Failure failure) {
+    private void refuseAndClose(HttpRequest head, Failure failure) {
         closeAfterResponse = true;
         lingering = true;
         idleTimer.set(System.nanoTime() + context.limits().lingerTimeout().toNanos());
-        String id = request == null ? ProxyHeaders.newRequestId() : ProxyHeaders.requestId(request.headers());
+        String id = ProxyHeaders.requestId(head.headers());
         context.components().observer().refused(id, failure);
-        writeFullResponse(SimpleHttpResponse.problem(failure), id, Optional.of(failure));
-        afterWrites(written -> linger());
-    }
-
-    private void writeFullResponse(SimpleHttpResponse response, String requestId, Optional<Failure> failure) {
-        boolean head = request != null && request.method().equals(HttpMethod.HEAD);
-        FullHttpResponse fullResponse = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(response.status()),
-                head
-                        ? Unpooled.EMPTY_BUFFER
-                        : Unpooled.wrappedBuffer(response.body().bytes()));
-        response.headers().forEach(field -> fullResponse.headers().add(field.name(), field.value()));
-        fullResponse.headers().set(ProxyHeaders.REQUEST_ID, requestId);
-        fullResponse
-                .headers()
-                .set(HttpHeaderNames.CONTENT_LENGTH, response.body().length());
-        failure.ifPresent(reported -> {
-            fullResponse
-                    .headers()
-                    .set(NotRunStatement.ERROR_CODE, reported.code().name());
-            fullResponse.headers().set(ProxyHeaders.NOT_RUN, Boolean.toString(reported.notRun()));
-            if (context.components().headerNames().fractionalRetryAfter()) {
-                reported.retryAfter().ifPresent(delay -> setFractionalRetryAfter(fullResponse, delay));
-            }
-        });
-        closeAfterResponse |= closing();
-        if (closeAfterResponse) {
-            fullResponse.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        }
-        encoder.setHeadRequest(head);
-        channel.write(fullResponse, channel.voidPromise());
-    }
-
-    /**
-     * Replaces the {@code Retry-After} of the problem document, in whole seconds, by one with fractions, for callers
-     * that accept those.
-     */
-    private void setFractionalRetryAfter(FullHttpResponse fullResponse, Duration delay) {
-        String seconds = String.format(Locale.ROOT, "%.3f", delay.toMillis() / MILLIS_PER_SECOND);
-        fullResponse.headers().set(HttpHeaderNames.RETRY_AFTER, seconds);
-    }
-
-    private void bodyWritten(int bytes) {
-        pendingBytes -= bytes;
-        writtenBytes += bytes;
-        boolean wasExhausted = context.responseBuffers().exhausted();
-        context.responseBuffers().remove(bytes);
-        if (wasExhausted && pendingBytes == 0 && current != null) {
-            current.writabilityChanged();
-        }
+        CallerRequest refused = CallerRequest.of(this, context, head, expired -> idleTimer);
+        refused.startWith(RequestHandler.NONE, true);
+        refused.writeProblem(failure, id, false);
+        refused.afterWrites(written -> linger());
     }
 
     private boolean closing() {
@@ -435,7 +370,7 @@
     }
 
     private void headStarted() {
-        if (current == null && !lingering) {
+        if (requests.isEmpty() && !lingering) {
             idleTimer.set(System.nanoTime() + context.limits().headTimeout().toNanos());
         }
     }
@@ -443,15 +378,16 @@
     private void idleExpired() {
         if (lingering) {
             channel.close();
-        } else if (current == null && decoder.receivingHead()) {
-            refuseAndClose(Failure.of(ErrorCode.REQUEST_TIMEOUT, "head"));
-        } else if (current == null) {
+        } else if (requests.isEmpty() && decoder.receivingHead()) {
+            refuseAndClose(RequestParser.UNREADABLE, Failure.of(ErrorCode.REQUEST_TIMEOUT, "head"));
+        } else if (requests.isEmpty()) {
             linger();
         }
     }
 
     private void linger() {
         lingering = true;
+        abandonRequests();
         if (!channel.isActive()) {
             return;
         }
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -42,9 +42,8 @@
     private static final Logger LOG = LogManager.getLogger(Exchange.class);
 
     private static final int MIN_BODY_BYTES_PER_TIMEOUT = 1 << 10;
-    private static final int SUCCESS_CLASS = 2;
 
-    private final CallerConnection caller;
+    private final CallerRequest caller;
     private final ProxyContext context;
     private final RequestHead head;
     private final RequestBody body;
@@ -60,7 +59,7 @@
     private long receivedAtTimerStart;
     private long writtenAtTimerStart;
 
-    private Exchange(CallerConnection caller, ProxyContext context, RequestHead head, long startNanos) {
+    private Exchange(CallerRequest caller, ProxyContext context, RequestHead head, long startNanos) {
         this.caller = caller;
         this.context = context;
         this.head = head;
@@ -71,7 +70,7 @@
         deadlineNanos = startNanos + head.deadline().toNanos();
     }
 
-    static Exchange of(CallerConnection caller, ProxyContext context, RequestHead head, long startNanos) {
+    static Exchange of(CallerRequest caller, ProxyContext context, RequestHead head, long startNanos) {
         return new Exchange(caller, context, head, startNanos);
     }
 
@@ -232,9 +231,7 @@
 
     /** Called with the head of a response. */
     void responseHead(Attempt from, HttpResponse response) {
-        String responseId = response.headers().get(ProxyHeaders.REQUEST_ID);
-        if ((responseId != null && !responseId.equals(head.requestId()))
-                || response.status().code() == 101) {
+        if (!ResponseCheck.isRelated(response, head)) {
             from.cancel(AttemptOutcome.CANCELLED);
             attemptFailed(
                     from, Failure.of(ErrorCode.UPSTREAM_PROTOCOL, from.target().name(), "unrelated response"), false);
@@ -252,7 +249,7 @@
             attemptFailed(from, NotRunStatement.failure(response, from.target()), true);
             return;
         }
-        if (!hasProof(response)) {
+        if (!ResponseCheck.hasProof(response, context.components().headerNames())) {
             from.cancel(AttemptOutcome.FAILED);
             attemptFailed(
                     from, Failure.of(ErrorCode.UPSTREAM_PROTOCOL, from.target().name(), "proof field missing"), false);
@@ -322,16 +319,6 @@
         finish(RequestRecord.Result.CUT, Optional.of(ErrorCode.UPSTREAM_LOST));
     }
 
-    /** True unless a 2xx response lacks the proof field that upstreams must send. */
-    private boolean hasProof(HttpResponse response) {
-        return response.status().code() / 100 != SUCCESS_CLASS
-                || context.components()
-                        .headerNames()
-                        .responseProof()
-                        .map(response.headers()::contains)
-                        .orElse(true);
-    }
-
     private void retry() {
         body.rewind();
         startDeadlineTimer();
@@ -424,6 +411,12 @@
     }
 
     private void callerStalled() {
+        if (caller.awaitsTurn()) {
+            // The caller can't have read anything yet; the limits of the earlier requests bound the wait.
+            caller.timer()
+                    .set(System.nanoTime() + context.limits().writeTimeout().toNanos());
+            return;
+        }
         if (caller.writtenBytes() > writtenAtTimerStart) {
             writtenAtTimerStart = caller.writtenBytes();
             caller.timer()
--- a/src/main/java/org/arbutusfield/proxy/LocalExchange.java
+++ b/src/main/java/org/arbutusfield/proxy/LocalExchange.java
@@ -23,7 +23,7 @@
 final class LocalExchange implements RequestHandler {
     private static final Logger LOG = LogManager.getLogger(LocalExchange.class);
 
-    private final CallerConnection caller;
+    private final CallerRequest caller;
     private final HttpRequest request;
     private final String requestId;
     private final RequestBody body;
@@ -33,7 +33,7 @@
     private boolean ended;
 
     private LocalExchange(
-            CallerConnection caller,
+            CallerRequest caller,
             ProxyContext context,
             HttpRequest request,
             String requestId,
@@ -47,7 +47,7 @@
     }
 
     /** A request that the local handler answers. */
-    static LocalExchange of(CallerConnection caller, ProxyContext context, HttpRequest request, String requestId) {
+    static LocalExchange of(CallerRequest caller, ProxyContext context, HttpRequest request, String requestId) {
         return new LocalExchange(
                 caller,
                 context,
@@ -61,7 +61,7 @@
 
     /** A refused request without a body; the connection can be reused afterwards. */
     static LocalExchange refusing(
-            CallerConnection caller, ProxyContext context, HttpRequest request, String requestId, Failure failure) {
+            CallerRequest caller, ProxyContext context, HttpRequest request, String requestId, Failure failure) {
         return new LocalExchange(
                 caller,
                 context,
--- a/src/main/java/org/arbutusfield/proxy/RequestHandler.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestHandler.java
@@ -2,8 +2,25 @@
 
 import io.netty.handler.codec.http.HttpContent;
 
-/** Handles the current request of a caller's connection. Called on the connection's event loop. */
+/** Handles one request of a caller's connection. Called on the connection's event loop. */
 interface RequestHandler {
+    /** Ignores everything, for a request that has already been refused. */
+    RequestHandler NONE = new RequestHandler() {
+        @Override
+        public void bodyPart(HttpContent part) {
+            part.release();
+        }
+
+        @Override
+        public void callerGone() {}
+
+        @Override
+        public void writabilityChanged() {}
+
+        @Override
+        public void expired() {}
+    };
+
     /** Receives a part of the request's body, including the last one; the handler must release it. */
     void bodyPart(HttpContent part);
 
--- /dev/null
+++ b/src/main/java/org/arbutusfield/proxy/RequestParser.java
@@ -0,0 +1,80 @@
+package org.arbutusfield.proxy;
+
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+
+/** Checks and routes the heads of a caller's requests. Has no state of its own. */
+final class RequestParser {
+    /** Stands for a request whose head can't be read, when it is refused. */
+    static final HttpRequest UNREADABLE = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+
+    private static final String LOCAL_PREFIX = "/-/";
+
+    private final ProxyContext context;
+
+    private RequestParser(ProxyContext context) {
+        this.context = context;
+    }
+
+    static RequestParser of(ProxyContext context) {
+        return new RequestParser(context);
+    }
+
+    /** Returns true if this host answers the request itself. */
+    static boolean isLocal(HttpRequest head) {
+        return head.uri().startsWith(LOCAL_PREFIX);
+    }
+
+    /** Returns true if the request announces a body. */
+    static boolean hasBody(HttpRequest head) {
+        return HttpUtil.isTransferEncodingChunked(head) || HttpUtil.getContentLength(head, 0L) > 0;
+    }
+
+    /** Returns what is wrong with a head; after that the connection's bytes can't be trusted. */
+    Optional<Failure> fault(HttpRequest head) {
+        if (head.decoderResult().isFailure()) {
+            return Optional.of(decodingFailure(head.decoderResult().cause()));
+        }
+        return RequestHead.validate(head, context.limits());
+    }
+
+    /** Finds the service of a request, or the reason to refuse it. */
+    Either<Failure, RequestHead> route(HttpRequest head, String id) {
+        return context.components()
+                .router()
+                .route(head, id)
+                .flatMap(route ->
+                        RequestHead.parse(head, id, route, context.components().headerNames()));
+    }
+
+    /** Returns the head of a request that has no body and may run twice; empty for any other or a faulty one. */
+    Optional<RequestHead> repeatableWithoutBody(HttpRequest head) {
+        boolean plainGet = fault(head).isEmpty()
+                && head.method().equals(HttpMethod.GET)
+                && head.protocolVersion().equals(HttpVersion.HTTP_1_1)
+                && HttpUtil.isKeepAlive(head)
+                && !hasBody(head)
+                && !HttpUtil.is100ContinueExpected(head)
+                && !isLocal(head);
+        if (!plainGet) {
+            return Optional.empty();
+        }
+        return route(head, ProxyHeaders.requestId(head.headers()))
+                .toJavaOptional()
+                .filter(read -> read.requestClass().repeatable());
+    }
+
+    private static Failure decodingFailure(Throwable cause) {
+        boolean tooLong = cause instanceof TooLongHttpLineException || cause instanceof TooLongHttpHeaderException;
+        return Failure.of(tooLong ? ErrorCode.REQUEST_HEAD_TOO_LARGE : ErrorCode.REQUEST_MALFORMED, "head");
+    }
+}
--- a/src/main/java/org/arbutusfield/proxy/ResponseRelay.java
+++ b/src/main/java/org/arbutusfield/proxy/ResponseRelay.java
@@ -20,13 +20,13 @@
  * closes, and counts as complete only if the connection was closed cleanly.
  */
 final class ResponseRelay {
-    private final CallerConnection caller;
+    private final CallerRequest caller;
     private final HttpResponse response;
     private final boolean bodiless;
     private final Optional<Resumption> resumption;
     private long relayedBytes;
 
-    private ResponseRelay(CallerConnection caller, RequestHead request, HttpResponse response) {
+    private ResponseRelay(CallerRequest caller, RequestHead request, HttpResponse response) {
         this.caller = caller;
         this.response = response;
         int status = response.status().code();
@@ -37,7 +37,7 @@
     }
 
     /** Writes the response head to the caller. */
-    static ResponseRelay begin(CallerConnection caller, RequestHead request, HttpResponse response) {
+    static ResponseRelay begin(CallerRequest caller, RequestHead request, HttpResponse response) {
         ResponseRelay relay = new ResponseRelay(caller, request, response);
         relay.writeHead(request);
         return relay;
