--- a/src/main/java/org/arbutusfield/lab/soak/Soak.java
+++ b/src/main/java/org/arbutusfield/lab/soak/Soak.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.arbutusfield.lab.platform.KeyValueContent;
 import org.arbutusfield.lab.platform.KeyValueStandIn;
 import org.arbutusfield.lab.platform.KeyValueStandIn.FaultMode;
 import org.arbutusfield.lab.soak.Violation.Guarantee;
@@ -33,6 +34,11 @@
     private static final Duration RECOVERY_CHECK = Duration.ofSeconds(3);
     private static final Duration STOP_LIMIT = Duration.ofSeconds(6);
     private static final Duration RESTART_DELAY = Duration.ofMillis(300);
+    /** Time for which the store is away before it returns from a copy. */
+    private static final Duration STORE_RETURN_TIME = Duration.ofMillis(400);
+    /** Time after which the writers of a store that has lost content write it again. */
+    private static final Duration WRITE_AGAIN_DELAY = Duration.ofMillis(700);
+
     private static final Duration DRAIN_TIME = Duration.ofMillis(2300);
     private static final double MIN_SERVED_SHARE = 0.9;
     private static final String STOP_SIGNAL = "TERM";
@@ -49,6 +55,9 @@
     private final SoakCounters counters = SoakCounters.create();
     private final List<SoakHost> hosts = new CopyOnWriteArrayList<>();
     private final List<SoakUpstream> upstreams = new ArrayList<>();
+    /** All upstreams, also those that have left; guarded by the list of the present ones. */
+    private final List<SoakUpstream> startedUpstreams = new ArrayList<>();
+
     private final List<SoakCaller> callers = new ArrayList<>();
     private final List<Thread> callerThreads = new ArrayList<>();
     private final List<Thread> faultThreads = new ArrayList<>();
@@ -120,7 +129,11 @@
     private SoakUpstream startUpstream() {
         int number = upstreamNumbers.incrementAndGet();
         String domain = number % 2 == 0 ? "east-a" : "west-a";
-        return SoakUpstream.start("u-" + number, domain, checker, store.content(), timer, group);
+        SoakUpstream upstream = SoakUpstream.start("u-" + number, domain, checker, store.content(), timer, group);
+        synchronized (upstreams) {
+            startedUpstreams.add(upstream);
+        }
+        return upstream;
     }
 
     private void awaitHosts() throws InterruptedException {
@@ -167,6 +180,7 @@
                 case HOST_PAUSE -> pause(host, fault);
                 case HOST_RELOAD -> reload(host);
                 case ROUTES_CHANGE -> routes.publishNext();
+                case STORE_ROLL_BACK -> rollBackStore(fault);
                 default -> throw new IllegalStateException(fault.toString());
             }
         } catch (InterruptedException e) {
@@ -197,6 +211,24 @@
         end.run();
     }
 
+    private void rollBackStore(SoakFault fault) throws InterruptedException {
+        KeyValueContent.Copy copy = store.content().copy();
+        awaitFaultEnd(fault);
+        Runnable end = disruptions.begin(Disruptions.STORE);
+        store.faultMode(FaultMode.UNAVAILABLE);
+        TimeUnit.NANOSECONDS.sleep(STORE_RETURN_TIME.toNanos());
+        store.content().rollBack(copy);
+        store.faultMode(FaultMode.NONE);
+        TimeUnit.NANOSECONDS.sleep(WRITE_AGAIN_DELAY.toNanos());
+        routes.writeAgain();
+        List<SoakUpstream> writers;
+        synchronized (upstreams) {
+            writers = List.copyOf(startedUpstreams);
+        }
+        writers.forEach(SoakUpstream::writeAgain);
+        end.run();
+    }
+
     private SoakUpstream upstream(SoakFault fault) {
         synchronized (upstreams) {
             return upstreams.get(fault.target() % upstreams.size());
--- a/src/main/java/org/arbutusfield/lab/soak/SoakFault.java
+++ b/src/main/java/org/arbutusfield/lab/soak/SoakFault.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.Stream;
 
 /**
  * One fault of a run.
@@ -59,9 +60,16 @@
         /** The host receives the signal to reload its settings. */
         HOST_RELOAD,
         /** The operator changes the routes. */
-        ROUTES_CHANGE
+        ROUTES_CHANGE,
+        /** The store returns from a copy that is as old as the fault is long; its writers then write again. */
+        STORE_ROLL_BACK
     }
 
+    /** The kinds that come in random series. Adding to them would change the faults of every seed. */
+    private static final List<Kind> SERIES_KINDS = Stream.of(Kind.values())
+            .filter(kind -> kind != Kind.STORE_ROLL_BACK)
+            .toList();
+
     /**
      * Generates series of faults that may overlap, in the order of their start times; the same seed gives the same
      * faults.
@@ -70,7 +78,7 @@
         List<SoakFault> faults = new ArrayList<>();
         long end = plan.faultWindow().toMillis();
         while (faults.size() < plan.faultCount()) {
-            Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+            Kind kind = SERIES_KINDS.get(random.nextInt(SERIES_KINDS.size()));
             long at = random.nextLong(end);
             int target = random.nextInt(plan.hosts() + plan.upstreams());
             int series = 1 + random.nextInt(MAX_SERIES_LENGTH);
@@ -80,6 +88,8 @@
                 at += SERIES_GAP_MILLIS / 2 + random.nextInt(SERIES_GAP_MILLIS);
             }
         }
+        Duration copyAge = Duration.ofMillis(MIN_LENGTH_MILLIS + random.nextInt(LENGTH_RANGE_MILLIS));
+        faults.add(new SoakFault(Duration.ofMillis(random.nextLong(end)), Kind.STORE_ROLL_BACK, 0, copyAge));
         faults.sort(Comparator.comparing(SoakFault::at));
         return faults;
     }
--- a/src/main/java/org/arbutusfield/lab/soak/SoakRoutes.java
+++ b/src/main/java/org/arbutusfield/lab/soak/SoakRoutes.java
@@ -24,6 +24,7 @@
     private final KeyValueContent store;
     private final Map<Integer, Long> publishedNanos = new ConcurrentHashMap<>();
     private volatile int version;
+    private String document = "";
 
     private SoakRoutes(KeyValueContent store) {
         this.store = store;
@@ -43,11 +44,17 @@
                     .append(',')
                     .append(ROUTE_TEMPLATE.formatted("book", path, "non_idempotent"));
         }
-        store.put("op/config", DOCUMENT_TEMPLATE.formatted(next, rules).getBytes(StandardCharsets.UTF_8), 0);
+        document = DOCUMENT_TEMPLATE.formatted(next, rules);
+        writeAgain();
         publishedNanos.put(next, System.nanoTime());
         version = next;
     }
 
+    /** Writes the current version again, after the store has lost it. */
+    synchronized void writeAgain() {
+        store.put("op/config", document.getBytes(StandardCharsets.UTF_8), 0);
+    }
+
     int version() {
         return version;
     }
--- a/src/main/java/org/arbutusfield/lab/soak/SoakUpstream.java
+++ b/src/main/java/org/arbutusfield/lab/soak/SoakUpstream.java
@@ -27,7 +27,7 @@
     private static final int MAX_SERVICE_MILLIS = 120;
     private static final String ENTRY_TEMPLATE =
             "{\"address\":\"%s\",\"details\":{\"service\":\"desk\",\"version\":\"v1\","
-                    + "\"zone\":\"%s\",\"slots\":8},\"status\":{\"state\":\"%s\",\"cold_remaining\":\"0ms\"},\"born\":%d}";
+                    + "\"zone\":\"%s\",\"slots\":8},\"status\":{\"state\":\"%s\",\"sequence\":%d,\"cold_remaining\":\"0ms\"},\"born\":%d}";
 
     private final String id;
     private final String failureDomain;
@@ -38,6 +38,10 @@
     private final long startMillis = System.currentTimeMillis();
     private FaultProxy proxy;
     private volatile boolean shedding;
+    /** State in the entry; empty after it was removed. */
+    private volatile String currentState = "";
+
+    private int sequence;
 
     private SoakUpstream(
             String id,
@@ -85,6 +89,7 @@
 
     /** Removes the entry from the store and resets open and new connections. */
     void deregister() {
+        currentState = "";
         store.remove(key());
         proxy.mode(LinkMode.RESET);
     }
@@ -93,8 +98,20 @@
         return "servers/" + id;
     }
 
-    private void register(String state) {
-        String entry = ENTRY_TEMPLATE.formatted(Addresses.format(proxy.address()), failureDomain, state, startMillis);
+    /** Writes the current state again, after the store has returned from an older copy. */
+    void writeAgain() {
+        if (currentState.isEmpty()) {
+            store.remove(key());
+        } else {
+            register(currentState);
+        }
+    }
+
+    private synchronized void register(String state) {
+        currentState = state;
+        sequence++;
+        String entry = ENTRY_TEMPLATE.formatted(
+                Addresses.format(proxy.address()), failureDomain, state, sequence, startMillis);
         store.put(key(), entry.getBytes(StandardCharsets.UTF_8), 0);
     }
 
--- /dev/null
+++ b/src/test/java/org/arbutusfield/state/ContentStore.java
@@ -0,0 +1,107 @@
+package org.arbutusfield.state;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.lab.platform.KeyValueContent;
+import org.arbutusfield.store.ItemChange;
+import org.arbutusfield.store.ItemChanges;
+import org.arbutusfield.store.ItemPage;
+import org.arbutusfield.store.StoreItem;
+import org.arbutusfield.store.StoreLease;
+import org.arbutusfield.store.StoreRevision;
+import org.arbutusfield.store.WatchableStore;
+import org.arbutusfield.timer.TimerService;
+
+/** A store in memory on the content of the stand-in, without a network. */
+public final class ContentStore implements WatchableStore {
+    private static final int PAGE_ITEMS = 2;
+
+    private final KeyValueContent content;
+    private final TimerService timer;
+
+    private ContentStore(KeyValueContent content, TimerService timer) {
+        this.content = content;
+        this.timer = timer;
+    }
+
+    /** A client of the content. */
+    public static ContentStore of(KeyValueContent content, TimerService timer) {
+        return new ContentStore(content, timer);
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, ItemPage>> list(String prefix, String after) {
+        KeyValueContent.Page page = content.page(prefix, after, PAGE_ITEMS + 1);
+        List<StoreItem> items =
+                page.items().stream().limit(PAGE_ITEMS).map(ContentStore::item).toList();
+        return done(new ItemPage(items, page.items().size() > PAGE_ITEMS, revision(page.revision())));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, ItemChanges>> watch(String prefix, StoreRevision after, Duration wait) {
+        CompletableFuture<Either<Failure, ItemChanges>> result = new CompletableFuture<>();
+        completeOnChange(prefix, after.number(), result);
+        timer.after(wait, () -> result.complete(Either.right(new ItemChanges(List.of(), revision(after.number())))));
+        return result;
+    }
+
+    private void completeOnChange(String prefix, long after, CompletableFuture<Either<Failure, ItemChanges>> result) {
+        if (result.isDone()) {
+            return;
+        }
+        content.onNextChange(() -> completeOnChange(prefix, after, result));
+        Optional<KeyValueContent.Changes> changes = content.changes(prefix, after);
+        if (changes.isEmpty()) {
+            result.complete(Either.left(Failure.of(ErrorCode.STORE_HISTORY_GONE)));
+        } else if (!changes.get().events().isEmpty()) {
+            List<ItemChange> events = changes.get().events().stream()
+                    .map(event -> new ItemChange(
+                            event.key(), event.revision(), event.item().map(ContentStore::item)))
+                    .toList();
+            result.complete(
+                    Either.right(new ItemChanges(events, revision(changes.get().revision()))));
+        }
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, StoreRevision>> put(String key, byte[] value, long leaseId) {
+        Optional<Long> written = content.write(key, value, leaseId);
+        return written.isPresent() ? done(revision(written.get())) : failed(ErrorCode.LEASE_LAPSED);
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, StoreLease>> grantLease(Duration duration) {
+        return done(new StoreLease(content.grantLease(duration), content.era()));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Long>> renewLease(long leaseId) {
+        return content.renewLease(leaseId) ? done(content.era()) : failed(ErrorCode.LEASE_LAPSED);
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Long>> endLease(long leaseId) {
+        return content.endLease(leaseId) ? done(leaseId) : failed(ErrorCode.LEASE_LAPSED);
+    }
+
+    private StoreRevision revision(long number) {
+        return StoreRevision.of(content.era(), number);
+    }
+
+    private static StoreItem item(KeyValueContent.Item item) {
+        return new StoreItem(item.key(), item.value(), item.revision());
+    }
+
+    private static <T> CompletableFuture<Either<Failure, T>> done(T value) {
+        return CompletableFuture.completedFuture(Either.right(value));
+    }
+
+    private static <T> CompletableFuture<Either<Failure, T>> failed(ErrorCode code) {
+        return CompletableFuture.completedFuture(Either.left(Failure.of(code)));
+    }
+}
