Await slow responses on reused connections

Change: ResponseTimes keeps the slowest start of a response by class over the last ten to twenty seconds; a connection counts as silent only after that and a margin.

Test: ConnectionReuseTest#slowResponseOnAReusedConnectionIsAwaited; with half of the time as before it fails (seen).

--- a/src/main/java/org/arbutusfield/proxy/Attempt.java
+++ b/src/main/java/org/arbutusfield/proxy/Attempt.java
@@ -95,6 +95,11 @@
         return sentNanos != 0;
     }
 
+    /** Time since the request was sent. */
+    Duration timeSinceSent() {
+        return Duration.ofNanos(System.nanoTime() - sentNanos);
+    }
+
     /** True once the complete request was sent. */
     boolean bodySent() {
         return bodySent;
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -256,6 +256,7 @@
             return;
         }
         stage = Stage.RESPONSE;
+        context.responseTimes().record(head, from.timeSinceSent(), System.nanoTime());
         recordBuilder.responseStarted(response.status().code());
         relay = ResponseRelay.begin(caller, head, response);
         startProgressTimer();
@@ -349,8 +350,8 @@
         }
         boolean leaveTimeForRetry =
                 attempt.onReusedConnection() && head.requestClass().repeatable() && body.replayable();
-        long left = deadlineNanos - now;
-        caller.timer().set(leaveTimeForRetry ? now + left / 2 : deadlineNanos);
+        Duration patience = context.responseTimes().patience(head, remaining(), now);
+        caller.timer().set(leaveTimeForRetry ? now + patience.toNanos() : deadlineNanos);
     }
 
     private void sentTimerExpired() {
--- a/src/main/java/org/arbutusfield/proxy/ProxyContext.java
+++ b/src/main/java/org/arbutusfield/proxy/ProxyContext.java
@@ -12,6 +12,7 @@
     private final BufferBudget responseBuffers;
     private final AtomicInteger inFlight = new AtomicInteger();
     private final AtomicInteger callerConnections = new AtomicInteger();
+    private final ResponseTimes responseTimes = ResponseTimes.create();
     private volatile boolean leaving;
 
     private ProxyContext(ProxyComponents components, ConnectionPools pools) {
@@ -47,6 +48,11 @@
         return responseBuffers;
     }
 
+    /** How long responses recently took to begin. */
+    ResponseTimes responseTimes() {
+        return responseTimes;
+    }
+
     /** Requests accepted and not yet finished. */
     AtomicInteger inFlight() {
         return inFlight;
--- a/src/test/java/org/arbutusfield/proxy/ConnectionReuseTest.java
+++ b/src/test/java/org/arbutusfield/proxy/ConnectionReuseTest.java
@@ -4,9 +4,11 @@
 import static org.arbutusfield.proxy.ProxyFixture.post;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.arbutusfield.lab.Fault;
+import org.arbutusfield.lab.ServiceTimes;
 import org.arbutusfield.lab.UpstreamStandIn;
 import org.arbutusfield.proxy.RawCaller.Response;
 import org.junit.jupiter.api.Test;
@@ -144,4 +146,24 @@
             assertThat(fixture.runs("b")).isEqualTo(1);
         }
     }
+
+    /**
+     * Load pattern: requests whose work takes more than half of their time, on connections that are used again. Each
+     * must be waited for; giving up the first attempt would lose its work and leave too little time for another.
+     */
+    @Test
+    void slowResponseOnAReusedConnectionIsAwaited() {
+        Duration serviceTime = Duration.ofMillis(700);
+        try (ProxyFixture fixture = ProxyFixture.of(2);
+                RawCaller caller = fixture.caller()) {
+            fixture.upstreams.forEach(upstream -> upstream.serviceTimes(ServiceTimes.fixed(serviceTime)));
+            for (int i = 0; i < 6; i++) {
+                String id = "slow" + i;
+                caller.send("GET /desk/" + i + " HTTP/1.1\r\nhost: x\r\nx-request-id: " + id
+                        + "\r\nx-request-deadline-ms: 1000\r\n\r\n");
+                assertThat(caller.read(false).status()).isEqualTo(200);
+                assertThat(fixture.runs(id)).isOne();
+            }
+        }
+    }
 }
