Plan of homes: sums kept up to date, moves in proportion to the size of the service

Cause: a placement added up the load of all objects, a report went over all upstreams, and one object was moved in a second, whatever the size, so that the host that plans got slower and the imbalance larger with the fleet.

Change: UpstreamLoads holds the sums; CandidateSet is built once for the reports of a route in a message; one object in a period may move for each 24 upstreams, and one more.

Test: HomePlanTest#largeServiceIsBalancedAsFastAsASmallOne, three seeds: the busiest of 193 upstreams carries less than 1.25 times as much, against the least possible load, as the busiest of 16. Time per report not measured yet.

--- a/src/main/java/org/arbutusfield/affinity/HomePlan.java
+++ b/src/main/java/org/arbutusfield/affinity/HomePlan.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -25,8 +24,10 @@
  * <p>Idea: rendezvous hashing with bounded loads. A new object is assigned to the first upstream in its rendezvous
  * order whose utilization is below the mean. Homes that are stored, or that a host reports, are adopted. Hosts report
  * how many requests each object had and how long they took, which gives the load of the object in busy slots.
- * Periodically one object moves from one of the most loaded upstreams to a less loaded one, if that reduces the larger
- * of the two utilizations by more than {@code MIN_IMPROVEMENT}, the cost of a move.
+ * Periodically some objects move, each from one of the most loaded upstreams to a less loaded one, if that reduces the
+ * larger of the two utilizations by more than {@code MIN_IMPROVEMENT}, the cost of a move. The number of moves in a
+ * period grows with the number of upstreams, so that a large service is balanced as fast as a small one. Sums of loads
+ * are kept up to date, so that the cost of a report depends on neither the number of objects nor that of upstreams.
  *
  * <p>Invariants: an object keeps its home while that upstream is a candidate and not avoided, except for such moves. An
  * object that was moved stays where it is for at least {@code MOVE_COOLDOWN}. An object that no host uses any more is
@@ -51,12 +52,15 @@
     private static final double REBALANCE_THRESHOLD = 0.45;
     /** Smallest reduction of the utilization of the more loaded upstream that justifies a move. */
     private static final double MIN_IMPROVEMENT = 0.12;
+    /** One object may move in each period for this many upstreams, and one more. A moved object is cold once. */
+    private static final int UPSTREAMS_PER_MOVE = 24;
 
     private final Map<Long, String> storedHomes;
     private final Map<Long, PlannedObject> objects = new HashMap<>();
     /** Object keys by the version of the plan in which the object got its current home. */
     private final NavigableMap<Long, Long> keysByChangeVersion = new TreeMap<>();
 
+    private final UpstreamLoads loads = UpstreamLoads.empty();
     private final OutlierDetector outliers = new OutlierDetector();
     private long version;
     private long periodEndNanos;
@@ -113,22 +117,47 @@
      */
     public Optional<Candidate> assignHome(ObjectReport report, List<Candidate> candidates, long nowNanos) {
         outliers.record(report, nowNanos);
-        List<Candidate> usable = outliers.usable(candidates, nowNanos);
+        return assignHome(report, candidateSet(candidates, nowNanos), nowNanos);
+    }
+
+    /** Returns the homes of several objects that the same upstreams may serve, by key; see {@link #assignHome}. */
+    Map<Long, String> assignHomes(List<ObjectReport> reports, List<Candidate> candidates, long nowNanos) {
+        reports.forEach(report -> outliers.record(report, nowNanos));
+        CandidateSet set = candidateSet(candidates, nowNanos);
+        Map<Long, String> homes = new HashMap<>();
+        for (ObjectReport report : reports) {
+            assignHome(report, set, nowNanos).ifPresent(home -> homes.put(report.key(), home.name()));
+        }
+        return homes;
+    }
+
+    private CandidateSet candidateSet(List<Candidate> candidates, long nowNanos) {
+        return CandidateSet.of(candidates, outliers.usable(candidates, nowNanos));
+    }
+
+    private Optional<Candidate> assignHome(ObjectReport report, CandidateSet candidates, long nowNanos) {
         PlannedObject planned = objects.get(report.key());
-        Optional<Candidate> home = Optional.<PlannedObject>ofNullable(planned)
-                .flatMap(existing -> find(usable, existing.upstream))
-                .or(() -> planned == null ? adoptedHome(report, usable) : Optional.empty())
-                .or(() -> firstBelowMeanUtilization(report.key(), usable));
+        Optional<Candidate> home =
+                planned == null ? adoptedHome(report, candidates) : candidates.usable(planned.upstream);
+        if (home.isEmpty()) {
+            home = firstBelowMeanUtilization(report.key(), candidates);
+        }
         home.ifPresent(upstream -> recordAssignment(report, upstream, candidates, nowNanos));
         return home;
     }
 
-    private Optional<Candidate> adoptedHome(ObjectReport report, List<Candidate> usable) {
-        return find(usable, report.upstream()).or(() -> find(usable, storedHomes.getOrDefault(report.key(), "")));
+    private Optional<Candidate> adoptedHome(ObjectReport report, CandidateSet candidates) {
+        return candidates
+                .usable(report.upstream())
+                .or(() -> candidates.usable(storedHomes.getOrDefault(report.key(), "")));
     }
 
-    private void recordAssignment(ObjectReport report, Candidate home, List<Candidate> candidates, long nowNanos) {
-        PlannedObject planned = objects.computeIfAbsent(report.key(), key -> new PlannedObject(nowNanos));
+    private void recordAssignment(ObjectReport report, Candidate home, CandidateSet candidates, long nowNanos) {
+        PlannedObject planned = objects.get(report.key());
+        if (planned == null) {
+            planned = new PlannedObject(nowNanos);
+            objects.put(report.key(), planned);
+        }
         if (!home.name().equals(planned.upstream)) {
             log("placed", report.key(), planned, home.name());
             reassign(report.key(), planned, home.name(), nowNanos);
@@ -141,6 +170,8 @@
         version++;
         keysByChangeVersion.put(version, key);
         planned.changeVersion = version;
+        loads.remove(planned.upstream, planned.load);
+        loads.add(target, planned.load);
         planned.upstream = target;
         planned.lastMovedNanos = nowNanos;
     }
@@ -149,6 +180,7 @@
         objects.values().removeIf(planned -> {
             boolean unused = nowNanos - planned.lastUsedNanos > UNUSED_EXPIRY.toNanos();
             if (unused) {
+                loads.remove(planned.upstream, planned.load);
                 keysByChangeVersion.remove(planned.changeVersion);
             }
             return unused;
@@ -173,17 +205,16 @@
         double seconds = (nowNanos - periodEndNanos + PERIOD.toNanos()) / 1e9;
         periodEndNanos = nowNanos + PERIOD.toNanos();
         removeUnused(nowNanos);
-        objects.values().forEach(planned -> planned.endPeriod(seconds));
+        for (PlannedObject planned : objects.values()) {
+            loads.change(planned.upstream, planned.endPeriod(seconds));
+        }
         outliers.endPeriod(upstreams, nowNanos);
         rebalance(outliers.usable(upstreams, nowNanos), nowNanos);
     }
 
     /** Returns the planned load of an upstream, in busy slots. */
     double load(String upstream) {
-        return objects.values().stream()
-                .filter(planned -> upstream.equals(planned.upstream))
-                .mapToDouble(planned -> planned.load)
-                .sum();
+        return loads.busySlots(upstream);
     }
 
     /** Returns the number of objects. */
@@ -193,18 +224,26 @@
 
     private void rebalance(List<Candidate> upstreams, long nowNanos) {
         assignToIdleUpstreams(upstreams, nowNanos);
-        Map<String, Double> loads = loads();
+        int moves = 1 + upstreams.size() / UPSTREAMS_PER_MOVE;
+        while (moves > 0 && moveOneObject(upstreams, nowNanos)) {
+            moves--;
+        }
+    }
+
+    /** Moves an object from the most loaded upstream that has one whose move pays; returns false if there is none. */
+    private boolean moveOneObject(List<Candidate> upstreams, long nowNanos) {
         List<Candidate> mostLoadedFirst = new ArrayList<>(upstreams);
-        mostLoadedFirst.sort(Comparator.comparingDouble((Candidate u) -> utilization(u, loads))
-                .reversed());
+        mostLoadedFirst.sort(
+                Comparator.<Candidate>comparingDouble(loads::utilization).reversed());
         for (Candidate source : mostLoadedFirst) {
-            if (utilization(source, loads) < REBALANCE_THRESHOLD) {
-                return;
+            if (loads.utilization(source) < REBALANCE_THRESHOLD) {
+                return false;
             }
-            if (moveBestObject(source, upstreams, loads, nowNanos)) {
-                return;
+            if (moveBestObject(source, upstreams, nowNanos)) {
+                return true;
             }
         }
+        return false;
     }
 
     /**
@@ -213,7 +252,7 @@
      */
     private void assignToIdleUpstreams(List<Candidate> upstreams, long nowNanos) {
         for (Candidate idle : upstreams) {
-            if (!hasObjects(idle.name())) {
+            if (loads.objects(idle.name()) == 0) {
                 lightestMovableObject(idle, nowNanos)
                         .ifPresent(object -> reassign(object.getKey(), object.getValue(), idle.name(), nowNanos));
             }
@@ -221,14 +260,11 @@
     }
 
     private Optional<Map.Entry<Long, PlannedObject>> lightestMovableObject(Candidate idle, long nowNanos) {
-        Map<String, Double> loads = loads();
-        Map<String, Integer> counts = new HashMap<>();
-        objects.values().forEach(planned -> counts.merge(planned.upstream, 1, Integer::sum));
         return objects.entrySet().stream()
                 .filter(object ->
-                        mayMove(object.getValue(), idle, nowNanos) && counts.get(object.getValue().upstream) > 1)
-                .min(Comparator.comparingDouble((Map.Entry<Long, PlannedObject> object) ->
-                                -loads.getOrDefault(object.getValue().upstream, 0.0))
+                        mayMove(object.getValue(), idle, nowNanos) && loads.objects(object.getValue().upstream) > 1)
+                .min(Comparator.comparingDouble(
+                                (Map.Entry<Long, PlannedObject> object) -> -loads.busySlots(object.getValue().upstream))
                         .thenComparingDouble(object -> object.getValue().load));
     }
 
@@ -237,16 +273,11 @@
                 && nowNanos - planned.lastMovedNanos >= MOVE_COOLDOWN.toNanos();
     }
 
-    private boolean hasObjects(String upstream) {
-        return objects.values().stream().anyMatch(planned -> planned.upstream.equals(upstream));
-    }
-
-    private boolean moveBestObject(
-            Candidate source, List<Candidate> upstreams, Map<String, Double> loads, long nowNanos) {
+    private boolean moveBestObject(Candidate source, List<Candidate> upstreams, long nowNanos) {
         PlannedObject best = null;
         long bestKey = 0;
         Candidate bestTarget = null;
-        double bestPeak = utilization(source, loads) - MIN_IMPROVEMENT;
+        double bestPeak = loads.utilization(source) - MIN_IMPROVEMENT;
         for (Map.Entry<Long, PlannedObject> object : objects.entrySet()) {
             PlannedObject planned = object.getValue();
             if (!source.name().equals(planned.upstream)
@@ -257,8 +288,8 @@
                 if (target.name().equals(source.name()) || !planned.eligibleUpstreams.contains(target.name())) {
                     continue;
                 }
-                double sourceAfter = utilization(source, loads) - planned.load / source.slots();
-                double targetAfter = utilization(target, loads) + planned.load / target.slots();
+                double sourceAfter = loads.utilization(source) - planned.load / source.slots();
+                double targetAfter = loads.utilization(target) + planned.load / target.slots();
                 if (Math.max(sourceAfter, targetAfter) < bestPeak) {
                     bestPeak = Math.max(sourceAfter, targetAfter);
                     best = planned;
@@ -279,20 +310,28 @@
      * Returns the first upstream in the object's rendezvous order whose utilization is at most n/(n+1) of the mean of
      * the n candidates, where the mean includes the new object; if there is none, the least utilized upstream.
      */
-    private Optional<Candidate> firstBelowMeanUtilization(long key, List<Candidate> candidates) {
-        Map<String, Double> loads = loads();
+    private Optional<Candidate> firstBelowMeanUtilization(long key, CandidateSet candidates) {
         double total = INITIAL_LOAD;
-        double slots = 0;
-        for (Candidate candidate : candidates) {
-            total += loads.getOrDefault(candidate.name(), 0.0);
-            slots += candidate.slots();
+        for (Candidate candidate : candidates.usable()) {
+            total += loads.busySlots(candidate.name());
+        }
+        int count = candidates.usable().size();
+        double limit = count == 0 ? 0 : total / candidates.usableSlots() * count / (count + 1);
+        Candidate first = null;
+        double firstScore = Double.NEGATIVE_INFINITY;
+        Candidate leastUtilized = null;
+        for (Candidate candidate : candidates.usable()) {
+            double utilization = loads.utilization(candidate);
+            if (leastUtilized == null || utilization < loads.utilization(leastUtilized)) {
+                leastUtilized = candidate;
+            }
+            double score = WeightedRendezvous.score(candidate.nameHash(), key, candidate.slots());
+            if (utilization <= limit && score > firstScore) {
+                first = candidate;
+                firstScore = score;
+            }
         }
-        double mean = slots == 0 ? 0 : total / slots;
-        return candidates.stream()
-                .filter(candidate ->
-                        utilization(candidate, loads) <= mean * candidates.size() / (candidates.size() + 1))
-                .max(Comparator.comparingDouble(u -> WeightedRendezvous.score(u.nameHash(), key, u.slots())))
-                .or(() -> candidates.stream().min(Comparator.comparingDouble(u -> utilization(u, loads))));
+        return Optional.ofNullable(first == null ? leastUtilized : first);
     }
 
     private static void log(String reason, long key, PlannedObject planned, String target) {
@@ -305,20 +344,6 @@
                 planned.load);
     }
 
-    private static double utilization(Candidate upstream, Map<String, Double> loads) {
-        return loads.getOrDefault(upstream.name(), 0.0) / upstream.slots();
-    }
-
-    private Map<String, Double> loads() {
-        Map<String, Double> loads = new HashMap<>();
-        objects.values().forEach(planned -> loads.merge(planned.upstream, planned.load, Double::sum));
-        return loads;
-    }
-
-    private static Optional<Candidate> find(List<Candidate> candidates, String name) {
-        return candidates.stream().filter(u -> u.name().equals(name)).findFirst();
-    }
-
     /** One object of the plan. */
     private static final class PlannedObject {
         private String upstream = "";
@@ -334,26 +359,21 @@
             lastMovedNanos = nowNanos;
         }
 
-        private void record(ObjectReport report, List<Candidate> candidates, long nowNanos) {
+        private void record(ObjectReport report, CandidateSet candidates, long nowNanos) {
             lastUsedNanos = nowNanos;
             busySeconds += report.busyMicros() / 1e6;
             reported |= report.requests() > 0;
-            if (!sameNames(candidates)) {
-                eligibleUpstreams = new HashSet<>();
-                candidates.forEach(candidate -> eligibleUpstreams.add(candidate.name()));
-            }
-        }
-
-        private boolean sameNames(List<Candidate> candidates) {
-            return eligibleUpstreams.size() == candidates.size()
-                    && candidates.stream().allMatch(candidate -> eligibleUpstreams.contains(candidate.name()));
+            eligibleUpstreams = candidates.names();
         }
 
-        private void endPeriod(double seconds) {
+        /** Updates the load from the reports of a period; returns by how much it changed. */
+        private double endPeriod(double seconds) {
+            double before = load;
             if (reported) {
                 load += LOAD_SMOOTHING * (busySeconds / seconds - load);
             }
             busySeconds = 0;
+            return load - before;
         }
     }
 }
--- a/src/main/java/org/arbutusfield/affinity/HomePlanner.java
+++ b/src/main/java/org/arbutusfield/affinity/HomePlanner.java
@@ -102,20 +102,22 @@
 
     private static Map<Long, String> homes(
             HomePlan plan, String service, RouteUse routeUse, SteeringState current, long nanos) {
+        if (routeUse.getObjects().isEmpty()) {
+            return Map.of();
+        }
         Optional<Route> route = current.routes().flatMap(table -> table.route(routeUse.getRoute()));
         List<Candidate> candidates = candidates(service, current, route, routeUse.getRegion(), nanos);
-        Map<Long, String> homes = new HashMap<>();
+        List<ObjectReport> reports = new ArrayList<>();
         for (ObjectHome object : routeUse.getObjects()) {
-            ObjectReport report = new ObjectReport(
+            reports.add(new ObjectReport(
                     routeUse.getRoute(),
                     object.getKey(),
                     object.getRequests(),
                     object.getFailures(),
                     object.getBusyMicros(),
-                    object.getUpstream());
-            plan.assignHome(report, candidates, nanos).ifPresent(home -> homes.put(object.getKey(), home.name()));
+                    object.getUpstream()));
         }
-        return homes;
+        return plan.assignHomes(reports, candidates, nanos);
     }
 
     private static List<Candidate> candidates(
--- a/src/test/java/org/arbutusfield/affinity/HomePlanTest.java
+++ b/src/test/java/org/arbutusfield/affinity/HomePlanTest.java
@@ -7,9 +7,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.SplittableRandom;
+import org.arbutusfield.lookup.WeightedRendezvous;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Assignment and rebalancing of objects, with loads that hashing alone spreads unevenly. */
 class HomePlanTest {
@@ -217,4 +220,53 @@
         plan.advance(upstreams, 40 * SECOND);
         assertThat(plan.size()).isZero();
     }
+
+    /**
+     * Load of the busiest upstream after ten seconds of skewed load on 20 objects for each upstream, relative to the
+     * least possible one, which is the mean or the heaviest object.
+     */
+    private static double imbalanceAfterTenSeconds(int upstreams, long seed) {
+        List<Candidate> candidates = new ArrayList<>();
+        for (int i = 0; i < upstreams; i++) {
+            candidates.add(new Candidate("u" + i, 3, WeightedRendezvous.hash("u" + i)));
+        }
+        SplittableRandom random = new SplittableRandom(seed);
+        int objects = 20 * upstreams;
+        double[] load = new double[objects];
+        for (int i = 0; i < objects; i++) {
+            // Mean 0.075 busy slots, half of the slots of all upstreams together; a few objects have many times that.
+            load[i] = 0.075 * -Math.log1p(-random.nextDouble()) * -Math.log1p(-random.nextDouble());
+        }
+        HomePlan plan = HomePlan.create();
+        Map<Integer, String> homes = new HashMap<>();
+        for (int second = 0; second <= 10; second++) {
+            long now = second * 1_000_000_000L;
+            for (int i = 0; i < objects; i++) {
+                ObjectReport report = new ObjectReport(
+                        "r", i, second == 0 ? 0 : 1, 0, (long) (load[i] * 1e6), homes.getOrDefault(i, ""));
+                homes.put(
+                        i,
+                        plan.assignHome(report, candidates, now).orElseThrow().name());
+            }
+            plan.advance(candidates, now + 999_999_999L);
+        }
+        Map<String, Double> sums = new HashMap<>();
+        double total = 0;
+        double heaviest = 0;
+        for (int i = 0; i < objects; i++) {
+            sums.merge(homes.get(i), load[i], Double::sum);
+            total += load[i];
+            heaviest = Math.max(heaviest, load[i]);
+        }
+        double busiest =
+                sums.values().stream().mapToDouble(Double::doubleValue).max().orElseThrow();
+        return busiest / Math.max(total / upstreams, heaviest);
+    }
+
+    /** Load pattern: skewed load on a large service. It is balanced as fast as a small one. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void largeServiceIsBalancedAsFastAsASmallOne(long seed) {
+        assertThat(imbalanceAfterTenSeconds(193, seed)).isLessThan(1.25 * imbalanceAfterTenSeconds(16, seed));
+    }
 }
