--- a/src/test/java/org/arbutusfield/edge/StoreRollBackModelTest.java
+++ b/src/test/java/org/arbutusfield/edge/StoreRollBackModelTest.java
@@ -31,6 +31,7 @@
 class StoreRollBackModelTest {
     private static final int SEQUENCE_LENGTH = 5;
     private static final Duration CALM = Duration.ofMillis(1500);
+    private static final Duration START_DISTANCE = Duration.ofMillis(500);
     private static final Duration SETTLING = Duration.ofSeconds(8);
     private static final Duration MAX_PROPAGATION_DELAY = Duration.ofSeconds(2);
     private static final String UPSTREAM_KEY = "servers/u";
@@ -104,7 +105,11 @@
         private void run(List<Step> steps) {
             writeAgain();
             copy = content.copy();
-            hosts.forEach(host -> host.start(content, timer));
+            for (Host host : hosts) {
+                host.start(content, timer);
+                // The hosts renew their leases at different times, so that one may get the id of the other's lease.
+                timer.advance(START_DISTANCE);
+            }
             timer.advance(CALM);
             check(steps);
             for (Step step : steps) {
