--- a/src/main/java/org/arbutusfield/edge/EdgeSetting.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeSetting.java
@@ -30,7 +30,10 @@
             "time within which a leaving upstream must get no more requests"),
     RETRY_RATIO("retryRatio", ValueType.FRACTION, "retried requests per request, over all hosts"),
     RETRY_WINDOW("retryWindow", ValueType.DURATION, "sliding window over which retried requests are counted"),
-    RETRY_SLACK("retrySlack", ValueType.COUNT, "retried requests in addition to the ratio, over all hosts");
+    RETRY_SLACK(
+            "retrySlack",
+            ValueType.FRACTION,
+            "retried requests in addition to the ratio, over all hosts; a fraction is dropped");
 
     private final String field;
     private final ValueType valueType;
