--- a/src/main/java/org/arbutusfield/affinity/HomePlan.java
+++ b/src/main/java/org/arbutusfield/affinity/HomePlan.java
@@ -27,7 +27,8 @@
  * Periodically some objects move, each from one of the most loaded upstreams to a less loaded one, if that reduces the
  * larger of the two utilizations by more than {@code MIN_IMPROVEMENT}, the cost of a move. The number of moves in a
  * period grows with the number of upstreams, so that a large service is balanced as fast as a small one. Sums of loads
- * are kept up to date, so that the cost of a report depends on neither the number of objects nor that of upstreams.
+ * are kept up to date: a report costs the same whatever the number of objects, and all reports of a route in one
+ * message share one pass over the upstreams. A new object costs one more pass.
  *
  * <p>Invariants: an object keeps its home while that upstream is a candidate and not avoided, except for such moves. An
  * object that was moved stays where it is for at least {@code MOVE_COOLDOWN}. An object that no host uses any more is
@@ -153,11 +154,7 @@
     }
 
     private void recordAssignment(ObjectReport report, Candidate home, CandidateSet candidates, long nowNanos) {
-        PlannedObject planned = objects.get(report.key());
-        if (planned == null) {
-            planned = new PlannedObject(nowNanos);
-            objects.put(report.key(), planned);
-        }
+        PlannedObject planned = objects.computeIfAbsent(report.key(), key -> new PlannedObject(nowNanos));
         if (!home.name().equals(planned.upstream)) {
             log("placed", report.key(), planned, home.name());
             reassign(report.key(), planned, home.name(), nowNanos);
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -350,8 +350,12 @@
         }
         boolean leaveTimeForRetry =
                 attempt.onReusedConnection() && head.requestClass().repeatable() && body.replayable();
+        if (!leaveTimeForRetry) {
+            caller.timer().set(deadlineNanos);
+            return;
+        }
         Duration patience = context.responseTimes().patience(head, remaining(), now);
-        caller.timer().set(leaveTimeForRetry ? now + patience.toNanos() : deadlineNanos);
+        caller.timer().set(now + patience.toNanos());
     }
 
     private void sentTimerExpired() {
