Log the shared rate of an upstream and the number of known hosts with each placement

The lines on a placement told neither whether the upstream was cold nor how many hosts the sender knew.

--- a/src/main/java/org/arbutusfield/edge/RequestLog.java
+++ b/src/main/java/org/arbutusfield/edge/RequestLog.java
@@ -98,14 +98,16 @@
     public void placed(PlacementRequest request, Choice choice) {
         if (!overLineLimit()) {
             LOG.info(
-                    "event=placed id={} upstream={} reason={} home={} in_flight={} candidates={} version={}"
-                            + " revision={}",
+                    "event=placed id={} upstream={} reason={} home={} in_flight={} candidates={} shared_rate={} hosts={}"
+                            + " version={} revision={}",
                     request.requestId(),
                     choice.upstream(),
                     choice.reason(),
                     choice.home(),
                     choice.inFlight(),
                     choice.candidates(),
+                    choice.sharedRate(),
+                    choice.hosts(),
                     routesVersion.getAsLong(),
                     choice.revision());
         }
--- a/src/main/java/org/arbutusfield/steering/Choice.java
+++ b/src/main/java/org/arbutusfield/steering/Choice.java
@@ -8,9 +8,19 @@
  * @param home home of the request's object; {@code -} if none is known
  * @param inFlight this host's other requests in flight to the upstream
  * @param candidates number of upstreams that were considered; 1 when the home was used directly
+ * @param sharedRate requests per second that the upstream accepts from all hosts together; 0 if it is not limited
+ * @param hosts number of hosts that this host knows
  * @param revision revision of the store that the state reflects
  */
-public record Choice(String upstream, Reason reason, String home, int inFlight, int candidates, long revision) {
+public record Choice(
+        String upstream,
+        Reason reason,
+        String home,
+        int inFlight,
+        int candidates,
+        double sharedRate,
+        int hosts,
+        long revision) {
 
     /** Why an upstream was chosen. */
     public enum Reason {
--- a/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
@@ -268,6 +268,8 @@
             SteeringState current,
             LiveUpstream upstream,
             Rationale rationale) {
+        long nanos = timer.nowNanos();
+        boolean cold = upstream.cold(nanos);
         observer.placed(
                 request,
                 new Choice(
@@ -276,9 +278,10 @@
                         rationale.home().orElse("-"),
                         inFlight.getOrDefault(upstream.name(), 0),
                         rationale.considered(),
+                        cold ? coldRate(upstream, current) : 0,
+                        current.hosts().size(),
                         current.revision().number()));
-        long nanos = timer.nowNanos();
-        if (upstream.cold(nanos)) {
+        if (cold) {
             coldLimiter.recordSent(upstream, coldRate(upstream, current), current.hosts(), nanos);
         }
         String name = upstream.name();
