Test: cold upstreams are flooded while hosts disagree about the list of hosts

Twenty hosts with the real watcher, cache, registration and placement in virtual time, seven cold upstreams, all hosts eager.

--- /dev/null
+++ b/src/test/java/org/arbutusfield/edge/ColdUpstreamRateTest.java
@@ -0,0 +1,229 @@
+package org.arbutusfield.edge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.arbutusfield.affinity.HomePlanner;
+import org.arbutusfield.affinity.HomeResolver;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.lab.platform.KeyValueContent;
+import org.arbutusfield.model.RequestClass;
+import org.arbutusfield.model.Service;
+import org.arbutusfield.platform.PlatformItemDecoder;
+import org.arbutusfield.proxy.AttemptOutcome;
+import org.arbutusfield.proxy.PlacementRequest;
+import org.arbutusfield.proxy.PlacementTarget;
+import org.arbutusfield.state.ContentStore;
+import org.arbutusfield.state.FaultyStore;
+import org.arbutusfield.state.HostEntry;
+import org.arbutusfield.state.StateCache;
+import org.arbutusfield.state.SteeringState;
+import org.arbutusfield.state.StoreHealth;
+import org.arbutusfield.state.StoreWatcher;
+import org.arbutusfield.steering.HostRetryBudget;
+import org.arbutusfield.steering.SharedRetryBudget;
+import org.arbutusfield.steering.SteeringPlacement;
+import org.arbutusfield.store.WatchableStore;
+import org.arbutusfield.timer.VirtualTimer;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Twenty hosts with the real watcher, cache, registration and placement send as many requests as they may to a cold
+ * upstream, in virtual time, while the store makes them disagree about the list of hosts.
+ *
+ * <p>Checked: in no second does the upstream get more requests than its rate, the tolerated excess and the tolerated
+ * number beyond it.
+ */
+class ColdUpstreamRateTest {
+    private static final int HOSTS = 20;
+    private static final double RATE = 7.6;
+    private static final double TOLERATED_PER_SECOND = RATE * 1.5 + 5;
+    private static final Duration STEP = Duration.ofMillis(10);
+    private static final Duration SECOND = Duration.ofSeconds(1);
+    private static final Duration MAX_PROPAGATION_DELAY = Duration.ofMillis(2500);
+    private static final Duration REGISTRATION = Duration.ofSeconds(6);
+    private static final Duration OUTAGE = Duration.ofMillis(4600);
+    private static final Duration AFTER_OUTAGE = Duration.ofSeconds(6);
+    private static final SharedRetryBudget RETRY_BUDGET = new SharedRetryBudget(0.2, Duration.ofSeconds(10), 120, 12);
+    private static final String ROUTES = "{\"version\":\"r1\",\"limits\":{\"max_header_bytes\":1,\"max_body_bytes\":1,"
+            + "\"header_timeout\":\"3s\",\"idle_timeout\":\"15s\"},\"listeners\":[],\"upstreams\":[{\"name\":\"desk\","
+            + "\"health_path\":\"/health\",\"max_connections\":660,\"cold_start\":\"3s\",\"cold_per_s\":7.6}]}";
+    private static final Duration RETURN = Duration.ofSeconds(3);
+    private static final int TURNED_AWAY = 7;
+    private static final int COLD_UPSTREAMS = 7;
+    private static final String COLD_ENTRY = "{\"address\":\"127.0.0.1:9\",\"born\":2,\"details\":{\"service\":"
+            + "\"desk\",\"version\":\"v\",\"zone\":\"d\",\"slots\":9},\"status\":{\"state\":\"ready\",\"sequence\":1,"
+            + "\"cold_remaining\":\"30000ms\"}}";
+
+    /** One host. */
+    private static final class Host {
+        private final VirtualTimer timer;
+        private final FaultyStore store;
+        private String name;
+        private HostRegistrar registrar;
+        private SteeringPlacement placement;
+        private SteeringState state = SteeringState.empty();
+
+        private Host(VirtualTimer timer, FaultyStore store) {
+            this.timer = timer;
+            this.store = store;
+        }
+
+        private void start(String hostName) {
+            name = hostName;
+            HostEntry self = new HostEntry(name, "g", "d", "127.0.0.1:1", "127.0.0.1:2", 1);
+            HomePlanner planner = HomePlanner.create(() -> state, timer);
+            HomeResolver resolver = HomeResolver.start(
+                    name,
+                    () -> state,
+                    (peer, message, timeout) ->
+                            CompletableFuture.completedFuture(Either.left(Failure.of(ErrorCode.PEER_TIMEOUT))),
+                    planner,
+                    timer);
+            HostRetryBudget retryBudget =
+                    HostRetryBudget.create(RETRY_BUDGET, () -> state.hosts().size(), timer);
+            placement = SteeringPlacement.create(
+                    name, "g", () -> state, resolver, retryBudget, (request, choice) -> {}, timer);
+            StoreHealth health = StoreHealth.create();
+            registrar = HostRegistrar.start(store, timer, self, health);
+            StateCache cache = StateCache.create(PlatformItemDecoder.create(), Map.of("d", "g"));
+            StoreWatcher.start(store, timer, cache, MAX_PROPAGATION_DELAY, health, this::install);
+        }
+
+        private void install(SteeringState next) {
+            state = next;
+            placement.stateChanged(next);
+            registrar.stateChanged(next);
+        }
+
+        /** Sends a request if an upstream may get it; returns the upstream. */
+        private Optional<String> send() {
+            Either<Failure, PlacementTarget> placed = placement.place(request()).join();
+            placed.peek(target -> target.permit().release(AttemptOutcome.COMPLETED, 1));
+            return placed.map(PlacementTarget::name).toJavaOptional();
+        }
+
+        private static PlacementRequest request() {
+            RequestClass requestClass = new RequestClass("r", List.of(), "/", true, true, 2_000);
+            return new PlacementRequest(
+                    "1",
+                    new Service("desk", 0, 0, 0, List.of(requestClass), List.of()),
+                    requestClass,
+                    "GET",
+                    "/",
+                    Duration.ofSeconds(2),
+                    new InetSocketAddress(0),
+                    0,
+                    Set.of(),
+                    Optional.empty(),
+                    Optional.empty());
+        }
+    }
+
+    private final VirtualTimer timer = VirtualTimer.create();
+    private final KeyValueContent content = KeyValueContent.create(timer);
+    private final List<Host> hosts = new ArrayList<>();
+    private final Map<String, Deque<Long>> arrivals = new HashMap<>();
+    private int maxPerSecond;
+    private int total;
+
+    private void startHosts(Random random) {
+        content.put("op/config", ROUTES.getBytes(StandardCharsets.UTF_8), 0);
+        for (int i = 0; i < HOSTS; i++) {
+            WatchableStore direct = ContentStore.of(content, timer);
+            Host host = new Host(timer, FaultyStore.of(direct));
+            host.start("host-" + i);
+            hosts.add(host);
+            timer.advance(Duration.ofMillis(random.nextInt(100)));
+        }
+        timer.advance(REGISTRATION);
+    }
+
+    /** The hosts reach the store again one after the other. */
+    private void makeStoreReachable(Random random) {
+        for (Host host : hosts) {
+            timer.after(
+                    Duration.ofMillis(random.nextInt((int) RETURN.toMillis())), () -> host.store.setReachable(true));
+        }
+    }
+
+    private void addColdUpstreams() {
+        for (int i = 0; i < COLD_UPSTREAMS; i++) {
+            content.put("servers/u-" + i, COLD_ENTRY.getBytes(StandardCharsets.UTF_8), 0);
+        }
+    }
+
+    /** All hosts send what they may, in varying order, for some time. */
+    private void sendFor(Duration time, Random random) {
+        for (long end = timer.nowNanos() + time.toNanos(); timer.nowNanos() < end; timer.advance(STEP)) {
+            int first = random.nextInt(HOSTS);
+            for (int i = 0; i < HOSTS; i++) {
+                hosts.get((first + i) % HOSTS).send().ifPresent(this::recordArrival);
+            }
+        }
+    }
+
+    private void recordArrival(String upstream) {
+        total++;
+        Deque<Long> times = arrivals.computeIfAbsent(upstream, name -> new ArrayDeque<>());
+        times.add(timer.nowNanos());
+        while (timer.nowNanos() - times.peek() >= SECOND.toNanos()) {
+            times.remove();
+        }
+        maxPerSecond = Math.max(maxPerSecond, times.size());
+    }
+
+    /**
+     * Guards against the flood of a cold upstream by two sets of owners: the store turns some hosts away and drops
+     * their registrations, and these hosts go on with the list of hosts that they have.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 89, 92, 101})
+    void coldUpstreamIsNotFloodedWhenTheStoreTurnsSomeHostsAway(int seed) {
+        Random random = new Random(seed);
+        startHosts(random);
+        addColdUpstreams();
+        sendFor(SECOND, random);
+        Collections.shuffle(hosts, random);
+        for (Host host : hosts.subList(0, TURNED_AWAY)) {
+            host.store.setReachable(false);
+            content.list("hosts/" + host.name, "", 1).forEach(item -> content.endLease(item.lease()));
+        }
+        sendFor(AFTER_OUTAGE, random);
+        assertThat((double) maxPerSecond).isLessThanOrEqualTo(TOLERATED_PER_SECOND);
+    }
+
+    /**
+     * Guards against the flood of a cold upstream by hosts that each work with a different list of hosts: the leases of
+     * all hosts lapse in an outage of the store, and each host registers again when it reaches the store.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void coldUpstreamIsNotFloodedWhenAllHostsRegisterAgain(int seed) {
+        Random random = new Random(seed);
+        startHosts(random);
+        hosts.forEach(host -> host.store.setReachable(false));
+        timer.advance(OUTAGE);
+        addColdUpstreams();
+        makeStoreReachable(random);
+        sendFor(AFTER_OUTAGE, random);
+        assertThat((double) maxPerSecond).isLessThanOrEqualTo(TOLERATED_PER_SECOND);
+        assertThat((double) total).isGreaterThan(RATE);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/arbutusfield/state/FaultyStore.java
@@ -0,0 +1,71 @@
+package org.arbutusfield.state;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.store.ItemChanges;
+import org.arbutusfield.store.ItemPage;
+import org.arbutusfield.store.StoreLease;
+import org.arbutusfield.store.StoreRevision;
+import org.arbutusfield.store.WatchableStore;
+
+/** A store that one host can't reach at times. Calls then fail without effect, and so do open watches when they end. */
+public final class FaultyStore implements WatchableStore {
+    private final WatchableStore store;
+    private boolean reachable = true;
+
+    private FaultyStore(WatchableStore store) {
+        this.store = store;
+    }
+
+    /** Creates a reachable store. */
+    public static FaultyStore of(WatchableStore store) {
+        return new FaultyStore(store);
+    }
+
+    /** Makes the store reachable or unreachable. */
+    public void setReachable(boolean reachable) {
+        this.reachable = reachable;
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, ItemPage>> list(String prefix, String afterKey) {
+        return call(() -> store.list(prefix, afterKey));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, ItemChanges>> watch(String prefix, StoreRevision after, Duration wait) {
+        return call(() -> store.watch(prefix, after, wait).thenApply(changes -> reachable ? changes : unreachable()));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, StoreRevision>> put(String key, byte[] value, long leaseId) {
+        return call(() -> store.put(key, value, leaseId));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, StoreLease>> grantLease(Duration duration) {
+        return call(() -> store.grantLease(duration));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Long>> renewLease(long leaseId) {
+        return call(() -> store.renewLease(leaseId));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Long>> endLease(long leaseId) {
+        return call(() -> store.endLease(leaseId));
+    }
+
+    private <T> CompletableFuture<Either<Failure, T>> call(Supplier<CompletableFuture<Either<Failure, T>>> call) {
+        return reachable ? call.get() : CompletableFuture.completedFuture(unreachable());
+    }
+
+    private static <T> Either<Failure, T> unreachable() {
+        return Either.left(Failure.of(ErrorCode.STORE_UNAVAILABLE));
+    }
+}
