Cold upstreams: every host sends an equal part of the rate, in turns, instead of a few owners

Cause: the right to send to a cold upstream followed from the list of hosts that each host had in force. Lists differ while hosts register again after an outage of the store, while the store turns some of them away, and after a pause; then there are more owners than three, each with a third of the rate. Class of the fault: a right that needs agreement, used without agreement.

Change: UpstreamRateLimiter gives every host rate / hosts, one request a period, in a turn at a hashed time; unused turns are lost. It needs the number of hosts only, and FleetSize never takes that for less than the largest seen. HostRetryBudget had the same rule of its own and now uses FleetSize.

Elsewhere: HostRetryBudget doesn't need agreement; the planner of homes does, and two planners cost warmth only.

--- a/src/main/java/org/arbutusfield/steering/HostRetryBudget.java
+++ b/src/main/java/org/arbutusfield/steering/HostRetryBudget.java
@@ -12,8 +12,7 @@
  *
  * <p>Per service and sliding window, all hosts together may retry a fraction of their requests, plus a fixed number of
  * retries. Each host stays within the fraction of its own requests and an equal part of the fixed number, so the sum
- * holds without messages between hosts. The divisor is the largest number of hosts that this host has seen, because a
- * partitioned host sees fewer hosts than there are.
+ * holds without messages between hosts. The divisor is the {@link FleetSize}.
  *
  * <p>Not thread-safe; must be used from one thread.
  */
@@ -22,17 +21,15 @@
     private static final double USABLE_FRACTION = 0.85;
 
     private final SharedRetryBudget budget;
-    private final IntSupplier hostCount;
+    private final FleetSize fleetSize;
     private final TimerService timer;
     private final Map<String, SlidingWindowCounter> requests = new HashMap<>();
     private final Map<String, SlidingWindowCounter> retries = new HashMap<>();
-    private int maxHostsSeen;
 
-    private HostRetryBudget(SharedRetryBudget budget, IntSupplier hostCount, TimerService timer) {
+    private HostRetryBudget(SharedRetryBudget budget, FleetSize fleetSize, TimerService timer) {
         this.budget = budget;
-        this.hostCount = hostCount;
+        this.fleetSize = fleetSize;
         this.timer = timer;
-        maxHostsSeen = budget.minHosts();
     }
 
     /**
@@ -43,7 +40,12 @@
      * @param timer monotonic clock
      */
     public static HostRetryBudget create(SharedRetryBudget budget, IntSupplier hostCount, TimerService timer) {
-        return new HostRetryBudget(budget, hostCount, timer);
+        return new HostRetryBudget(budget, FleetSize.of(hostCount, budget.minHosts()), timer);
+    }
+
+    /** Returns the number of hosts among which the budget is divided. */
+    FleetSize fleetSize() {
+        return fleetSize;
     }
 
     /** Records a request of a caller, which adds to the budget. Must not be called for retries. */
@@ -53,11 +55,10 @@
 
     @Override
     public boolean tryAcquire(Service service) {
-        maxHostsSeen = Math.max(maxHostsSeen, hostCount.getAsInt());
         long now = timer.nowNanos();
         SlidingWindowCounter used = counter(retries, service.name());
-        double allowed =
-                budget.ratio() * counter(requests, service.name()).total(now) + (double) budget.slack() / maxHostsSeen;
+        double allowed = budget.ratio() * counter(requests, service.name()).total(now)
+                + (double) budget.slack() / fleetSize.largest();
         if (used.total(now) + 1 > allowed * USABLE_FRACTION) {
             return false;
         }
--- a/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
@@ -43,7 +43,8 @@
     private final TimerService timer;
     private final HostRetryBudget retryBudget;
     private final PlacementObserver observer;
-    private final ColdUpstreamLimiter coldLimiter;
+    private final UpstreamRateLimiter rateLimiter;
+    private final FleetSize fleetSize;
     private final UpstreamAvailability availability = UpstreamAvailability.create();
     private final UpstreamBackoff backoff = UpstreamBackoff.create();
     private final Map<String, Integer> inFlight = new HashMap<>();
@@ -62,7 +63,8 @@
         this.retryBudget = retryBudget;
         this.observer = observer;
         this.timer = timer;
-        this.coldLimiter = ColdUpstreamLimiter.of(self);
+        this.fleetSize = retryBudget.fleetSize();
+        this.rateLimiter = UpstreamRateLimiter.of(self, fleetSize);
     }
 
     /**
@@ -72,7 +74,7 @@
      * @param region region of the host
      * @param state supplies the current state
      * @param homeResolver resolves objects to upstreams
-     * @param retryBudget records each request of a caller
+     * @param retryBudget records each request of a caller, and knows the size of the fleet
      * @param observer notified of each placement
      * @param timer monotonic clock
      */
@@ -103,12 +105,13 @@
         return result;
     }
 
-    /** Discards what was recorded about upstreams that no longer exist. */
+    /** Takes a new state into account, and discards what was recorded about upstreams that no longer exist. */
     public void stateChanged(SteeringState next) {
         Set<String> names = new HashSet<>();
         next.upstreams().values().forEach(list -> list.forEach(u -> names.add(u.name())));
         backoff.retainAll(names);
-        coldLimiter.retainAll(names);
+        rateLimiter.discardExpired(timer.nowNanos());
+        fleetSize.update();
     }
 
     private static void complete(
@@ -239,8 +242,7 @@
     }
 
     private boolean warmOrWithinColdRate(LiveUpstream upstream, SteeringState current, long nanos) {
-        return !upstream.cold(nanos)
-                || coldLimiter.allows(upstream, coldRate(upstream, current), current.hosts(), nanos);
+        return !upstream.cold(nanos) || rateLimiter.allows(upstream, coldRate(upstream, current), nanos);
     }
 
     private static double coldRate(LiveUpstream upstream, SteeringState current) {
@@ -282,7 +284,7 @@
                         current.hosts().size(),
                         current.revision().number()));
         if (cold) {
-            coldLimiter.recordSent(upstream, coldRate(upstream, current), current.hosts(), nanos);
+            rateLimiter.recordSent(upstream, nanos);
         }
         String name = upstream.name();
         inFlight.merge(name, 1, Integer::sum);
