--- a/src/test/java/org/arbutusfield/platform/PlatformPathTest.java
+++ b/src/test/java/org/arbutusfield/platform/PlatformPathTest.java
@@ -115,14 +115,14 @@
         }
         runs.computeIfAbsent(request.header("x-request-id").orElse(""), k -> new AtomicInteger())
                 .incrementAndGet();
-        if (behavior.equals("leaving")) {
-            return new SimpleHttpResponse(
-                    200,
-                    List.of(Header.of("x-server-seal", "s"), Header.of("Server-Leaving", "1")),
-                    Body.of(id + " " + request.target()));
-        }
-        List<Header> seal = behavior.equals("unproved") ? List.of() : List.of(Header.of("x-server-seal", "s"));
-        return new SimpleHttpResponse(200, seal, Body.of(id + " " + request.target()));
+        List<Header> headers =
+                switch (behavior) {
+                    case "unproved" -> List.of();
+                    case "leaving" -> List.of(Header.of("x-server-seal", "s"), Header.of("Server-Leaving", "1"));
+                    case "limited" -> List.of(Header.of("x-server-seal", "s"), Header.of("Server-Limit", "0.01"));
+                    default -> List.of(Header.of("x-server-seal", "s"));
+                };
+        return new SimpleHttpResponse(200, headers, Body.of(id + " " + request.target()));
     }
 
     private void registerServer(String id, InetSocketAddress address) {
@@ -293,6 +293,17 @@
     @ParameterizedTest
     @CsvSource({"leaving", "pausing"})
     void upstreamThatWantsNoRequestsGetsNoMore(String behavior) {
+        assertThat(arrivalsAtHomeBesideAnotherUpstream(behavior)).isEqualTo(1);
+    }
+
+    /** Guards against an upstream in need that names a limit in its response and goes on getting its usual load. */
+    @Test
+    void upstreamThatNamesALimitGetsNoMoreThanItsRate() {
+        assertThat(arrivalsAtHomeBesideAnotherUpstream("limited")).isEqualTo(1);
+    }
+
+    /** Requests that reach the home of an object in all, although another upstream could serve all but the first. */
+    private int arrivalsAtHomeBesideAnotherUpstream(String behavior) {
         AtomicInteger arrivals = new AtomicInteger();
         HttpServer first = HttpServer.bind(group, ANY, 1 << 20, request -> {
                     arrivals.incrementAndGet();
@@ -310,7 +321,7 @@
         for (int i = 0; i < 10; i++) {
             assertThat(request("r" + i, "/p/x" + i).text()).startsWith("i-2");
         }
-        assertThat(arrivals).hasValue(1);
+        return arrivals.get();
     }
 
     /** The store returns from a copy that is older than the change of routes and the drain of a server. */
--- /dev/null
+++ b/src/test/java/org/arbutusfield/steering/UpstreamRateLimitTest.java
@@ -0,0 +1,220 @@
+package org.arbutusfield.steering;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.arbutusfield.affinity.HomePlanner;
+import org.arbutusfield.affinity.HomeResolver;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
+import org.arbutusfield.lookup.WeightedRendezvous;
+import org.arbutusfield.model.RequestClass;
+import org.arbutusfield.model.Service;
+import org.arbutusfield.model.Upstream;
+import org.arbutusfield.proxy.AttemptOutcome;
+import org.arbutusfield.proxy.PlacementRequest;
+import org.arbutusfield.proxy.PlacementTarget;
+import org.arbutusfield.proxy.UpstreamNotice;
+import org.arbutusfield.route.Route;
+import org.arbutusfield.route.WeightedService;
+import org.arbutusfield.state.HostEntry;
+import org.arbutusfield.state.LiveUpstream;
+import org.arbutusfield.state.SteeringState;
+import org.arbutusfield.store.StoreRevision;
+import org.arbutusfield.timer.VirtualTimer;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * A fleet of hosts, each with its own placement, under constant load in virtual time, while one of the upstreams names
+ * the rate that it accepts from all hosts together. A host learns of the limit from a response only.
+ */
+class UpstreamRateLimitTest {
+    private static final int UPSTREAMS = 16;
+    private static final int OBJECTS = 160;
+    private static final double REQUESTS_PER_UPSTREAM = 5;
+    private static final Duration STEP = Duration.ofMillis(10);
+    private static final Duration RESPONSE_TIME = Duration.ofMillis(300);
+    /** Time that a host has to act on a response. */
+    private static final Duration REACTION = Duration.ofMillis(500);
+    /** Time after which the limit must hold, from the first response that names it. */
+    private static final Duration SETTLING = Duration.ofSeconds(3);
+
+    private static final Duration WINDOW = Duration.ofSeconds(4);
+    private static final String LIMITED = "u-3";
+    private static final SharedRetryBudget RETRY_BUDGET = new SharedRetryBudget(0.2, Duration.ofSeconds(10), 120, 12);
+
+    private final VirtualTimer timer = VirtualTimer.create();
+    private final List<Host> hosts = new ArrayList<>();
+    /** Times at which requests reached the limited upstream from hosts that were bound by its limit. */
+    private final List<Long> boundArrivals = new ArrayList<>();
+
+    private long arrivals;
+    private Optional<Double> namedRate = Optional.empty();
+
+    /** One host. */
+    private final class Host {
+        private final SteeringPlacement placement;
+        private Optional<Long> toldNanos = Optional.empty();
+
+        private Host(String name, SteeringState state) {
+            HomeResolver resolver = HomeResolver.start(
+                    name,
+                    () -> state,
+                    (peer, message, timeout) ->
+                            CompletableFuture.completedFuture(Either.left(Failure.of(ErrorCode.PEER_TIMEOUT))),
+                    HomePlanner.create(() -> state, timer),
+                    timer);
+            HostRetryBudget retryBudget =
+                    HostRetryBudget.create(RETRY_BUDGET, () -> state.hosts().size(), timer);
+            placement = SteeringPlacement.create(
+                    name, "gulf", () -> state, resolver, retryBudget, (request, choice) -> {}, timer);
+        }
+
+        private void send(String object) {
+            Either<Failure, PlacementTarget> placed =
+                    placement.place(request(object)).join();
+            if (placed.isLeft()) {
+                return;
+            }
+            if (placed.get().name().equals(LIMITED)) {
+                recordArrival();
+            }
+            timer.after(RESPONSE_TIME, () -> respond(placed.get()));
+        }
+
+        private void recordArrival() {
+            arrivals++;
+            boolean bound = toldNanos
+                    .filter(told -> timer.nowNanos() - told >= REACTION.toNanos())
+                    .isPresent();
+            if (bound) {
+                boundArrivals.add(timer.nowNanos());
+            }
+        }
+
+        private void respond(PlacementTarget target) {
+            if (target.name().equals(LIMITED) && namedRate.isPresent()) {
+                target.permit().noticed(new UpstreamNotice.RateLimit(namedRate.get()));
+                toldNanos = toldNanos.or(() -> Optional.of(timer.nowNanos()));
+            } else {
+                target.permit().noticed(new UpstreamNotice.NoRateLimit());
+            }
+            target.permit().release(AttemptOutcome.COMPLETED, RESPONSE_TIME.toNanos());
+        }
+    }
+
+    private static PlacementRequest request(String object) {
+        Route route = new Route(
+                "r",
+                "h",
+                "/",
+                true,
+                false,
+                Duration.ofSeconds(2),
+                Duration.ofMillis(400),
+                2,
+                2,
+                Set.of(),
+                true,
+                List.of(new WeightedService("desk", 1)));
+        RequestClass requestClass = new RequestClass("r", List.of(), "/", true, true, 2_000);
+        return new PlacementRequest(
+                "1",
+                new Service("desk", 0, 0, 0, List.of(requestClass), List.of()),
+                requestClass,
+                "GET",
+                "/",
+                Duration.ofSeconds(2),
+                new InetSocketAddress(0),
+                0,
+                Set.of(),
+                Optional.of(route),
+                Optional.of(object));
+    }
+
+    private static SteeringState state(int hostCount) {
+        List<LiveUpstream> upstreams = IntStream.range(0, UPSTREAMS)
+                .mapToObj(i -> new Upstream("u-" + i, "desk", "gulf-a", "127.0.0.1", 9000, 3, 100))
+                .map(model -> new LiveUpstream(model, "gulf", 0, 0, 1, WeightedRendezvous.hash(model.name())))
+                .toList();
+        List<HostEntry> entries = IntStream.range(0, hostCount)
+                .mapToObj(i -> new HostEntry("host-" + i, "gulf", "gulf-a", "127.0.0.1:1", "127.0.0.1:2", 420))
+                .toList();
+        return new SteeringState(
+                Optional.empty(), Map.of("desk", upstreams), Set.of(), entries, Map.of(), StoreRevision.NONE);
+    }
+
+    private void startHosts(int count) {
+        SteeringState state = state(count);
+        for (int i = 0; i < count; i++) {
+            hosts.add(new Host("host-" + i, state));
+        }
+    }
+
+    /** Sends the load of all callers for some time and returns how many requests reached the limited upstream. */
+    private long load(Duration time, Random random) {
+        long before = arrivals;
+        double sendsPerStep = UPSTREAMS * REQUESTS_PER_UPSTREAM * STEP.toMillis() / 1000.0;
+        for (long end = timer.nowNanos() + time.toNanos(); timer.nowNanos() < end; timer.advance(STEP)) {
+            if (random.nextDouble() < sendsPerStep) {
+                hosts.get(random.nextInt(hosts.size())).send("object-" + random.nextInt(OBJECTS));
+            }
+        }
+        return arrivals - before;
+    }
+
+    private int mostInOneWindow(long fromNanos) {
+        int most = 0;
+        int first = 0;
+        for (int last = 0; last < boundArrivals.size(); last++) {
+            while (boundArrivals.get(last) - boundArrivals.get(first) >= WINDOW.toNanos()) {
+                first++;
+            }
+            if (boundArrivals.get(last) >= fromNanos) {
+                most = Math.max(most, last - first + 1);
+            }
+        }
+        return most;
+    }
+
+    /** Guards against an upstream in need that names a limit and goes on getting its usual load from all hosts. */
+    @ParameterizedTest
+    @CsvSource({"16, 1.5, 1", "16, 1.1, 2", "16, 0.5, 3", "25, 1.6, 4", "95, 1.5, 5", "3, 1.5, 6", "16, 0, 7"})
+    void sumOverAllHostsKeepsTheRateThatAnUpstreamNames(int hostCount, double perSecond, int seed) {
+        Random random = new Random(seed);
+        startHosts(hostCount);
+        long usual = load(Duration.ofSeconds(20), random);
+        namedRate = Optional.of(perSecond);
+        long start = timer.nowNanos();
+        load(Duration.ofMinutes(2), random);
+        assertThat((double) usual).isGreaterThan(20 * REQUESTS_PER_UPSTREAM / 2);
+        assertThat((double) mostInOneWindow(start + SETTLING.toNanos()))
+                .isLessThanOrEqualTo(perSecond * 1.5 * WINDOW.toSeconds() + 5);
+    }
+
+    /** Guards against a limit that outlives its end: most hosts send too seldom to hear of it soon. */
+    @ParameterizedTest
+    @CsvSource({"16, 1.5, 1", "25, 1.6, 4", "3, 1.5, 6", "16, 0, 7"})
+    void upstreamGetsItsLoadAgainAfterTheEndOfItsLimit(int hostCount, double perSecond, int seed) {
+        Random random = new Random(seed);
+        startHosts(hostCount);
+        load(Duration.ofSeconds(20), random);
+        namedRate = Optional.of(perSecond);
+        load(Duration.ofSeconds(30), random);
+        namedRate = Optional.empty();
+        load(Duration.ofMinutes(4), random);
+        long afterwards = load(Duration.ofSeconds(20), random);
+        assertThat((double) afterwards).isGreaterThan(20 * REQUESTS_PER_UPSTREAM / 2);
+    }
+}
