Keep the rate that an upstream names, as a sum over all hosts

Cause: a word of an upstream about itself that no code read. Class of the fault: a limit on the sum over all hosts that no host keeps; the same class as the cold rate, so it gets the same mechanism and no second one.

Ruled out: hosts that keep the limit each for itself (the load at the upstreams didn't change when they named it).

Change: an upstream with a named limit is a candidate only within UpstreamRateLimiter, at the smaller of its named and its cold rate; objects at home there go to the next upstream of their order meanwhile. The response that tells of the limit counts as the host's first request. The limit ends with the first response that doesn't name it; a host that has heard nothing for two to four of its periods, a different time on each host, tries whether it still holds. Next to nothing (below 0.3 per second) is taken for 0.3, since an upstream that gets nothing can't say that it recovered.

--- a/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
@@ -36,6 +37,10 @@
 public final class SteeringPlacement implements Placement {
     private static final Duration NO_UPSTREAM_RETRY_AFTER = Duration.ofMillis(400);
     private static final String ANY_REGION = "";
+    /** An upstream that names next to nothing must still be asked whether that has changed. In requests per second. */
+    private static final double MIN_NAMED_RATE = 0.3;
+    /** Shared rate of an upstream without a limit, in the record of a choice. */
+    private static final double UNLIMITED = 0;
 
     private final String region;
     private final Supplier<SteeringState> state;
@@ -218,7 +223,7 @@
 
     /**
      * Returns true when the upstream is in the region, allowed by the route and not yet tried, accepts requests from
-     * this host, and is warm or may get a request within its cold rate.
+     * this host, and may get a request within the rate that it accepts from all hosts, if that is limited.
      */
     private boolean eligible(
             String regionFilter, PlacementRequest request, LiveUpstream upstream, SteeringState current) {
@@ -227,7 +232,7 @@
         return inRegion
                 && untriedAndInAllowedRegion(request, upstream)
                 && availability.accepts(upstream, nanos)
-                && warmOrWithinColdRate(upstream, current, nanos);
+                && withinSharedRate(upstream, current, nanos);
     }
 
     private static Optional<LiveUpstream> find(String name, List<LiveUpstream> candidates) {
@@ -241,8 +246,32 @@
                 && request.route().map(route -> route.allows(upstream.region())).orElse(true);
     }
 
-    private boolean warmOrWithinColdRate(LiveUpstream upstream, SteeringState current, long nanos) {
-        return !upstream.cold(nanos) || rateLimiter.allows(upstream, coldRate(upstream, current), nanos);
+    private boolean withinSharedRate(LiveUpstream upstream, SteeringState current, long nanos) {
+        OptionalDouble rate = sharedRate(upstream, current, nanos);
+        return rate.isEmpty() || rateLimiter.allows(upstream, rate.getAsDouble(), nanos);
+    }
+
+    /**
+     * Returns the requests per second that the upstream accepts from all hosts together; empty if it is not limited.
+     */
+    private OptionalDouble sharedRate(LiveUpstream upstream, SteeringState current, long nanos) {
+        OptionalDouble named = namedRate(upstream, nanos);
+        if (!upstream.cold(nanos)) {
+            return named;
+        }
+        double cold = coldRate(upstream, current);
+        return OptionalDouble.of(Math.min(cold, named.orElse(cold)));
+    }
+
+    /** Returns the rate that the upstream named, unless this host has heard nothing from it for long. */
+    private OptionalDouble namedRate(LiveUpstream upstream, long nanos) {
+        Optional<UpstreamAvailability.RateLimit> limit = availability.rateLimit(upstream);
+        if (limit.isEmpty()) {
+            return OptionalDouble.empty();
+        }
+        double perSecond = Math.max(MIN_NAMED_RATE, limit.get().perSecond());
+        boolean expired = nanos - limit.get().heardNanos() > rateLimiter.maxAgeNanos(upstream, perSecond);
+        return expired ? OptionalDouble.empty() : OptionalDouble.of(perSecond);
     }
 
     private static double coldRate(LiveUpstream upstream, SteeringState current) {
@@ -271,7 +300,7 @@
             LiveUpstream upstream,
             Rationale rationale) {
         long nanos = timer.nowNanos();
-        boolean cold = upstream.cold(nanos);
+        OptionalDouble sharedRate = sharedRate(upstream, current, nanos);
         observer.placed(
                 request,
                 new Choice(
@@ -280,10 +309,10 @@
                         rationale.home().orElse("-"),
                         inFlight.getOrDefault(upstream.name(), 0),
                         rationale.considered(),
-                        cold ? coldRate(upstream, current) : 0,
+                        sharedRate.orElse(UNLIMITED),
                         current.hosts().size(),
                         current.revision().number()));
-        if (cold) {
+        if (sharedRate.isPresent()) {
             rateLimiter.recordSent(upstream, nanos);
         }
         String name = upstream.name();
@@ -333,7 +362,14 @@
 
         @Override
         public void noticed(UpstreamNotice notice) {
-            availability.record(upstream, notice, timer.nowNanos());
+            long nanos = timer.nowNanos();
+            boolean newlyLimited = notice instanceof UpstreamNotice.RateLimit
+                    && availability.rateLimit(upstream).isEmpty();
+            availability.record(upstream, notice, nanos);
+            if (newlyLimited) {
+                // The request that this response belongs to counts as the first one.
+                rateLimiter.recordSent(upstream, nanos);
+            }
         }
     }
 
--- a/src/main/java/org/arbutusfield/steering/UpstreamAvailability.java
+++ b/src/main/java/org/arbutusfield/steering/UpstreamAvailability.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.proxy.UpstreamNotice;
@@ -45,7 +44,7 @@
         if (notice instanceof UpstreamNotice.Pause pause) {
             recordPause(upstream, notices, pause.duration(), nowNanos);
         } else if (notice instanceof UpstreamNotice.RateLimit limit) {
-            recordRateLimit(upstream, notices, limit.perSecond());
+            recordRateLimit(upstream, notices, limit.perSecond(), nowNanos);
         } else if (notice instanceof UpstreamNotice.Leaving && !notices.leaving) {
             notices.leaving = true;
             LOG.info("event=upstream_leaving id={} start={}", upstream.name(), upstream.startMillis());
@@ -70,6 +69,13 @@
         return pausing ? Optional.of(Duration.ofNanos(notices.pauseEndNanos - nowNanos)) : Optional.empty();
     }
 
+    /** Returns the limit that the upstream named last, unless a later response named none. */
+    Optional<RateLimit> rateLimit(LiveUpstream upstream) {
+        Notices notices = noticesByName.get(upstream.name());
+        boolean sameStart = notices != null && notices.startMillis == upstream.startMillis();
+        return sameStart ? notices.rateLimit : Optional.empty();
+    }
+
     private static void recordPause(LiveUpstream upstream, Notices notices, Duration duration, long nowNanos) {
         long end = nowNanos + duration.toNanos();
         if (!notices.pausing(nowNanos) || end - notices.pauseEndNanos > 0) {
@@ -79,9 +85,11 @@
         }
     }
 
-    private static void recordRateLimit(LiveUpstream upstream, Notices notices, double perSecond) {
-        boolean changed = notices.limitPerSecond.isEmpty() || notices.limitPerSecond.getAsDouble() != perSecond;
-        notices.limitPerSecond = OptionalDouble.of(perSecond);
+    private static void recordRateLimit(LiveUpstream upstream, Notices notices, double perSecond, long nowNanos) {
+        boolean changed = notices.rateLimit
+                .filter(limit -> limit.perSecond() == perSecond)
+                .isEmpty();
+        notices.rateLimit = Optional.of(new RateLimit(perSecond, nowNanos));
         if (changed) {
             LOG.info("event=upstream_limited id={} per_second={}", upstream.name(), perSecond);
         }
@@ -89,8 +97,8 @@
 
     private void endRateLimit(LiveUpstream upstream) {
         Notices notices = noticesByName.get(upstream.name());
-        if (notices != null && notices.startMillis == upstream.startMillis() && notices.limitPerSecond.isPresent()) {
-            notices.limitPerSecond = OptionalDouble.empty();
+        if (notices != null && notices.startMillis == upstream.startMillis() && notices.rateLimit.isPresent()) {
+            notices.rateLimit = Optional.empty();
             LOG.info("event=upstream_limit_ended id={}", upstream.name());
         }
     }
@@ -111,13 +119,21 @@
         return created;
     }
 
+    /**
+     * A limit that an upstream named.
+     *
+     * @param perSecond requests per second from all hosts together; zero or more
+     * @param heardNanos monotonic time of the last response that named it
+     */
+    record RateLimit(double perSecond, long heardNanos) {}
+
     /** Notices of one start of an upstream. */
     private static final class Notices {
         private final long startMillis;
         private boolean leaving;
         private boolean paused;
         private long pauseEndNanos;
-        private OptionalDouble limitPerSecond = OptionalDouble.empty();
+        private Optional<RateLimit> rateLimit = Optional.empty();
 
         private Notices(long startMillis) {
             this.startMillis = startMillis;
--- a/src/main/java/org/arbutusfield/steering/UpstreamRateLimiter.java
+++ b/src/main/java/org/arbutusfield/steering/UpstreamRateLimiter.java
@@ -35,6 +35,8 @@
     /** With a low rate, turns are so long that this number of hosts has one at any time. */
     private static final double MIN_HOSTS_WITH_TURN = 2;
 
+    private static final double MIN_AGE_PERIODS = 2;
+    private static final double MAX_AGE_PERIODS = 4;
     private static final double NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
     private static final double UNIT_INTERVAL_SCALE = 0x1.0p-53;
     private static final Duration RETENTION = Duration.ofMinutes(10);
@@ -69,9 +71,8 @@
         if (perSecond <= 0) {
             return false;
         }
-        double usablePerNano = perSecond * USABLE_FRACTION / NANOS_PER_SECOND;
-        double period = fleetSize.largest() / usablePerNano;
-        double turn = Math.max((double) MIN_TURN.toNanos(), MIN_HOSTS_WITH_TURN / usablePerNano);
+        double period = periodNanos(perSecond);
+        double turn = Math.max((double) MIN_TURN.toNanos(), period * MIN_HOSTS_WITH_TURN / fleetSize.largest());
         double position = nowNanos / period + offset(upstream);
         double turnStart = nowNanos - (position - Math.floor(position)) * period;
         if (nowNanos - turnStart >= turn) {
@@ -81,6 +82,24 @@
         return lastSent == null || (lastSent < turnStart && nowNanos - lastSent >= period / 2);
     }
 
+    /**
+     * Returns how long a limit may be taken to hold that the upstream has not named again. Most hosts send it so few
+     * requests that they would otherwise learn late that the limit has ended. Hosts use different times, so that they
+     * do not all try at once.
+     *
+     * @param upstream an upstream with a limit
+     * @param perSecond requests per second that it accepts from all hosts together; more than zero
+     */
+    double maxAgeNanos(LiveUpstream upstream, double perSecond) {
+        double periods = MIN_AGE_PERIODS + offset(upstream) * (MAX_AGE_PERIODS - MIN_AGE_PERIODS);
+        return periods * periodNanos(perSecond);
+    }
+
+    /** Returns the time in which this host may send one request, in nanoseconds. */
+    private double periodNanos(double perSecond) {
+        return fleetSize.largest() * NANOS_PER_SECOND / (perSecond * USABLE_FRACTION);
+    }
+
     /** Records that this host sends the upstream a request. */
     void recordSent(LiveUpstream upstream, long nowNanos) {
         lastSentNanos.put(upstream.name(), nowNanos);
