A late notice of an earlier start no longer erases those of the present one

An upstream that had started again under its id and had said that it leaves was used again when a response of its earlier start came in late with any notice: the record of notices was replaced by one of the earlier start. The new test failed in three of its four cases before.

--- a/src/main/java/org/arbutusfield/steering/UpstreamAvailability.java
+++ b/src/main/java/org/arbutusfield/steering/UpstreamAvailability.java
@@ -14,9 +14,9 @@
  * What upstreams say about themselves in their responses: which want no requests from this host, and which accept a
  * limited rate from all hosts.
  *
- * <p>A notice counts for the start of the upstream that sent it. An upstream that leaves stays excluded for good,
- * whatever the store or other hosts say of it, until it has started again. A pause lasts until its end; a shorter one
- * that arrives meanwhile does not end it earlier.
+ * <p>A notice counts for the start of the upstream that sent it, and replaces those of earlier starts. An upstream that
+ * leaves stays excluded for good, whatever the store or other hosts say of it, until it has started again. A pause
+ * lasts until its end; a shorter one that arrives meanwhile does not end it earlier.
  *
  * <p>Callers pass the current time. Not thread-safe; must be used from one thread.
  */
@@ -40,6 +40,12 @@
             endRateLimit(upstream);
             return;
         }
+        Notices known = noticesByName.get(upstream.name());
+        boolean startKnown = upstream.startMillis() != 0;
+        if (known != null && startKnown && known.startMillis > upstream.startMillis()) {
+            LOG.debug("event=upstream_notice_outdated id={} start={}", upstream.name(), upstream.startMillis());
+            return;
+        }
         Notices notices = noticesOf(upstream);
         if (notice instanceof UpstreamNotice.Pause pause) {
             recordPause(upstream, notices, pause.duration(), nowNanos);
--- a/src/test/java/org/arbutusfield/steering/SteeringPlacementTest.java
+++ b/src/test/java/org/arbutusfield/steering/SteeringPlacementTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.arbutusfield.affinity.HomePlanner;
 import org.arbutusfield.affinity.HomeResolver;
 import org.arbutusfield.error.ErrorCode;
@@ -33,6 +34,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /**
  * Placement of requests when the first choice can't serve them: cold, tried, far away, leaving or pausing upstreams.
@@ -186,6 +188,29 @@
         assertThat(nameOf(placement.place(untried()).join())).isEqualTo("u-a");
     }
 
+    /** Guards against a late response of an earlier start that makes the host forget that the present one leaves. */
+    @ParameterizedTest
+    @MethodSource("notices")
+    void lateNoticeOfAnEarlierStartKeepsThoseOfThePresentOne(UpstreamNotice late) {
+        Upstream upstream = new Upstream("u-a", "vault", "near-a", "127.0.0.1", 1, 3, 10);
+        AtomicReference<SteeringState> current = new AtomicReference<>(state(started(upstream, "near", 0, 1)));
+        SteeringPlacement placement = placement(current::get);
+        Either<Failure, PlacementTarget> earlier = placement.place(untried()).join();
+        current.set(state(started(upstream, "near", 0, 2)));
+        Either<Failure, PlacementTarget> present = placement.place(untried()).join();
+        present.get().permit().noticed(new UpstreamNotice.Leaving());
+        earlier.get().permit().noticed(late);
+        assertThat(nameOf(placement.place(untried()).join())).isEqualTo("NO_UPSTREAM");
+    }
+
+    private static Stream<UpstreamNotice> notices() {
+        return Stream.of(
+                new UpstreamNotice.Leaving(),
+                new UpstreamNotice.Pause(Duration.ofSeconds(1)),
+                new UpstreamNotice.RateLimit(1.5),
+                new UpstreamNotice.NoRateLimit());
+    }
+
     /** Load pattern: nearly all upstreams of a service pause at the same time; the one left takes what it can. */
     @Test
     void requestsMoveToTheUpstreamsThatDoNotPause() {
