Test: an upstream that starts again under its id is flooded before its entry is read

After any change in the store a host opens its next watch late, by half of the propagation delay (1.25 s here).

--- a/src/test/java/org/arbutusfield/edge/ColdUpstreamRateTest.java
+++ b/src/test/java/org/arbutusfield/edge/ColdUpstreamRateTest.java
@@ -67,9 +67,14 @@
     private static final Duration RETURN = Duration.ofSeconds(3);
     private static final int TURNED_AWAY = 7;
     private static final int COLD_UPSTREAMS = 7;
-    private static final String COLD_ENTRY = "{\"address\":\"127.0.0.1:9\",\"born\":2,\"details\":{\"service\":"
+    private static final int WARM_UPSTREAMS = 17;
+    /** Mean load of an upstream while many more callers than usual press. */
+    private static final double REQUESTS_PER_UPSTREAM = 26;
+
+    private static final Duration COLD_PERIOD = Duration.ofSeconds(3);
+    private static final String ENTRY = "{\"address\":\"127.0.0.1:9\",\"born\":%d,\"details\":{\"service\":"
             + "\"desk\",\"version\":\"v\",\"zone\":\"d\",\"slots\":9},\"status\":{\"state\":\"ready\",\"sequence\":1,"
-            + "\"cold_remaining\":\"30000ms\"}}";
+            + "\"cold_remaining\":\"%dms\"}}";
 
     /** One host. */
     private static final class Host {
@@ -165,10 +170,15 @@
 
     private void addColdUpstreams() {
         for (int i = 0; i < COLD_UPSTREAMS; i++) {
-            content.put("servers/u-" + i, COLD_ENTRY.getBytes(StandardCharsets.UTF_8), 0);
+            report("u-" + i, 2, Duration.ofSeconds(30));
         }
     }
 
+    private void report(String upstream, int start, Duration cold) {
+        byte[] entry = ENTRY.formatted(start, cold.toMillis()).getBytes(StandardCharsets.UTF_8);
+        content.put("servers/" + upstream, entry, 0);
+    }
+
     /** All hosts send what they may, in varying order, for some time. */
     private void sendFor(Duration time, Random random) {
         for (long end = timer.nowNanos() + time.toNanos(); timer.nowNanos() < end; timer.advance(STEP)) {
@@ -226,4 +236,45 @@
         assertThat((double) maxPerSecond).isLessThanOrEqualTo(TOLERATED_PER_SECOND);
         assertThat((double) total).isGreaterThan(RATE);
     }
+
+    /**
+     * Guards against the flood of an upstream that starts again under its id, and is cold, before the hosts have read
+     * its new entry.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {10, 500, 1000})
+    void upstreamThatStartsAgainIsNotFloodedBeforeItsEntryIsRead(int downMillis) {
+        Random random = new Random(downMillis);
+        startHosts(random);
+        report("again", 1, Duration.ZERO);
+        for (int i = 0; i < WARM_UPSTREAMS; i++) {
+            report("warm-" + i, 1, Duration.ZERO);
+        }
+        timer.advance(MAX_PROPAGATION_DELAY);
+        // Any other change makes the hosts open their next watch late.
+        report("warm-0", 1, Duration.ZERO);
+        load(Duration.ofMillis(downMillis), AttemptOutcome.FAILED, random);
+        arrivals.clear();
+        maxPerSecond = 0;
+        report("again", 2, COLD_PERIOD);
+        load(COLD_PERIOD, AttemptOutcome.COMPLETED, random);
+        assertThat((double) maxPerSecond).isLessThanOrEqualTo(TOLERATED_PER_SECOND);
+    }
+
+    /** Sends the load of many callers through all hosts; requests to the upstream that starts again end as given. */
+    private void load(Duration time, AttemptOutcome outcome, Random random) {
+        double sends = (WARM_UPSTREAMS + 1) * REQUESTS_PER_UPSTREAM * STEP.toMillis() / 1000;
+        for (long end = timer.nowNanos() + time.toNanos(); timer.nowNanos() < end; timer.advance(STEP)) {
+            for (double left = sends; left > random.nextDouble(); left--) {
+                Host host = hosts.get(random.nextInt(HOSTS));
+                PlacementTarget target =
+                        host.placement.place(Host.request()).join().get();
+                boolean again = target.name().equals("again");
+                target.permit().release(again ? outcome : AttemptOutcome.COMPLETED, 1);
+                if (again && outcome == AttemptOutcome.COMPLETED) {
+                    recordArrival(target.name());
+                }
+            }
+        }
+    }
 }
