Read an upstream's new state soon after its connections told that it may have restarted

Cause: coldness is known from the store only, and after any change a host opens its next watch half a propagation delay later, to read many changes with one call. An upstream that starts again under its id in that time is taken for the warm one that it was. Class of the fault: what is known is older than what the host could have noticed itself.

Ruled out: a shorter delay always (each call has a price, and on the large site changes never end: the calls would double or more); limits for every upstream that failed once (a lossy link would take warm upstreams out of use).

Change: the connection pool tells when an upstream closed a connection in use, or can't be connected to, or can be again; the watcher then opens its next watch after a tenth of the propagation delay instead of half. An open watch is left alone, so a sign costs at most one call.

ConnectionReuseTest shows the three signs on sockets, and that a connection closed by the host is none; StoreWatcherTest the delay.

Not mended: while the store is away no entry tells of the restart; an upstream that turns cold without a restart gives no sign.

--- a/src/main/java/org/arbutusfield/edge/CompositeRequestObserver.java
+++ b/src/main/java/org/arbutusfield/edge/CompositeRequestObserver.java
@@ -1,16 +1,19 @@
 package org.arbutusfield.edge;
 
+import java.net.InetSocketAddress;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.proxy.RequestObserver;
 import org.arbutusfield.proxy.RequestRecord;
 
 /**
- * Forwards the events of requests to the log and the metrics.
+ * Forwards the events of requests to the log and the metrics, and signs of restarts to the watch of the store.
  *
  * @param log gets every event
  * @param meter gets the record of each finished request
+ * @param restartSign called when an upstream may have restarted
  */
-record CompositeRequestObserver(RequestLog log, RequestObserver meter) implements RequestObserver {
+record CompositeRequestObserver(RequestLog log, RequestObserver meter, Runnable restartSign)
+        implements RequestObserver {
     @Override
     public void finished(RequestRecord request) {
         log.finished(request);
@@ -26,4 +29,9 @@
     public void attemptFailed(String requestId, String target, Failure failure, boolean notRun) {
         log.attemptFailed(requestId, target, failure, notRun);
     }
+
+    @Override
+    public void upstreamMayHaveRestarted(InetSocketAddress upstream) {
+        restartSign.run();
+    }
 }
--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -73,6 +73,7 @@
     private HostRetryBudget retryBudget;
     private SteeringPlacement placement;
     private HostRegistrar registrar;
+    private StoreWatcher watcher;
     private ProxyServer proxyServer;
 
     private EdgeHost(EdgeSettings settings, EdgeProtocol protocol) {
@@ -196,7 +197,7 @@
     }
 
     private RequestObserver observer() {
-        return new CompositeRequestObserver(log, RequestMetrics.of(registry));
+        return new CompositeRequestObserver(log, RequestMetrics.of(registry), this::refreshState);
     }
 
     private Either<Failure, EdgeHost> openEndpoints() {
@@ -224,7 +225,14 @@
         HomeStoreWriter.start(planner, () -> state, store, timer);
         StoreHealth health = StoreHealth.create();
         registrar = HostRegistrar.start(store, timer, self, health);
-        StoreWatcher.start(store, timer, cache, settings.maxPropagationDelay(), health, this::install);
+        watcher = StoreWatcher.start(store, timer, cache, settings.maxPropagationDelay(), health, this::install);
+    }
+
+    /** Reads an upstream's new state soon after connections have told that it may have restarted. */
+    private void refreshState() {
+        if (watcher != null) {
+            watcher.refreshSoon();
+        }
     }
 
     private void install(SteeringState next) {
--- a/src/main/java/org/arbutusfield/proxy/ProxyServer.java
+++ b/src/main/java/org/arbutusfield/proxy/ProxyServer.java
@@ -65,8 +65,8 @@
      */
     public static Either<Failure, ProxyServer> bind(
             EventLoopGroup group, InetSocketAddress address, ProxyComponents components) {
-        ConnectionPools pools =
-                ConnectionPools.start(group, components.limits().get().connectTimeout());
+        ConnectionPools pools = ConnectionPools.start(
+                group, components.limits().get().connectTimeout(), components.observer()::upstreamMayHaveRestarted);
         ProxyServer server = new ProxyServer(group, ProxyContext.of(components, pools));
         ChannelFuture bound = server.bootstrap().bind(address).awaitUninterruptibly();
         if (!bound.isSuccess()) {
--- a/src/main/java/org/arbutusfield/proxy/RequestObserver.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestObserver.java
@@ -1,8 +1,9 @@
 package org.arbutusfield.proxy;
 
+import java.net.InetSocketAddress;
 import org.arbutusfield.error.Failure;
 
-/** Receives the record of each finished request. Thread-safe; does not block. */
+/** Observes requests and the connections to upstreams. Thread-safe; does not block. */
 @FunctionalInterface
 public interface RequestObserver {
     /** Ignores all events. */
@@ -27,4 +28,13 @@
     default void attemptFailed(String requestId, String target, Failure failure, boolean notRun) {
         // Optional: only request logs use this event.
     }
+
+    /**
+     * Called when connections tell that an upstream may have ended or started again; the cause may also be the network.
+     *
+     * @param upstream address of the upstream
+     */
+    default void upstreamMayHaveRestarted(InetSocketAddress upstream) {
+        // Optional: only hosts that read the upstreams' states from a store use this event.
+    }
 }
--- a/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
@@ -41,15 +41,18 @@
 
     private final InetSocketAddress address;
     private final Duration connectTimeout;
+    private final UpstreamRestartListener restartListener;
     private final Object lock = new Object();
     private final Map<EventLoop, Deque<UpstreamConnection>> idle = new HashMap<>();
     private final Set<UpstreamConnection> connected = new HashSet<>();
     private int connecting;
     private int limit;
+    private boolean reachable = true;
 
-    ConnectionPool(InetSocketAddress address, Duration connectTimeout) {
+    ConnectionPool(InetSocketAddress address, Duration connectTimeout, UpstreamRestartListener restartListener) {
         this.address = address;
         this.connectTimeout = connectTimeout;
+        this.restartListener = restartListener;
     }
 
     /**
@@ -83,7 +86,7 @@
         if (ready.isPresent()) {
             callback.accept(Either.right(ready.get()));
         } else if (evicted.isPresent()) {
-            evicted.get().channel().close().addListener(closed -> loop.execute(() -> connect(loop, callback)));
+            evicted.get().close().addListener(closed -> loop.execute(() -> connect(loop, callback)));
         } else if (belowLimit) {
             connect(loop, callback);
         } else {
@@ -116,7 +119,7 @@
                 connections.removeAll(closing);
             }
         }
-        closing.forEach(connection -> connection.channel().close());
+        closing.forEach(UpstreamConnection::close);
     }
 
     void release(UpstreamConnection connection) {
@@ -130,11 +133,17 @@
             }
         }
         if (!kept) {
-            connection.channel().close();
+            connection.close();
         }
     }
 
-    void closed(UpstreamConnection connection) {
+    /**
+     * Called when a connection was closed.
+     *
+     * @param connection the connection
+     * @param lost whether the upstream closed it although it was in use until shortly before
+     */
+    void closed(UpstreamConnection connection, boolean lost) {
         synchronized (lock) {
             connected.remove(connection);
             Deque<UpstreamConnection> idleOfLoop = idle.get(connection.channel().eventLoop());
@@ -142,6 +151,9 @@
                 idleOfLoop.remove(connection);
             }
         }
+        if (lost) {
+            restartListener.mayHaveRestarted(address);
+        }
     }
 
     private Optional<UpstreamConnection> pollIdle(
@@ -186,11 +198,17 @@
                 })
                 .connect(address);
         opened.addListener(done -> {
+            boolean changed;
             synchronized (lock) {
                 connecting--;
                 if (done.isSuccess()) {
                     connected.add(connection);
                 }
+                changed = reachable != done.isSuccess();
+                reachable = done.isSuccess();
+            }
+            if (changed) {
+                restartListener.mayHaveRestarted(address);
             }
             callback.accept(
                     done.isSuccess()
--- a/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPools.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPools.java
@@ -14,11 +14,13 @@
     private static final Duration SWEEP_PERIOD = Duration.ofSeconds(5);
 
     private final Duration connectTimeout;
+    private final UpstreamRestartListener restartListener;
     private final Map<InetSocketAddress, ConnectionPool> pools = new ConcurrentHashMap<>();
     private Future<?> sweepTask;
 
-    private ConnectionPools(Duration connectTimeout) {
+    private ConnectionPools(Duration connectTimeout, UpstreamRestartListener restartListener) {
         this.connectTimeout = connectTimeout;
+        this.restartListener = restartListener;
     }
 
     /**
@@ -26,9 +28,11 @@
      *
      * @param group event loops, one of which runs the periodic clean-up
      * @param connectTimeout maximum time to connect
+     * @param restartListener receives signs that an upstream may have restarted
      */
-    public static ConnectionPools start(EventLoopGroup group, Duration connectTimeout) {
-        ConnectionPools pools = new ConnectionPools(connectTimeout);
+    public static ConnectionPools start(
+            EventLoopGroup group, Duration connectTimeout, UpstreamRestartListener restartListener) {
+        ConnectionPools pools = new ConnectionPools(connectTimeout, restartListener);
         pools.sweepTask = group.next()
                 .scheduleWithFixedDelay(
                         () -> pools.closeIdleSince(System.nanoTime() - IDLE_TIMEOUT.toNanos()),
@@ -43,7 +47,7 @@
         ConnectionPool existing = pools.get(address);
         return existing != null
                 ? existing
-                : pools.computeIfAbsent(address, key -> new ConnectionPool(key, connectTimeout));
+                : pools.computeIfAbsent(address, key -> new ConnectionPool(key, connectTimeout, restartListener));
     }
 
     /** Connections to all addresses that are open or being opened. */
--- a/src/main/java/org/arbutusfield/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/UpstreamConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.time.Duration;
 import org.arbutusfield.proxy.upstream.UpstreamResponseListener.Loss;
 
 /**
@@ -39,11 +41,14 @@
  */
 public final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     private static final String REQUEST_ID = "x-request-id";
+    /** Upstreams close connections that were idle for longer than this without any change. */
+    private static final Duration RECENT_USE = Duration.ofSeconds(2);
 
     private final ConnectionPool pool;
     private final StrictResponseDecoder decoder;
     private Channel channel;
     private UpstreamResponseListener responseListener;
+    private boolean closedHere;
     private boolean reused;
     private boolean requestEnded;
     private boolean keepAlive;
@@ -123,7 +128,13 @@
     /** Closes the connection, which cancels a request that the upstream is still processing. */
     public void abandon() {
         responseListener = null;
-        channel.close();
+        close();
+    }
+
+    /** Closes the connection; the close does not count as a loss. */
+    ChannelFuture close() {
+        closedHere = true;
+        return channel.close();
     }
 
     /** Returns the connection to its pool without having sent a request on it. */
@@ -143,7 +154,7 @@
         if (responseListener == null) {
             ReferenceCountUtil.release(message);
             keepAlive = false;
-            channel.close();
+            close();
             return;
         }
         if (message instanceof HttpResponse head) {
@@ -157,7 +168,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (responseListener == null && decoder.undecodedBytes() > 0) {
-            channel.close();
+            close();
         }
         if (responseListener != null) {
             responseListener.batchEnded();
@@ -173,7 +184,8 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        pool.closed(this);
+        boolean inUse = responseListener != null || System.nanoTime() - lastReadNanos < RECENT_USE.toNanos();
+        pool.closed(this, inUse && !closedHere);
         reportLoss(Loss.CLOSED);
     }
 
@@ -198,7 +210,7 @@
     private void responseHead(HttpResponse head) {
         if (head.decoderResult().isFailure()) {
             reportLoss(Loss.MALFORMED);
-            channel.close();
+            close();
             return;
         }
         informational = head.status().code() / 100 == 1 && head.status().code() != 101;
@@ -210,7 +222,7 @@
         if (HttpUtil.isContentLengthSet(head)
                 && head.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).size() > 1) {
             reportLoss(Loss.MALFORMED);
-            channel.close();
+            close();
             return;
         }
         responseListener.responseHead(head);
@@ -225,7 +237,7 @@
         if (content.decoderResult().isFailure()) {
             content.release();
             reportLoss(Loss.MALFORMED);
-            channel.close();
+            close();
             return;
         }
         UpstreamResponseListener listener = responseListener;
@@ -239,7 +251,7 @@
     private void finishExchange() {
         boolean clean = requestEnded && keepAlive && decoder.undecodedBytes() == 0 && channel.isActive();
         if (!clean) {
-            channel.close();
+            close();
             return;
         }
         reused = true;
--- a/src/main/java/org/arbutusfield/state/StoreWatcher.java
+++ b/src/main/java/org/arbutusfield/state/StoreWatcher.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -38,6 +39,9 @@
      */
     private static final int CHANGE_DELAY_DIVISOR = 2;
 
+    /** Divides that delay when a change is urgent. Bounds the number of calls while many connections are lost. */
+    private static final int URGENT_DELAY_DIVISOR = 5;
+
     private static final Duration INITIAL_RETRY_DELAY = Duration.ofMillis(150);
     private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(900);
     private static final Duration REMOVAL_GRACE_AFTER_OUTAGE = Duration.ofSeconds(1);
@@ -52,6 +56,10 @@
     private final List<StoreItem> listing = new ArrayList<>();
     private StoreRevision revision = StoreRevision.NONE;
     private StoreRevision listingRevision = StoreRevision.NONE;
+    /** The next watch, while it waits for further changes to collect. */
+    private Optional<TimerService.ScheduledTask> delayedWatch = Optional.empty();
+
+    private long changeNanos;
     private int failures;
     private long outageGraceEndNanos;
     private long watchCount;
@@ -183,7 +191,30 @@
             return;
         }
         publish();
-        timer.after(changeDelay, this::watch);
+        changeNanos = timer.nowNanos();
+        watchAfter(changeDelay);
+    }
+
+    private void watchAfter(Duration delay) {
+        delayedWatch = Optional.of(timer.after(delay, () -> {
+            delayedWatch = Optional.empty();
+            watch();
+        }));
+    }
+
+    /**
+     * Shortens the delay before the next watch, if one is running, because a change of the store's content is likely
+     * and urgent. Without such a sign many changes are worth waiting for.
+     */
+    public void refreshSoon() {
+        if (delayedWatch.isEmpty()) {
+            return;
+        }
+        LOG.info("event=watch_hastened revision={}", revision.number());
+        delayedWatch.get().cancel();
+        long sinceChange = timer.nowNanos() - changeNanos;
+        long left = changeDelay.toNanos() / URGENT_DELAY_DIVISOR - sinceChange;
+        watchAfter(Duration.ofNanos(Math.max(0, left)));
     }
 
     private void onFailure(String call, Failure failure, Runnable retry) {
--- a/src/test/java/org/arbutusfield/edge/ColdUpstreamRateTest.java
+++ b/src/test/java/org/arbutusfield/edge/ColdUpstreamRateTest.java
@@ -83,6 +83,8 @@
         private String name;
         private HostRegistrar registrar;
         private SteeringPlacement placement;
+        private StoreWatcher watcher;
+        private boolean connects = true;
         private SteeringState state = SteeringState.empty();
 
         private Host(VirtualTimer timer, FaultyStore store) {
@@ -108,7 +110,7 @@
             StoreHealth health = StoreHealth.create();
             registrar = HostRegistrar.start(store, timer, self, health);
             StateCache cache = StateCache.create(PlatformItemDecoder.create(), Map.of("d", "g"));
-            StoreWatcher.start(store, timer, cache, MAX_PROPAGATION_DELAY, health, this::install);
+            watcher = StoreWatcher.start(store, timer, cache, MAX_PROPAGATION_DELAY, health, this::install);
         }
 
         private void install(SteeringState next) {
@@ -117,6 +119,14 @@
             registrar.stateChanged(next);
         }
 
+        /** Does what a host does when its connections to an upstream are lost, fail to open, or open again. */
+        private void connect(boolean succeeds) {
+            if (connects != succeeds) {
+                connects = succeeds;
+                watcher.refreshSoon();
+            }
+        }
+
         /** Sends a request if an upstream may get it; returns the upstream. */
         private Optional<String> send() {
             Either<Failure, PlacementTarget> placed = placement.place(request()).join();
@@ -239,7 +249,7 @@
 
     /**
      * Guards against the flood of an upstream that starts again under its id, and is cold, before the hosts have read
-     * its new entry.
+     * its new entry. All hosts lose connections that they have just used when it ends.
      */
     @ParameterizedTest
     @ValueSource(ints = {10, 500, 1000})
@@ -253,6 +263,7 @@
         timer.advance(MAX_PROPAGATION_DELAY);
         // Any other change makes the hosts open their next watch late.
         report("warm-0", 1, Duration.ZERO);
+        hosts.forEach(host -> host.watcher.refreshSoon());
         load(Duration.ofMillis(downMillis), AttemptOutcome.FAILED, random);
         arrivals.clear();
         maxPerSecond = 0;
@@ -271,6 +282,9 @@
                         host.placement.place(Host.request()).join().get();
                 boolean again = target.name().equals("again");
                 target.permit().release(again ? outcome : AttemptOutcome.COMPLETED, 1);
+                if (again) {
+                    host.connect(outcome == AttemptOutcome.COMPLETED);
+                }
                 if (again && outcome == AttemptOutcome.COMPLETED) {
                     recordArrival(target.name());
                 }
--- a/src/test/java/org/arbutusfield/proxy/ConnectionReuseTest.java
+++ b/src/test/java/org/arbutusfield/proxy/ConnectionReuseTest.java
@@ -4,14 +4,17 @@
 import static org.arbutusfield.proxy.ProxyFixture.post;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.arbutusfield.lab.Fault;
 import org.arbutusfield.lab.ServiceTimes;
 import org.arbutusfield.lab.UpstreamStandIn;
 import org.arbutusfield.proxy.RawCaller.Response;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -166,4 +169,65 @@
             }
         }
     }
+
+    /** Counts the signs that an upstream may have restarted. */
+    private static final class RestartSigns implements RequestObserver {
+        private final AtomicInteger count = new AtomicInteger();
+
+        @Override
+        public void finished(RequestRecord record) {
+            // Only the signs of restarts are of interest here.
+        }
+
+        @Override
+        public void upstreamMayHaveRestarted(InetSocketAddress upstream) {
+            count.incrementAndGet();
+        }
+
+        private void await(int expected) {
+            while (count.get() < expected) {
+                Thread.onSpinWait();
+            }
+            assertThat(count).hasValue(expected);
+        }
+    }
+
+    /**
+     * Guards against an upstream that restarts unnoticed: it closes a connection that was just used, refuses new ones,
+     * and is reachable again. Each of these is a sign; further refusals are not.
+     */
+    @Test
+    @Timeout(20)
+    void lostRefusedAndRestoredConnectionsAreSignsOfARestart() {
+        RestartSigns signs = new RestartSigns();
+        try (ProxyFixture fixture = ProxyFixture.of(1, 64, components -> components.withObserver(signs));
+                RawCaller caller = fixture.caller()) {
+            caller.call(get("/desk/1", "1"));
+            assertThat(signs.count).hasValue(0);
+            int port = fixture.upstream().address().getPort();
+            fixture.upstream().close();
+            signs.await(1);
+            caller.call(get("/desk/2", "2"));
+            signs.await(2);
+            caller.call(get("/desk/3", "3"));
+            fixture.restartUpstream(port);
+            assertThat(caller.call(get("/desk/4", "4")).status()).isEqualTo(200);
+            signs.await(3);
+        }
+    }
+
+    /** The host itself closes a connection on which surplus bytes arrived; that says nothing about the upstream. */
+    @ParameterizedTest
+    @EnumSource(names = {"DUPLICATE_RESPONSE", "TRAILING_BYTES"})
+    void connectionClosedByTheHostIsNoSignOfARestart(Fault fault) {
+        RestartSigns signs = new RestartSigns();
+        try (ProxyFixture fixture = ProxyFixture.of(1, 64, components -> components.withObserver(signs));
+                RawCaller caller = fixture.caller()) {
+            fixture.faultOnce(fault);
+            for (int i = 0; i < 3; i++) {
+                caller.call(get("/desk/" + i, "r" + i));
+            }
+            assertThat(signs.count).hasValue(0);
+        }
+    }
 }
--- a/src/test/java/org/arbutusfield/proxy/ProxyFixture.java
+++ b/src/test/java/org/arbutusfield/proxy/ProxyFixture.java
@@ -87,6 +87,15 @@
         return upstreams.get(0);
     }
 
+    /** Starts another upstream in place of the only one, which was closed. */
+    void restartUpstream(int port) {
+        InetSocketAddress address = new InetSocketAddress(ANY_PORT.getAddress(), port);
+        upstreams.set(
+                0,
+                UpstreamStandIn.bind(group, address, "u0", 64, Duration.ZERO, timer)
+                        .get());
+    }
+
     /** Applies the fault to the first request that any upstream receives, and to no other. */
     void faultOnce(Fault fault) {
         AtomicInteger first = new AtomicInteger();
--- a/src/test/java/org/arbutusfield/state/StoreWatcherTest.java
+++ b/src/test/java/org/arbutusfield/state/StoreWatcherTest.java
@@ -33,6 +33,7 @@
     private final ScriptedStore store = new ScriptedStore();
     private final StoreHealth health = StoreHealth.create();
     private SteeringState state = SteeringState.empty();
+    private StoreWatcher watcher;
 
     /** A store whose responses the test controls; a watch stays open until the test completes it. */
     private static final class ScriptedStore implements WatchableStore {
@@ -107,7 +108,7 @@
             store.items.add(item(key));
         }
         StateCache cache = StateCache.create(StoreWatcherTest::decode, Map.of("gulf-a", "gulf"));
-        StoreWatcher.start(store, timer, cache, MAX_PROPAGATION_DELAY, health, next -> state = next);
+        watcher = StoreWatcher.start(store, timer, cache, MAX_PROPAGATION_DELAY, health, next -> state = next);
         timer.advance(Duration.ofMillis(1));
     }
 
@@ -138,6 +139,30 @@
         assertThat(store.watches).hasSize(2);
     }
 
+    /** Guards against an upstream that starts again and whose new entry is read long after its connections told so. */
+    @Test
+    void signOfARestartShortensTheDelayOfTheNextWatch() {
+        start("a", "b");
+        store.completeWatch(removed("a"));
+        watcher.refreshSoon();
+        watcher.refreshSoon();
+        timer.advance(Duration.ofMillis(100));
+        assertThat(store.watches).as("at once").hasSize(1);
+        timer.advance(Duration.ofMillis(200));
+        assertThat(store.watches).as("soon").hasSize(2);
+        timer.advance(MAX_PROPAGATION_DELAY);
+        assertThat(store.watches).as("after the usual delay").hasSize(2);
+    }
+
+    /** A watch that is open tells of the next change anyway; another one would only cost. */
+    @Test
+    void signOfARestartOpensNoSecondWatch() {
+        start("a", "b");
+        watcher.refreshSoon();
+        timer.advance(MAX_PROPAGATION_DELAY);
+        assertThat(store.watches).hasSize(1);
+    }
+
     @Test
     void removalInACompactedHistoryIsFoundByANewListing() {
         start("a", "b");
