--- a/src/main/java/org/arbutusfield/proxy/UpstreamNoticeReader.java
+++ b/src/main/java/org/arbutusfield/proxy/UpstreamNoticeReader.java
@@ -70,7 +70,7 @@
             return NO_RATE_LIMIT;
         }
         if (!DECIMAL.matcher(value).matches()) {
-            LOG.warn("event=upstream_limit_unreadable upstream={} value={}", target.name(), value);
+            LOG.warn("event=upstream_rate_limit_unreadable upstream={} value={}", target.name(), value);
             return List.of();
         }
         return List.of(new UpstreamNotice.RateLimit(Double.parseDouble(value)));
--- a/src/main/java/org/arbutusfield/steering/UpstreamAvailability.java
+++ b/src/main/java/org/arbutusfield/steering/UpstreamAvailability.java
@@ -97,7 +97,7 @@
                 .isEmpty();
         notices.rateLimit = Optional.of(new RateLimit(perSecond, nowNanos));
         if (changed) {
-            LOG.info("event=upstream_limited id={} per_second={}", upstream.name(), perSecond);
+            LOG.info("event=upstream_rate_limited id={} per_second={}", upstream.name(), perSecond);
         }
     }
 
@@ -105,7 +105,7 @@
         Notices notices = noticesByName.get(upstream.name());
         if (notices != null && notices.startMillis == upstream.startMillis() && notices.rateLimit.isPresent()) {
             notices.rateLimit = Optional.empty();
-            LOG.info("event=upstream_limit_ended id={}", upstream.name());
+            LOG.info("event=upstream_rate_limit_ended id={}", upstream.name());
         }
     }
 
