--- a/src/test/java/org/arbutusfield/edge/ColdUpstreamRateTest.java
+++ b/src/test/java/org/arbutusfield/edge/ColdUpstreamRateTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vavr.control.Either;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -22,8 +21,6 @@
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.lab.platform.KeyValueContent;
-import org.arbutusfield.model.RequestClass;
-import org.arbutusfield.model.Service;
 import org.arbutusfield.platform.PlatformItemDecoder;
 import org.arbutusfield.proxy.AttemptOutcome;
 import org.arbutusfield.proxy.PlacementRequest;
@@ -36,6 +33,7 @@
 import org.arbutusfield.state.StoreHealth;
 import org.arbutusfield.state.StoreWatcher;
 import org.arbutusfield.steering.HostRetryBudget;
+import org.arbutusfield.steering.PlacementRequests;
 import org.arbutusfield.steering.SharedRetryBudget;
 import org.arbutusfield.steering.SteeringPlacement;
 import org.arbutusfield.store.WatchableStore;
@@ -135,19 +133,7 @@
         }
 
         private static PlacementRequest request() {
-            RequestClass requestClass = new RequestClass("r", List.of(), "/", true, true, 2_000);
-            return new PlacementRequest(
-                    "1",
-                    new Service("desk", 0, 0, 0, List.of(requestClass), List.of()),
-                    requestClass,
-                    "GET",
-                    "/",
-                    Duration.ofSeconds(2),
-                    new InetSocketAddress(0),
-                    0,
-                    Set.of(),
-                    Optional.empty(),
-                    Optional.empty());
+            return PlacementRequests.of("desk", Set.of(), Optional.empty(), Optional.empty());
         }
     }
 
--- a/src/test/java/org/arbutusfield/steering/SteeringPlacementTest.java
+++ b/src/test/java/org/arbutusfield/steering/SteeringPlacementTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vavr.control.Either;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -18,8 +17,6 @@
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.lookup.WeightedRendezvous;
-import org.arbutusfield.model.RequestClass;
-import org.arbutusfield.model.Service;
 import org.arbutusfield.model.Upstream;
 import org.arbutusfield.proxy.AttemptOutcome;
 import org.arbutusfield.proxy.PlacementRequest;
@@ -71,20 +68,7 @@
     }
 
     private static PlacementRequest request(Set<String> tried, Route route) {
-        RequestClass requestClass = new RequestClass("r", List.of(), "/", true, true, 2_000);
-        Service service = new Service("vault", 0, 0, 0, List.of(requestClass), List.of());
-        return new PlacementRequest(
-                "1",
-                service,
-                requestClass,
-                "GET",
-                "/",
-                Duration.ofSeconds(2),
-                new InetSocketAddress(0),
-                0,
-                tried,
-                Optional.of(route),
-                Optional.of("17"));
+        return PlacementRequests.of("vault", tried, Optional.of(route), Optional.of("17"));
     }
 
     private String placedAt(SteeringState state, PlacementRequest request) {
--- a/src/test/java/org/arbutusfield/steering/UpstreamRateLimitTest.java
+++ b/src/test/java/org/arbutusfield/steering/UpstreamRateLimitTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vavr.control.Either;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,8 +17,6 @@
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.lookup.WeightedRendezvous;
-import org.arbutusfield.model.RequestClass;
-import org.arbutusfield.model.Service;
 import org.arbutusfield.model.Upstream;
 import org.arbutusfield.proxy.AttemptOutcome;
 import org.arbutusfield.proxy.PlacementRequest;
@@ -128,19 +125,7 @@
                 Set.of(),
                 true,
                 List.of(new WeightedService("desk", 1)));
-        RequestClass requestClass = new RequestClass("r", List.of(), "/", true, true, 2_000);
-        return new PlacementRequest(
-                "1",
-                new Service("desk", 0, 0, 0, List.of(requestClass), List.of()),
-                requestClass,
-                "GET",
-                "/",
-                Duration.ofSeconds(2),
-                new InetSocketAddress(0),
-                0,
-                Set.of(),
-                Optional.of(route),
-                Optional.of(object));
+        return PlacementRequests.of("desk", Set.of(), Optional.of(route), Optional.of(object));
     }
 
     private static SteeringState state(int hostCount) {
