A refusal whose rest is long or late no longer keeps its connection for ever

Callers saw nothing at once: after a response that says that the request was not run, the host answers or retries and reads the rest of that response to use the connection again. Nothing bounded that rest: an endless body was read for ever, and a body that never came kept the connection open for ever, one of the few that the upstream grants the host.

Change: the rest may have 64 KiB and take a second; else the connection is closed.

--- a/src/main/java/org/arbutusfield/proxy/Attempt.java
+++ b/src/main/java/org/arbutusfield/proxy/Attempt.java
@@ -16,6 +16,8 @@
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.model.Upstream;
@@ -29,6 +31,10 @@
  */
 final class Attempt implements UpstreamResponseListener {
     private static final int MAX_CONNECTIONS_PER_HOST = 256;
+    /** A new connection costs less than reading more than this of a response that nobody gets. */
+    private static final int MAX_DISCARDED_BYTES = 64 << 10;
+
+    private static final Duration DISCARD_TIMEOUT = Duration.ofSeconds(1);
 
     private final Exchange exchange;
     private final PlacementTarget target;
@@ -43,6 +49,8 @@
     private boolean sendingBody;
     private boolean bodySent;
     private boolean discarding;
+    private int discardedBytes;
+    private Future<?> discardTimeout;
     private boolean ended;
     private boolean released;
 
@@ -156,12 +164,28 @@
         }
     }
 
-    /** Discards the rest of the response, after which the connection can be reused. */
+    /**
+     * Discards the rest of the response, after which the connection can be reused. A rest that is long or late is not
+     * worth waiting for, and the connection is closed.
+     */
     void discardRest(AttemptOutcome outcome) {
         discarding = true;
         ended = true;
         release(outcome);
         connection.setReading(true);
+        discardTimeout = exchange.loop().schedule(connection::abandon, DISCARD_TIMEOUT.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    private void discard(HttpContent content) {
+        discardedBytes += content.content().readableBytes();
+        boolean complete = content instanceof LastHttpContent;
+        content.release();
+        if (complete) {
+            discardTimeout.cancel(false);
+        } else if (discardedBytes > MAX_DISCARDED_BYTES) {
+            discardTimeout.cancel(false);
+            connection.abandon();
+        }
     }
 
     /**
@@ -193,7 +217,11 @@
 
     @Override
     public void responseContent(HttpContent content) {
-        if (ended || discarding) {
+        if (discarding) {
+            discard(content);
+            return;
+        }
+        if (ended) {
             content.release();
             return;
         }
@@ -214,6 +242,9 @@
 
     @Override
     public void lost(Loss cause) {
+        if (discarding) {
+            discardTimeout.cancel(false);
+        }
         if (ended) {
             return;
         }
