--- a/src/test/java/org/arbutusfield/edge/ColdUpstreamRateTest.java
+++ b/src/test/java/org/arbutusfield/edge/ColdUpstreamRateTest.java
@@ -213,6 +213,7 @@
         }
         sendFor(AFTER_OUTAGE, random);
         assertThat((double) maxPerSecond).isLessThanOrEqualTo(TOLERATED_PER_SECOND);
+        assertThat((double) total).isGreaterThan(RATE);
     }
 
     /**
@@ -256,6 +257,7 @@
         report("again", 2, COLD_PERIOD);
         load(COLD_PERIOD, AttemptOutcome.COMPLETED, random);
         assertThat((double) maxPerSecond).isLessThanOrEqualTo(TOLERATED_PER_SECOND);
+        assertThat(maxPerSecond).as("the upstream got requests").isPositive();
     }
 
     /** Sends the load of many callers through all hosts; requests to the upstream that starts again end as given. */
