Upstream stand-in: a connection is registered once it has a channel

Seen once: DeadlineTest#claimIsCompletedWithOutcome failed with a NullPointerException in UpstreamStandIn.close. Cause: a connection was added to the list that close() reads, on another thread, before its handler had a channel. A connection that a host opens at the end of a test, as a check whether the upstream has ended, makes it likely. No check changed.

--- a/src/main/java/org/arbutusfield/lab/UpstreamStandIn.java
+++ b/src/main/java/org/arbutusfield/lab/UpstreamStandIn.java
@@ -266,13 +266,14 @@
 
     private void accept(SocketChannel child) {
         StandInConnection connection = StandInConnection.of(this);
-        connections.add(connection);
-        peakConnections.accumulateAndGet(connections.size(), Math::max);
         child.pipeline()
                 .addLast(new HttpRequestDecoder(new HttpDecoderConfig()
                         .setMaxInitialLineLength(MAX_HEAD_BYTES)
                         .setMaxHeaderSize(MAX_HEAD_BYTES)
                         .setMaxChunkSize(MAX_CHUNK_BYTES)))
                 .addLast(connection);
+        // Only now it has a channel that another thread may close.
+        connections.add(connection);
+        peakConnections.accumulateAndGet(connections.size(), Math::max);
     }
 }
