Log what tells that a request comes again, and whether its upstream has ended

event=run_interrupted names a digest of caller, host, method, target and body, which is equal for each client attempt of the same request, and whether the upstream refused a new connection right after the loss while none to it was left. With it the logs of all hosts tell a repeated cause from requests that were lost beside it. No decision changes. Watching whether a caller reads moves out of Exchange into CallerProgress; behaviour stays.

--- a/src/main/java/org/arbutusfield/edge/CompositeRequestObserver.java
+++ b/src/main/java/org/arbutusfield/edge/CompositeRequestObserver.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.proxy.InterruptedRun;
 import org.arbutusfield.proxy.RequestObserver;
 import org.arbutusfield.proxy.RequestRecord;
 
@@ -30,6 +31,11 @@
         log.attemptFailed(requestId, target, failure, notRun);
     }
 
+    @Override
+    public void runInterrupted(InterruptedRun run) {
+        log.runInterrupted(run);
+    }
+
     @Override
     public void upstreamMayHaveRestarted(InetSocketAddress upstream) {
         restartSign.run();
--- a/src/main/java/org/arbutusfield/edge/RequestLog.java
+++ b/src/main/java/org/arbutusfield/edge/RequestLog.java
@@ -6,6 +6,7 @@
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.proxy.InterruptedRun;
 import org.arbutusfield.proxy.PlacementRequest;
 import org.arbutusfield.proxy.RequestObserver;
 import org.arbutusfield.proxy.RequestRecord;
@@ -94,6 +95,19 @@
         }
     }
 
+    @Override
+    public void runInterrupted(InterruptedRun run) {
+        if (!overLineLimit()) {
+            LOG.info(
+                    "event=run_interrupted id={} request={} upstream={} since_sent_ms={} upstream_ended={}",
+                    run.requestId(),
+                    run.fingerprint(),
+                    run.upstream().name(),
+                    run.sinceSent().toMillis(),
+                    run.upstreamEnded());
+        }
+    }
+
     @Override
     public void placed(PlacementRequest request, Choice choice) {
         if (!overLineLimit()) {
--- a/src/main/java/org/arbutusfield/proxy/Attempt.java
+++ b/src/main/java/org/arbutusfield/proxy/Attempt.java
@@ -18,6 +18,7 @@
 import java.time.Duration;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.model.Upstream;
@@ -198,6 +199,11 @@
         cancel(onReusedConnection() ? AttemptOutcome.CANCELLED : AttemptOutcome.FAILED);
     }
 
+    /** Finds out whether the upstream, to which the connection was lost, has ended; see {@link ConnectionPool}. */
+    void checkUpstreamEnded(Consumer<Boolean> callback) {
+        pool.checkEnded(exchange.loop(), callback);
+    }
+
     void release(AttemptOutcome outcome) {
         if (released) {
             return;
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -50,6 +50,8 @@
     private final RequestRecordBuilder recordBuilder;
     private final RequestAdmission admission;
     private final AttemptHistory history;
+    private final CrashCheck crashCheck;
+    private final CallerProgress callerProgress;
     private long deadlineNanos;
     private Stage stage = Stage.BODY;
     private Attempt attempt;
@@ -57,7 +59,6 @@
     private ResponseRelay relay;
     private boolean notRun;
     private long receivedAtTimerStart;
-    private long writtenAtTimerStart;
 
     private Exchange(CallerRequest caller, ProxyContext context, RequestHead head, long startNanos) {
         this.caller = caller;
@@ -65,6 +66,8 @@
         this.head = head;
         body = RequestBody.of(context.limits().replayBytes(), context.requestBuffers());
         history = AttemptHistory.of(head, context);
+        crashCheck = CrashCheck.of(context, caller, head, body);
+        callerProgress = CallerProgress.of(caller, context);
         recordBuilder = RequestRecordBuilder.of(head, startNanos);
         admission = RequestAdmission.of(context.components(), head, caller.loop(), caller.remoteAddress());
         deadlineNanos = startNanos + head.deadline().toNanos();
@@ -283,6 +286,9 @@
 
     /** Called when the connection was lost before the response was complete. */
     void responseLost(Attempt from, Failure failure) {
+        if (failure.code() == ErrorCode.UPSTREAM_LOST) {
+            crashCheck.connectionLost(from);
+        }
         if (relay == null) {
             attemptFailed(from, failure, false);
             return;
@@ -390,11 +396,11 @@
     }
 
     private void startProgressTimer() {
-        writtenAtTimerStart = caller.writtenBytes();
-        Duration limit = caller.acceptsMore()
-                ? context.limits().progressTimeout()
-                : context.limits().writeTimeout();
-        caller.timer().set(System.nanoTime() + limit.toNanos());
+        callerProgress.start();
+        if (caller.acceptsMore()) {
+            caller.timer()
+                    .set(System.nanoTime() + context.limits().progressTimeout().toNanos());
+        }
     }
 
     private void progressTimerExpired() {
@@ -416,16 +422,7 @@
     }
 
     private void callerStalled() {
-        if (caller.awaitsTurn()) {
-            // The caller can't have read anything yet; the limits of the earlier requests bound the wait.
-            caller.timer()
-                    .set(System.nanoTime() + context.limits().writeTimeout().toNanos());
-            return;
-        }
-        if (caller.writtenBytes() > writtenAtTimerStart) {
-            writtenAtTimerStart = caller.writtenBytes();
-            caller.timer()
-                    .set(System.nanoTime() + context.limits().writeTimeout().toNanos());
+        if (!callerProgress.stalled()) {
             return;
         }
         LOG.info("event=caller_stalled id={}", head.requestId());
@@ -457,8 +454,7 @@
 
     private void awaitFlush(RequestRecord.Result result, Optional<ErrorCode> code) {
         stage = Stage.FLUSH;
-        writtenAtTimerStart = caller.writtenBytes();
-        caller.timer().set(System.nanoTime() + context.limits().writeTimeout().toNanos());
+        callerProgress.start();
         caller.afterWrites(written -> {
             if (stage != Stage.FLUSH) {
                 return;
--- a/src/main/java/org/arbutusfield/proxy/RequestBody.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestBody.java
@@ -106,18 +106,25 @@
         sent.clear();
     }
 
-    /** A copy of all bytes received; must be called before a part is sent. */
+    /** A copy of all bytes received; the body must be {@link #fullyKept}. */
     byte[] bytes() {
         byte[] all = new byte[(int) received];
         int position = 0;
+        for (ByteBuf part : sent) {
+            position += copy(part, all, position);
+        }
         for (ByteBuf part : unsent) {
-            int length = part.readableBytes();
-            part.getBytes(part.readerIndex(), all, position, length);
-            position += length;
+            position += copy(part, all, position);
         }
         return all;
     }
 
+    private static int copy(ByteBuf part, byte[] target, int position) {
+        int length = part.readableBytes();
+        part.getBytes(part.readerIndex(), target, position, length);
+        return length;
+    }
+
     private void coalesce(ByteBuf part) {
         int bytes = part.readableBytes();
         if (bytes > 0 && (coalescing == null || coalescing.writableBytes() < bytes)) {
--- a/src/main/java/org/arbutusfield/proxy/RequestObserver.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestObserver.java
@@ -29,6 +29,11 @@
         // Optional: only request logs use this event.
     }
 
+    /** Called when a connection to an upstream was lost while the upstream may have been running a request. */
+    default void runInterrupted(InterruptedRun run) {
+        // Optional: only hosts that look for the requests that end upstreams use this event.
+    }
+
     /**
      * Called when connections tell that an upstream may have ended or started again; the cause may also be the network.
      *
