PipeliningTest: the answered request has ended before the caller leaves

Seen once, while the whole of org.arbutusfield.proxy ran: disconnectOfTheCallerCancelsAllRequests waited in vain for two cancelled requests. Cause: the test waits until the third request has begun to run, not until it has ended, so it may be cancelled too, which makes three. The loop mostly catches the count of two in passing.

--- a/src/test/java/org/arbutusfield/proxy/PipeliningTest.java
+++ b/src/test/java/org/arbutusfield/proxy/PipeliningTest.java
@@ -110,6 +110,7 @@
         try (RawCaller caller = fixture.caller()) {
             caller.send(get("/desk/held/1", "p1") + get("/desk/held/2", "p2") + get("/desk/3", "p3"));
             eventually(() -> fixture.runs("p2") == 1 && fixture.runs("p3") == 1);
+            eventually(() -> fixture.upstream().runningRequests() == 2);
             caller.disconnect();
             eventually(() -> fixture.permitsHeld.get() == 0 && fixture.server.inFlight() == 0);
         }
