A request that ends every upstream that runs it is refused by all hosts

What callers saw: one caller's request ended 18 to 26 upstreams, each with up to a dozen requests of others on it.

Cause: nothing connected the end of one upstream with that of the next. No host kept which request an upstream was running when it ended, and no host told another. Class of the fault: knowledge about a request that ends with its client attempt, while the request comes again at any host.

Change: after a connection is lost while a request runs, the host looks whether the upstream's port is closed and reports the run to the three hosts that count for this request. They believe it if the port is closed to them too, and count upstreams that ended one after the other. With two, all hosts stop repeating the request themselves; with three they refuse it with 400, which callers don't retry. What is found goes to all hosts directly and through the store. An answer clears the request everywhere; operators lift it by removing its key. A request that has lost two upstreams in one client attempt isn't sent to a third.

Why it works: the causing request never completes, and its next upstream ends after the one before; requests that were lost beside it complete when they come again.

--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -1,5 +1,6 @@
 package org.arbutusfield.edge;
 
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoop;
@@ -8,6 +9,7 @@
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -27,8 +29,11 @@
 import org.arbutusfield.proxy.ProxyLimits;
 import org.arbutusfield.proxy.ProxyServer;
 import org.arbutusfield.proxy.RequestObserver;
+import org.arbutusfield.proxy.upstream.PortProbe;
+import org.arbutusfield.quarantine.RequestQuarantine;
 import org.arbutusfield.route.RouteTable;
 import org.arbutusfield.state.HostEntry;
+import org.arbutusfield.state.LiveUpstream;
 import org.arbutusfield.state.StateCache;
 import org.arbutusfield.state.SteeringState;
 import org.arbutusfield.state.StoreHealth;
@@ -50,6 +55,7 @@
     private static final Logger LOG = LogManager.getLogger(EdgeHost.class);
     private static final int CONTROL_BODY_BYTES = 4 << 10;
     private static final int MIN_CONNECTIONS = 8;
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(400);
     private static final Duration STOP_MARGIN = Duration.ofMillis(500);
     /**
      * Fraction of the stop limit during which the host still accepts requests of callers that use cached look-up
@@ -67,11 +73,13 @@
     private volatile SteeringState state = SteeringState.empty();
     private volatile ProxyLimits limits;
     private volatile boolean leaving;
+    private WatchableStore store;
     private HomePlanner planner;
     private HomeResolver homeResolver;
     private RequestLog log;
     private HostRetryBudget retryBudget;
     private SteeringPlacement placement;
+    private RequestQuarantine quarantine;
     private HostRegistrar registrar;
     private StoreWatcher watcher;
     private ProxyServer proxyServer;
@@ -93,6 +101,7 @@
     public static Either<Failure, EdgeHost> start(
             EdgeSettings settings, EdgeProtocol protocol, Function<StoreClientContext, WatchableStore> store) {
         EdgeHost host = new EdgeHost(settings, protocol);
+        host.store = store.apply(new StoreClientContext(host.group, host.registry, settings));
         Either<Failure, EdgeHost> started = host.startControlChannel()
                 .map(EdgeHost::createPlacement)
                 .flatMap(EdgeHost::openCallerPort)
@@ -101,7 +110,7 @@
             host.close();
             return started;
         }
-        host.watchStore(store.apply(new StoreClientContext(host.group, host.registry, settings)));
+        host.watchStore();
         LOG.info(
                 "event=host_started host={} region={} domain={} callers={}",
                 settings.name(),
@@ -161,6 +170,9 @@
         ControlHandlers handlers = ControlHandlers.create();
         planner.register(handlers);
         ControlClient client = ControlClient.start(group, timer, ControlLimits.defaults());
+        quarantine =
+                RequestQuarantine.start(settings.name(), () -> state, client, store, this::probe, this::leaves, timer);
+        quarantine.register(handlers);
         homeResolver = HomeResolver.start(settings.name(), () -> state, client, planner, timer);
         PeerAddress address = new PeerAddress(
                 settings.controlAddress().getHostString(),
@@ -170,6 +182,9 @@
     }
 
     private EdgeHost createPlacement() {
+        Gauge.builder("arbutusfield.requests.quarantined", quarantine, RequestQuarantine::size)
+                .description("requests that reach no upstream, because they end those that run them")
+                .register(registry);
         log = RequestLog.start(timer, () -> state.routesVersion());
         retryBudget = HostRetryBudget.create(
                 settings.retryBudget(), () -> state.hosts().size(), timer);
@@ -184,6 +199,7 @@
                 placement,
                 retryBudget,
                 IdempotencyGuard.NONE,
+                quarantine,
                 observer(),
                 LocalHandler.NONE,
                 address -> false,
@@ -213,7 +229,7 @@
         return HttpServer.bind(group, address, CONTROL_BODY_BYTES, handler);
     }
 
-    private void watchStore(WatchableStore store) {
+    private void watchStore() {
         HostEntry self = new HostEntry(
                 settings.name(),
                 settings.region(),
@@ -240,6 +256,18 @@
         limits = currentLimits();
         placement.stateChanged(next);
         registrar.stateChanged(next);
+        quarantine.stateChanged(next);
+    }
+
+    private CompletableFuture<Boolean> probe(InetSocketAddress upstream) {
+        CompletableFuture<Boolean> refused = new CompletableFuture<>();
+        PortProbe.connect(loop, upstream, PROBE_TIMEOUT, refused::complete);
+        return refused;
+    }
+
+    /** Returns true if the upstream has said that it is about to stop. */
+    private boolean leaves(LiveUpstream upstream) {
+        return placement.isLeaving(upstream);
     }
 
     private boolean ready() {
--- a/src/main/java/org/arbutusfield/error/ErrorCode.java
+++ b/src/main/java/org/arbutusfield/error/ErrorCode.java
@@ -54,6 +54,11 @@
             400,
             Execution.UNKNOWN,
             "the request's body broke off after part of it was passed on; the outcome is unknown"),
+    REQUEST_QUARANTINED(
+            Severity.WARNING,
+            400,
+            Execution.NOT_RUN,
+            "this copy was not run: the upstreams that ran the same request ended, one after the other"),
     ROUTE_UNKNOWN(Severity.NOTICE, 404, Execution.NOT_RUN, "no route matches"),
     SERVICE_UNKNOWN(Severity.NOTICE, 404, Execution.NOT_RUN, "no such service"),
     PATH_UNKNOWN(Severity.NOTICE, 404, Execution.NOT_RUN, "no such resource"),
--- a/src/main/java/org/arbutusfield/platform/PlatformItemDecoder.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformItemDecoder.java
@@ -23,6 +23,7 @@
 import org.arbutusfield.state.HostEntryCodec;
 import org.arbutusfield.state.ItemDecoder;
 import org.arbutusfield.state.StateItem;
+import org.arbutusfield.state.SuspectCodec;
 import org.arbutusfield.state.UpstreamEntry;
 
 /** Decodes the items that the operator and the upstreams write to the platform's store. */
@@ -47,6 +48,9 @@
         if (key.startsWith(HomesCodec.PREFIX)) {
             return HomesCodec.decode(key, value);
         }
+        if (key.startsWith(SuspectCodec.PREFIX)) {
+            return SuspectCodec.decode(key, value);
+        }
         if (key.startsWith(EVACUATION_PREFIX)) {
             return Either.right(new StateItem.DomainDrain(key.substring(EVACUATION_PREFIX.length())));
         }
--- a/src/main/java/org/arbutusfield/platform/PlatformStoreClient.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformStoreClient.java
@@ -104,11 +104,28 @@
                 .put("key", key)
                 .put("value", Base64.getEncoder().encodeToString(value))
                 .put("lease", lease);
+        ObjectNode change = emptyChange();
+        change.withArray("/puts").add(entry);
+        return change("put", change);
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, StoreRevision>> remove(String key) {
+        ObjectNode change = emptyChange();
+        change.withArray("/remove").add(key);
+        return change("remove", change);
+    }
+
+    private static ObjectNode emptyChange() {
         ObjectNode change = JSON.createObjectNode();
         change.putArray("expect");
-        change.putArray("puts").add(entry);
+        change.putArray("puts");
         change.putArray("remove");
-        return send("put", post("/kv-txn", change), timeout)
+        return change;
+    }
+
+    private CompletableFuture<Either<Failure, StoreRevision>> change(String kind, ObjectNode change) {
+        return send(kind, post("/kv-txn", change), timeout)
                 .thenApply(r -> r.flatMap(response -> body(response)
                         .flatMap(node -> number(node, "revision"))
                         .map(number -> StoreRevision.of(era(response), number))));
--- a/src/main/java/org/arbutusfield/proxy/AttemptHistory.java
+++ b/src/main/java/org/arbutusfield/proxy/AttemptHistory.java
@@ -16,6 +16,9 @@
  */
 final class AttemptHistory {
     private static final int SERVICE_UNAVAILABLE = 503;
+    /** A request that has lost as many upstreams may be the cause. */
+    private static final int MAX_LOST_RUNS = 2;
+
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
 
     private final RequestHead head;
@@ -24,6 +27,7 @@
     private final Set<String> tried = new HashSet<>();
     private int attempts;
     private int runs;
+    private int lostRuns;
     private boolean newConnectionOnly;
     private Optional<Failure> lastFailure = Optional.empty();
 
@@ -47,6 +51,7 @@
     /** Records that an attempt ended without a response to relay. */
     void attemptFailed(Attempt attempt, Failure failure, boolean notRun) {
         runs += notRun ? 0 : 1;
+        lostRuns += failure.code() == ErrorCode.UPSTREAM_LOST ? 1 : 0;
         lastFailure = Optional.of(failure);
         boolean statedByTarget = notRun && attempt.sent();
         boolean connectionAtFault = attempt.onReusedConnection() && !statedByTarget;
@@ -76,6 +81,7 @@
     boolean acquireRetry(boolean notRun, RequestBody body) {
         return attempts < maxAttempts
                 && runs < maxRuns()
+                && lostRuns < MAX_LOST_RUNS
                 && (notRun || head.requestClass().repeatable())
                 && body.replayable()
                 && retryLimiter.tryAcquire(head.service());
--- a/src/main/java/org/arbutusfield/proxy/CrashCheck.java
+++ b/src/main/java/org/arbutusfield/proxy/CrashCheck.java
@@ -1,13 +1,20 @@
 package org.arbutusfield.proxy;
 
 import java.time.Duration;
+import java.util.Optional;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
 
-/** Reports when an upstream may have ended while it ran one request. Confined to the request's event loop. */
+/**
+ * Asks the {@link CrashGuard} about one request, and tells it how the request fares. Confined to the request's event
+ * loop.
+ */
 final class CrashCheck {
     private final ProxyContext context;
     private final CallerRequest caller;
     private final RequestHead head;
     private final RequestBody body;
+    private Optional<String> fingerprint = Optional.empty();
 
     private CrashCheck(ProxyContext context, CallerRequest caller, RequestHead head, RequestBody body) {
         this.context = context;
@@ -20,6 +27,26 @@
         return new CrashCheck(context, caller, head, body);
     }
 
+    /** The refusal of a request that must not reach an upstream. Its body must have been received, or be too large. */
+    Optional<Failure> refusal() {
+        return guard().hasSuspects() && guard().quarantined(fingerprint())
+                ? Optional.of(
+                        Failure.of(ErrorCode.REQUEST_QUARANTINED, head.service().name()))
+                : Optional.empty();
+    }
+
+    /** False if the request may have ended an upstream, so that no other one should get it unasked. */
+    boolean mayRepeat() {
+        return !guard().hasSuspects() || !guard().suspect(fingerprint());
+    }
+
+    /** Called when an upstream has answered the request completely. */
+    void answered() {
+        if (guard().hasSuspects() && guard().suspect(fingerprint())) {
+            guard().answered(fingerprint());
+        }
+    }
+
     /** Called when the connection of an attempt was lost after the request was sent. */
     void connectionLost(Attempt attempt) {
         if (!(attempt.target() instanceof PlacementTarget.UpstreamTarget target)) {
@@ -27,14 +54,25 @@
         }
         long lostNanos = System.nanoTime();
         Duration sinceSent = attempt.timeSinceSent();
-        String fingerprint = fingerprint();
-        attempt.checkUpstreamEnded(ended -> context.components()
-                .observer()
-                .runInterrupted(new InterruptedRun(
-                        head.requestId(), fingerprint, target.upstream(), sinceSent, lostNanos, ended)));
+        String digest = fingerprint();
+        attempt.checkUpstreamEnded(ended ->
+                report(new InterruptedRun(head.requestId(), digest, target.upstream(), sinceSent, lostNanos, ended)));
+    }
+
+    private void report(InterruptedRun run) {
+        context.components().observer().runInterrupted(run);
+        guard().runInterrupted(run);
+    }
+
+    private CrashGuard guard() {
+        return context.components().crashGuard();
     }
 
     private String fingerprint() {
-        return RequestFingerprint.withCaller(head, body, caller.remoteAddress().getAddress());
+        if (fingerprint.isEmpty()) {
+            fingerprint = Optional.of(RequestFingerprint.withCaller(
+                    head, body, caller.remoteAddress().getAddress()));
+        }
+        return fingerprint.get();
     }
 }
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -177,6 +177,11 @@
     }
 
     private void place() {
+        Optional<Failure> refusal = crashCheck.refusal();
+        if (refusal.isPresent()) {
+            placementFailed(refusal.get());
+            return;
+        }
         stage = relay == null ? Stage.PLACE : Stage.RESPONSE;
         attempt = null;
         recordBuilder.waitStarted();
@@ -304,12 +309,13 @@
             return;
         }
         from.release(AttemptOutcome.COMPLETED);
+        crashCheck.answered();
         awaitFlush(RequestRecord.Result.WHOLE, Optional.empty());
     }
 
     private void resumeOrAbort() {
         resumption = relay.remainder();
-        boolean mayResume = resumption.isPresent() && history.acquireResumption();
+        boolean mayResume = resumption.isPresent() && crashCheck.mayRepeat() && history.acquireResumption();
         if (!mayResume) {
             abortResponse();
             return;
@@ -333,7 +339,7 @@
     }
 
     private boolean acquireRetry(boolean notRun) {
-        return !remaining().isZero() && history.acquireRetry(notRun, body);
+        return !remaining().isZero() && (notRun || crashCheck.mayRepeat()) && history.acquireRetry(notRun, body);
     }
 
     private void startDeadlineTimer() {
--- a/src/main/java/org/arbutusfield/proxy/ProxyComponents.java
+++ b/src/main/java/org/arbutusfield/proxy/ProxyComponents.java
@@ -17,6 +17,7 @@
  * @param placement chooses where requests run
  * @param retryLimiter limits retries
  * @param idempotencyGuard claims idempotency keys
+ * @param crashGuard tells which requests end the upstreams that run them
  * @param observer receives the record of each request
  * @param localHandler answers paths under {@code /-/}
  * @param peers whether an address belongs to a host of this system, which has already claimed the keys of the requests
@@ -30,6 +31,7 @@
         Placement placement,
         RetryLimiter retryLimiter,
         IdempotencyGuard idempotencyGuard,
+        CrashGuard crashGuard,
         RequestObserver observer,
         LocalHandler localHandler,
         Predicate<InetAddress> peers,
@@ -48,6 +50,7 @@
                 LocalPlacement.of(region, configurationInForce),
                 service -> true,
                 IdempotencyGuard.NONE,
+                CrashGuard.NONE,
                 RequestObserver.NONE,
                 LocalHandler.NONE,
                 address -> false,
@@ -63,6 +66,7 @@
                 replacement,
                 retryLimiter,
                 idempotencyGuard,
+                crashGuard,
                 observer,
                 localHandler,
                 peers,
@@ -78,6 +82,7 @@
                 placement,
                 replacement,
                 idempotencyGuard,
+                crashGuard,
                 observer,
                 localHandler,
                 peers,
@@ -93,6 +98,7 @@
                 placement,
                 retryLimiter,
                 replacement,
+                crashGuard,
                 observer,
                 localHandler,
                 peers,
@@ -108,6 +114,7 @@
                 placement,
                 retryLimiter,
                 idempotencyGuard,
+                crashGuard,
                 replacement,
                 localHandler,
                 peers,
@@ -123,6 +130,7 @@
                 placement,
                 retryLimiter,
                 idempotencyGuard,
+                crashGuard,
                 observer,
                 replacement,
                 peers,
@@ -138,6 +146,7 @@
                 placement,
                 retryLimiter,
                 idempotencyGuard,
+                crashGuard,
                 observer,
                 localHandler,
                 replacement,
@@ -153,6 +162,7 @@
                 placement,
                 retryLimiter,
                 idempotencyGuard,
+                crashGuard,
                 observer,
                 localHandler,
                 peers,
--- a/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
@@ -3,16 +3,13 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.vavr.control.Either;
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -134,16 +131,7 @@
      * @param callback receives true if the upstream has ended
      */
     public void checkEnded(EventLoop loop, Consumer<Boolean> callback) {
-        ChannelFuture opened = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
-                .handler(new ChannelInboundHandlerAdapter())
-                .connect(address);
-        opened.addListener(done -> {
-            opened.channel().close();
-            Throwable cause = done.cause();
-            boolean refused = cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+        PortProbe.connect(loop, address, connectTimeout, refused -> {
             boolean othersOpen;
             synchronized (lock) {
                 othersOpen = !connected.isEmpty();
--- /dev/null
+++ b/src/main/java/org/arbutusfield/quarantine/SuspectPublisher.java
@@ -0,0 +1,144 @@
+package org.arbutusfield.quarantine;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.arbutusfield.misc.Addresses;
+import org.arbutusfield.state.HostEntry;
+import org.arbutusfield.state.SteeringState;
+import org.arbutusfield.state.SuspectCodec;
+import org.arbutusfield.state.SuspectRequest;
+import org.arbutusfield.store.WatchableStore;
+import org.arbutusfield.timer.TimerService;
+import org.arbutusfield.wire.ControlTransport;
+import org.arbutusfield.wire.PeerAddress;
+
+/**
+ * Brings what this host has found about suspect requests to all hosts: directly, which is quick and needs no store, and
+ * through the store, which also reaches hosts that start later or were away.
+ *
+ * <p>Each of the hosts that count for a request finds the same. The first of them publishes it at once, the others only
+ * if nothing has come from those before them. Runs on the timer's thread.
+ */
+final class SuspectPublisher {
+    private static final Logger LOG = LogManager.getLogger(SuspectPublisher.class);
+    private static final Duration TURN = Duration.ofMillis(600);
+    private static final Duration STORE_RETRY_DELAY = Duration.ofMillis(500);
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
+    /** Larger fleets learn from the store alone, because a host can't keep a connection to each of the others. */
+    private static final int MAX_DIRECT_HOSTS = 200;
+
+    private static final long NO_LEASE = 0;
+
+    private final String self;
+    private final Supplier<SteeringState> state;
+    private final ControlTransport transport;
+    private final WatchableStore store;
+    private final KnownSuspects known;
+    private final TimerService timer;
+
+    SuspectPublisher(
+            String self,
+            Supplier<SteeringState> state,
+            ControlTransport transport,
+            WatchableStore store,
+            KnownSuspects known,
+            TimerService timer) {
+        this.self = self;
+        this.state = state;
+        this.transport = transport;
+        this.store = store;
+        this.known = known;
+        this.timer = timer;
+    }
+
+    /** Publishes a request that this host knows, when it is its turn and nobody else has. */
+    void publish(SuspectRequest suspect) {
+        int turn = turn(suspect.fingerprint());
+        if (turn == 0) {
+            tellHosts(suspect);
+            write(suspect);
+            return;
+        }
+        timer.after(TURN.multipliedBy(turn), () -> {
+            if (!isStored(suspect) && isCurrent(suspect)) {
+                tellHosts(suspect);
+                write(suspect);
+            }
+        });
+    }
+
+    /** Writes the requests again for whose publication this host is the first, after the store has lost them. */
+    void publishAgain(List<SuspectRequest> suspects) {
+        suspects.stream().filter(suspect -> turn(suspect.fingerprint()) == 0).forEach(this::write);
+    }
+
+    /** Lifts the suspicion on all hosts, if this host is the first for its publication. */
+    void withdraw(String fingerprint) {
+        if (turn(fingerprint) == 0) {
+            tellHosts(new SuspectRequest(fingerprint, List.of()));
+            store.remove(SuspectCodec.key(fingerprint))
+                    .thenAccept(done -> done.peekLeft(failure ->
+                            LOG.warn("event=suspect_not_removed request={} code={}", fingerprint, failure.code())));
+        }
+    }
+
+    private int turn(String fingerprint) {
+        List<HostEntry> hosts = LedgerHosts.of(fingerprint, state.get().hosts());
+        for (int i = 0; i < hosts.size(); i++) {
+            if (hosts.get(i).name().equals(self)) {
+                return i;
+            }
+        }
+        // This host's list, or the reporter's, was another one.
+        return hosts.size();
+    }
+
+    private boolean isStored(SuspectRequest suspect) {
+        SuspectRequest stored = state.get().suspects().get(suspect.fingerprint());
+        return stored != null && stored.ended().size() >= suspect.ended().size();
+    }
+
+    private boolean isCurrent(SuspectRequest suspect) {
+        return known.find(suspect.fingerprint()).equals(Optional.of(suspect));
+    }
+
+    private void tellHosts(SuspectRequest suspect) {
+        List<HostEntry> hosts = state.get().hosts();
+        if (hosts.size() > MAX_DIRECT_HOSTS) {
+            return;
+        }
+        for (HostEntry host : hosts) {
+            if (!host.name().equals(self)) {
+                transport
+                        .call(address(host), CrashMessages.suspects(List.of(suspect)), CALL_TIMEOUT)
+                        .thenAccept(response -> response.peekLeft(failure -> LOG.info(
+                                "event=suspect_not_delivered request={} host={} code={}",
+                                suspect.fingerprint(),
+                                host.name(),
+                                failure.code())));
+            }
+        }
+    }
+
+    private void write(SuspectRequest suspect) {
+        store.put(SuspectCodec.key(suspect.fingerprint()), SuspectCodec.encode(suspect), NO_LEASE)
+                .thenAccept(done -> done.peekLeft(failure -> {
+                    LOG.warn("event=suspect_not_written request={} code={}", suspect.fingerprint(), failure.code());
+                    timer.after(STORE_RETRY_DELAY, () -> {
+                        if (isCurrent(suspect) && !isStored(suspect)) {
+                            write(suspect);
+                        }
+                    });
+                }));
+    }
+
+    static PeerAddress address(HostEntry host) {
+        InetSocketAddress address = Addresses.parse(host.controlAddress()).orElseThrow();
+        return new PeerAddress(address.getHostString(), address.getPort());
+    }
+}
--- a/src/main/java/org/arbutusfield/state/StateCache.java
+++ b/src/main/java/org/arbutusfield/state/StateCache.java
@@ -55,6 +55,7 @@
     private final Map<String, TrackedUpstream> upstreams = new TreeMap<>();
     private final Map<String, HostEntry> hosts = new TreeMap<>();
     private final Map<String, Map<Long, String>> homes = new HashMap<>();
+    private final Map<String, SuspectRequest> suspects = new HashMap<>();
     private final Set<String> drains = new TreeSet<>();
     /** Monotonic time at which a drain that a new era lacks ends, by key. */
     private final Map<String, Long> missingDrains = new HashMap<>();
@@ -93,6 +94,10 @@
         items.forEach(item -> present.add(item.key()));
         removeAbsentDrains(present, newEra, nowNanos);
         hosts.keySet().retainAll(present);
+        if (!newEra) {
+            // What a new era lacks was lost and not lifted; one of the hosts writes it again.
+            suspects.keySet().removeIf(fingerprint -> !present.contains(SuspectCodec.key(fingerprint)));
+        }
         for (String key : List.copyOf(upstreams.keySet())) {
             if (!present.contains(key)) {
                 removeUpstream(key, afterOutage || newEra, nowNanos);
@@ -116,6 +121,7 @@
                 drains.remove(change.key());
                 missingDrains.remove(change.key());
                 hosts.remove(change.key());
+                suspects.keySet().removeIf(fingerprint -> change.key().equals(SuspectCodec.key(fingerprint)));
                 removeUpstream(change.key(), afterOutage, nowNanos);
             }
         }
@@ -169,6 +175,7 @@
                 Set.copyOf(drained),
                 List.copyOf(hosts.values()),
                 Map.copyOf(homes),
+                Map.copyOf(suspects),
                 revision);
     }
 
@@ -193,6 +200,8 @@
             hosts.put(item.key(), host.entry());
         } else if (decoded instanceof StateItem.Homes stored) {
             homes.put(stored.service(), stored.upstreams());
+        } else if (decoded instanceof StateItem.Suspect suspect) {
+            suspects.put(suspect.request().fingerprint(), suspect.request());
         } else if (decoded instanceof StateItem.UpstreamRegistration report) {
             putUpstream(item, report.entry(), nowNanos);
         }
--- a/src/main/java/org/arbutusfield/state/StateItem.java
+++ b/src/main/java/org/arbutusfield/state/StateItem.java
@@ -42,6 +42,13 @@
      */
     record Homes(String service, Map<Long, String> upstreams) implements StateItem {}
 
+    /**
+     * A request under which upstreams ended.
+     *
+     * @param request the request
+     */
+    record Suspect(SuspectRequest request) implements StateItem {}
+
     /** An item that is not used. */
     record Other() implements StateItem {}
 }
--- a/src/main/java/org/arbutusfield/state/SteeringState.java
+++ b/src/main/java/org/arbutusfield/state/SteeringState.java
@@ -15,6 +15,7 @@
  * @param drainedDomains failure domains whose upstreams get no requests
  * @param hosts live entry hosts, sorted by name
  * @param homes stored homes of objects by service: names of upstreams by object key
+ * @param suspects requests under which upstreams ended, by fingerprint
  * @param revision revision of the store that the snapshot reflects
  */
 public record SteeringState(
@@ -23,11 +24,13 @@
         Set<String> drainedDomains,
         List<HostEntry> hosts,
         Map<String, Map<Long, String>> homes,
+        Map<String, SuspectRequest> suspects,
         StoreRevision revision) {
 
     /** Returns the state before anything was read from the store. */
     public static SteeringState empty() {
-        return new SteeringState(Optional.empty(), Map.of(), Set.of(), List.of(), Map.of(), StoreRevision.NONE);
+        return new SteeringState(
+                Optional.empty(), Map.of(), Set.of(), List.of(), Map.of(), Map.of(), StoreRevision.NONE);
     }
 
     /** Returns the version of the routes; 0 when there are none. */
--- a/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
@@ -119,6 +119,11 @@
         fleetSize.update();
     }
 
+    /** Returns true if the upstream has said that it is about to stop. */
+    public boolean isLeaving(LiveUpstream upstream) {
+        return availability.isLeaving(upstream);
+    }
+
     private static void complete(
             CompletableFuture<Either<Failure, PlacementTarget>> result, Either<Failure, PlacementTarget> placed) {
         if (!result.complete(placed) && placed.isRight()) {
--- a/src/main/java/org/arbutusfield/steering/UpstreamAvailability.java
+++ b/src/main/java/org/arbutusfield/steering/UpstreamAvailability.java
@@ -65,6 +65,12 @@
                 || (!notices.leaving && !notices.pausing(nowNanos));
     }
 
+    /** Returns true if the upstream has said that it leaves, in this start. */
+    boolean isLeaving(LiveUpstream upstream) {
+        Notices notices = noticesByName.get(upstream.name());
+        return notices != null && notices.startMillis == upstream.startMillis() && notices.leaving;
+    }
+
     /** Returns the time until the upstream's pause ends; empty if it is not pausing, or leaving. */
     Optional<Duration> pauseLeft(LiveUpstream upstream, long nowNanos) {
         Notices notices = noticesByName.get(upstream.name());
--- a/src/main/java/org/arbutusfield/store/WatchableStore.java
+++ b/src/main/java/org/arbutusfield/store/WatchableStore.java
@@ -47,6 +47,9 @@
      */
     CompletableFuture<Either<Failure, StoreRevision>> put(String key, byte[] value, long leaseId);
 
+    /** Removes a key and returns the revision of the store after it; no error if there is no such key. */
+    CompletableFuture<Either<Failure, StoreRevision>> remove(String key);
+
     /** Creates a lease of the given duration, from the time when the store receives the call. */
     CompletableFuture<Either<Failure, StoreLease>> grantLease(Duration duration);
 
--- a/src/main/java/org/arbutusfield/wire/gen/ControlMessage.java
+++ b/src/main/java/org/arbutusfield/wire/gen/ControlMessage.java
@@ -26,6 +26,8 @@
   private static final org.apache.thrift.protocol.TField SLOT_TAKEOVER_FIELD_DESC = new org.apache.thrift.protocol.TField("slotTakeover", org.apache.thrift.protocol.TType.STRUCT, (short)28);
   private static final org.apache.thrift.protocol.TField HOME_QUESTION_FIELD_DESC = new org.apache.thrift.protocol.TField("homeQuestion", org.apache.thrift.protocol.TType.STRUCT, (short)40);
   private static final org.apache.thrift.protocol.TField HOME_ANSWER_FIELD_DESC = new org.apache.thrift.protocol.TField("homeAnswer", org.apache.thrift.protocol.TType.STRUCT, (short)41);
+  private static final org.apache.thrift.protocol.TField CRASH_REPORT_FIELD_DESC = new org.apache.thrift.protocol.TField("crashReport", org.apache.thrift.protocol.TType.STRUCT, (short)50);
+  private static final org.apache.thrift.protocol.TField SUSPECT_LIST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectList", org.apache.thrift.protocol.TType.STRUCT, (short)51);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -45,7 +47,9 @@
     SLOT_PERMIT((short)27, "slotPermit"),
     SLOT_TAKEOVER((short)28, "slotTakeover"),
     HOME_QUESTION((short)40, "homeQuestion"),
-    HOME_ANSWER((short)41, "homeAnswer");
+    HOME_ANSWER((short)41, "homeAnswer"),
+    CRASH_REPORT((short)50, "crashReport"),
+    SUSPECT_LIST((short)51, "suspectList");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -95,6 +99,10 @@
           return HOME_QUESTION;
         case 41: // HOME_ANSWER
           return HOME_ANSWER;
+        case 50: // CRASH_REPORT
+          return CRASH_REPORT;
+        case 51: // SUSPECT_LIST
+          return SUSPECT_LIST;
         default:
           return null;
       }
@@ -174,6 +182,10 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, HomeQuestion.class)));
     tmpMap.put(_Fields.HOME_ANSWER, new org.apache.thrift.meta_data.FieldMetaData("homeAnswer", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, HomeAnswer.class)));
+    tmpMap.put(_Fields.CRASH_REPORT, new org.apache.thrift.meta_data.FieldMetaData("crashReport", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, CrashReport.class)));
+    tmpMap.put(_Fields.SUSPECT_LIST, new org.apache.thrift.meta_data.FieldMetaData("suspectList", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SuspectList.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ControlMessage.class, metaDataMap);
   }
@@ -296,6 +308,18 @@
     return x;
   }
 
+  public static ControlMessage crashReport(CrashReport value) {
+    ControlMessage x = new ControlMessage();
+    x.setCrashReport(value);
+    return x;
+  }
+
+  public static ControlMessage suspectList(SuspectList value) {
+    ControlMessage x = new ControlMessage();
+    x.setSuspectList(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -385,6 +409,16 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type HomeAnswer for field 'homeAnswer', but got " + value.getClass().getSimpleName());
+      case CRASH_REPORT:
+        if (value instanceof CrashReport) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type CrashReport for field 'crashReport', but got " + value.getClass().getSimpleName());
+      case SUSPECT_LIST:
+        if (value instanceof SuspectList) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type SuspectList for field 'suspectList', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -565,6 +599,26 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case CRASH_REPORT:
+          if (field.type == CRASH_REPORT_FIELD_DESC.type) {
+            CrashReport crashReport;
+            crashReport = new CrashReport();
+            crashReport.read(iprot);
+            return crashReport;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case SUSPECT_LIST:
+          if (field.type == SUSPECT_LIST_FIELD_DESC.type) {
+            SuspectList suspectList;
+            suspectList = new SuspectList();
+            suspectList.read(iprot);
+            return suspectList;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -645,6 +699,14 @@
         HomeAnswer homeAnswer = (HomeAnswer)value_;
         homeAnswer.write(oprot);
         return;
+      case CRASH_REPORT:
+        CrashReport crashReport = (CrashReport)value_;
+        crashReport.write(oprot);
+        return;
+      case SUSPECT_LIST:
+        SuspectList suspectList = (SuspectList)value_;
+        suspectList.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -740,6 +802,16 @@
           homeAnswer = new HomeAnswer();
           homeAnswer.read(iprot);
           return homeAnswer;
+        case CRASH_REPORT:
+          CrashReport crashReport;
+          crashReport = new CrashReport();
+          crashReport.read(iprot);
+          return crashReport;
+        case SUSPECT_LIST:
+          SuspectList suspectList;
+          suspectList = new SuspectList();
+          suspectList.read(iprot);
+          return suspectList;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -819,6 +891,14 @@
         HomeAnswer homeAnswer = (HomeAnswer)value_;
         homeAnswer.write(oprot);
         return;
+      case CRASH_REPORT:
+        CrashReport crashReport = (CrashReport)value_;
+        crashReport.write(oprot);
+        return;
+      case SUSPECT_LIST:
+        SuspectList suspectList = (SuspectList)value_;
+        suspectList.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -861,6 +941,10 @@
         return HOME_QUESTION_FIELD_DESC;
       case HOME_ANSWER:
         return HOME_ANSWER_FIELD_DESC;
+      case CRASH_REPORT:
+        return CRASH_REPORT_FIELD_DESC;
+      case SUSPECT_LIST:
+        return SUSPECT_LIST_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -1104,6 +1188,32 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.HOME_ANSWER");
   }
 
+  public CrashReport getCrashReport() {
+    if (getSetField() == _Fields.CRASH_REPORT) {
+      return (CrashReport)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'crashReport' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setCrashReport(CrashReport value) {
+    setField_ = _Fields.CRASH_REPORT;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.CRASH_REPORT");
+  }
+
+  public SuspectList getSuspectList() {
+    if (getSetField() == _Fields.SUSPECT_LIST) {
+      return (SuspectList)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'suspectList' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setSuspectList(SuspectList value) {
+    setField_ = _Fields.SUSPECT_LIST;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.SUSPECT_LIST");
+  }
+
   public boolean isSetRefusal() {
     return setField_ == _Fields.REFUSAL;
   }
@@ -1189,6 +1299,16 @@
   }
 
 
+  public boolean isSetCrashReport() {
+    return setField_ == _Fields.CRASH_REPORT;
+  }
+
+
+  public boolean isSetSuspectList() {
+    return setField_ == _Fields.SUSPECT_LIST;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof ControlMessage) {
       return equals((ControlMessage)other);
--- a/src/main/thrift/control.thrift
+++ b/src/main/thrift/control.thrift
@@ -186,6 +186,42 @@
   3: i64 planVersion
 }
 
+// A run of a request that was interrupted because its upstream ended. `ranMicros`: from sending it to the loss;
+// `ageMicros`: from the loss to the sending of this message.
+struct InterruptedRequest {
+  1: string fingerprint
+  2: string upstream
+  3: i64 startMillis
+  4: string address
+  5: i32 port
+  6: i64 ranMicros
+  7: i64 ageMicros
+}
+
+// Tells a host that counts for these requests what the sender saw: runs that ended their upstreams, and fingerprints of
+// suspect requests that were answered.
+struct CrashReport {
+  1: list<InterruptedRequest> interrupted
+  2: list<string> answered
+}
+
+// One start of an upstream.
+struct EndedUpstream {
+  1: string upstream
+  2: i64 startMillis
+}
+
+// A request under which these upstreams ended, one after the other.
+struct SuspectRecord {
+  1: string fingerprint
+  2: list<EndedUpstream> ended
+}
+
+// Requests under which upstreams ended. Sent as the response to a report, and to all hosts when one is added to.
+struct SuspectList {
+  1: list<SuspectRecord> suspects
+}
+
 union ControlMessage {
   1: Refusal refusal
   2: Heartbeat heartbeat
@@ -204,6 +240,8 @@
   28: SlotTakeover slotTakeover
   40: HomeQuestion homeQuestion
   41: HomeAnswer homeAnswer
+  50: CrashReport crashReport
+  51: SuspectList suspectList
 }
 
 // The content of one frame. `kind`: 0 one-way, 1 request, 2 response.
--- a/src/test/java/org/arbutusfield/affinity/HomeResolverTest.java
+++ b/src/test/java/org/arbutusfield/affinity/HomeResolverTest.java
@@ -57,7 +57,7 @@
                     i == 2 ? 1500 : 210));
         }
         return new SteeringState(
-                Optional.empty(), Map.of("desk", live), Set.of(), entries, Map.of(), StoreRevision.NONE);
+                Optional.empty(), Map.of("desk", live), Set.of(), entries, Map.of(), Map.of(), StoreRevision.NONE);
     }
 
     private CompletableFuture<Either<Failure, ControlMessage>> call(PeerAddress peer, ControlMessage message) {
--- a/src/test/java/org/arbutusfield/state/ContentStore.java
+++ b/src/test/java/org/arbutusfield/state/ContentStore.java
@@ -74,6 +74,12 @@
         return written.isPresent() ? done(revision(written.get())) : failed(ErrorCode.LEASE_LAPSED);
     }
 
+    @Override
+    public CompletableFuture<Either<Failure, StoreRevision>> remove(String key) {
+        content.remove(key);
+        return done(revision(content.revision()));
+    }
+
     @Override
     public CompletableFuture<Either<Failure, StoreLease>> grantLease(Duration duration) {
         return done(new StoreLease(content.grantLease(duration), content.era()));
--- a/src/test/java/org/arbutusfield/state/FaultyStore.java
+++ b/src/test/java/org/arbutusfield/state/FaultyStore.java
@@ -46,6 +46,11 @@
         return call(() -> store.put(key, value, leaseId));
     }
 
+    @Override
+    public CompletableFuture<Either<Failure, StoreRevision>> remove(String key) {
+        return call(() -> store.remove(key));
+    }
+
     @Override
     public CompletableFuture<Either<Failure, StoreLease>> grantLease(Duration duration) {
         return call(() -> store.grantLease(duration));
--- a/src/test/java/org/arbutusfield/state/StoreWatcherTest.java
+++ b/src/test/java/org/arbutusfield/state/StoreWatcherTest.java
@@ -78,6 +78,11 @@
             return respond(StoreRevision.of(era, revision));
         }
 
+        @Override
+        public CompletableFuture<Either<Failure, StoreRevision>> remove(String key) {
+            return respond(StoreRevision.of(era, revision));
+        }
+
         @Override
         public CompletableFuture<Either<Failure, StoreLease>> grantLease(Duration duration) {
             return respond(new StoreLease(1, era));
--- a/src/test/java/org/arbutusfield/steering/SteeringPlacementTest.java
+++ b/src/test/java/org/arbutusfield/steering/SteeringPlacementTest.java
@@ -114,6 +114,7 @@
                 Set.of(),
                 List.of(),
                 Map.of(),
+                Map.of(),
                 StoreRevision.NONE);
         Set<String> regions = allowedRegion.isEmpty() ? Set.of() : Set.of(allowedRegion);
         Set<String> triedUpstreams = tried.isEmpty() ? Set.of() : Set.of(tried);
@@ -127,6 +128,7 @@
                 Set.of(),
                 List.of(),
                 Map.of(),
+                Map.of(),
                 StoreRevision.NONE);
     }
 
--- a/src/test/java/org/arbutusfield/steering/UpstreamRateLimitTest.java
+++ b/src/test/java/org/arbutusfield/steering/UpstreamRateLimitTest.java
@@ -137,7 +137,7 @@
                 .mapToObj(i -> new HostEntry("host-" + i, "gulf", "gulf-a", "127.0.0.1:1", "127.0.0.1:2", 420))
                 .toList();
         return new SteeringState(
-                Optional.empty(), Map.of("desk", upstreams), Set.of(), entries, Map.of(), StoreRevision.NONE);
+                Optional.empty(), Map.of("desk", upstreams), Set.of(), entries, Map.of(), Map.of(), StoreRevision.NONE);
     }
 
     private void startHosts(int count) {
