A request that ends its upstreams is known again whoever sends it; answers clear it on all hosts

There are two fingerprints now, one of the content (host name, method, target, body) and one of content and caller (credentials, else the address). Both are counted, and a request is refused if either is in quarantine: what harms whoever sends it, and what harms only from one caller.

Now each host remembers for a minute what was answered, is asked when a request becomes suspect, and the end that decides counts only for a request that was sent after all hosts were told.

--- a/src/main/java/org/arbutusfield/edge/RequestLog.java
+++ b/src/main/java/org/arbutusfield/edge/RequestLog.java
@@ -101,7 +101,7 @@
             LOG.info(
                     "event=run_interrupted id={} request={} upstream={} since_sent_ms={} upstream_ended={}",
                     run.requestId(),
-                    run.fingerprint(),
+                    String.join(",", run.fingerprints()),
                     run.upstream().name(),
                     run.sinceSent().toMillis(),
                     run.upstreamEnded());
--- a/src/main/java/org/arbutusfield/proxy/CrashCheck.java
+++ b/src/main/java/org/arbutusfield/proxy/CrashCheck.java
@@ -1,6 +1,7 @@
 package org.arbutusfield.proxy;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
@@ -14,7 +15,7 @@
     private final CallerRequest caller;
     private final RequestHead head;
     private final RequestBody body;
-    private Optional<String> fingerprint = Optional.empty();
+    private List<String> fingerprints = List.of();
 
     private CrashCheck(ProxyContext context, CallerRequest caller, RequestHead head, RequestBody body) {
         this.context = context;
@@ -29,7 +30,7 @@
 
     /** The refusal of a request that must not reach an upstream. Its body must have been received, or be too large. */
     Optional<Failure> refusal() {
-        return guard().hasSuspects() && guard().quarantined(fingerprint())
+        return guard().hasSuspects() && fingerprints().stream().anyMatch(guard()::quarantined)
                 ? Optional.of(
                         Failure.of(ErrorCode.REQUEST_QUARANTINED, head.service().name()))
                 : Optional.empty();
@@ -37,14 +38,12 @@
 
     /** False if the request may have ended an upstream, so that no other one should get it unasked. */
     boolean mayRepeat() {
-        return !guard().hasSuspects() || !guard().suspect(fingerprint());
+        return !guard().hasSuspects() || fingerprints().stream().noneMatch(guard()::suspect);
     }
 
     /** Called when an upstream has answered the request completely. */
     void answered() {
-        if (guard().hasSuspects() && guard().suspect(fingerprint())) {
-            guard().answered(fingerprint());
-        }
+        guard().answered(this::fingerprints);
     }
 
     /** Called when the connection of an attempt was lost after the request was sent. */
@@ -54,9 +53,9 @@
         }
         long lostNanos = System.nanoTime();
         Duration sinceSent = attempt.timeSinceSent();
-        String digest = fingerprint();
+        List<String> digests = fingerprints();
         attempt.checkUpstreamEnded(ended ->
-                report(new InterruptedRun(head.requestId(), digest, target.upstream(), sinceSent, lostNanos, ended)));
+                report(new InterruptedRun(head.requestId(), digests, target.upstream(), sinceSent, lostNanos, ended)));
     }
 
     private void report(InterruptedRun run) {
@@ -68,11 +67,11 @@
         return context.components().crashGuard();
     }
 
-    private String fingerprint() {
-        if (fingerprint.isEmpty()) {
-            fingerprint = Optional.of(RequestFingerprint.withCaller(
-                    head, body, caller.remoteAddress().getAddress()));
+    private List<String> fingerprints() {
+        if (fingerprints.isEmpty()) {
+            fingerprints = RequestFingerprint.ofRepeats(
+                    head, body, caller.remoteAddress().getAddress());
         }
-        return fingerprint.get();
+        return fingerprints;
     }
 }
--- a/src/main/java/org/arbutusfield/proxy/CrashGuard.java
+++ b/src/main/java/org/arbutusfield/proxy/CrashGuard.java
@@ -1,8 +1,11 @@
 package org.arbutusfield.proxy;
 
+import java.util.List;
+import java.util.function.Supplier;
+
 /**
- * Tells which requests end the upstreams that run them, and learns it from interrupted runs. A request is named by its
- * fingerprint, which is equal when the same caller sends it again.
+ * Tells which requests end the upstreams that run them, and learns it from interrupted runs. A request has two
+ * fingerprints: one that is equal when anybody sends it again, and one when the same caller does.
  *
  * <p>Contract: no call blocks. All are made on the event loop of a request.
  */
@@ -25,7 +28,7 @@
         }
 
         @Override
-        public void answered(String fingerprint) {}
+        public void answered(Supplier<List<String>> fingerprints) {}
 
         @Override
         public void runInterrupted(InterruptedRun run) {}
@@ -40,8 +43,12 @@
     /** True if the request must not reach an upstream. */
     boolean quarantined(String fingerprint);
 
-    /** Called when an upstream has answered a suspect request. */
-    void answered(String fingerprint);
+    /**
+     * Called when an upstream has answered a request.
+     *
+     * @param fingerprints computes the fingerprints
+     */
+    void answered(Supplier<List<String>> fingerprints);
 
     /** Called when a connection to an upstream was lost while the upstream may have been running a request. */
     void runInterrupted(InterruptedRun run);
--- a/src/main/java/org/arbutusfield/proxy/InterruptedRun.java
+++ b/src/main/java/org/arbutusfield/proxy/InterruptedRun.java
@@ -1,13 +1,14 @@
 package org.arbutusfield.proxy;
 
 import java.time.Duration;
+import java.util.List;
 import org.arbutusfield.model.Upstream;
 
 /**
  * A request whose connection was lost while an upstream may have been running it.
  *
  * @param requestId id of the request
- * @param fingerprint digest that is equal when the same caller sends the same request again
+ * @param fingerprints digests that are equal when the request comes again, see {@link CrashGuard}
  * @param upstream the upstream
  * @param sinceSent time from sending the request to the loss
  * @param lostNanos monotonic time of the loss
@@ -15,7 +16,7 @@
  */
 public record InterruptedRun(
         String requestId,
-        String fingerprint,
+        List<String> fingerprints,
         Upstream upstream,
         Duration sinceSent,
         long lostNanos,
--- a/src/main/java/org/arbutusfield/proxy/RequestFingerprint.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestFingerprint.java
@@ -4,13 +4,14 @@
 import java.io.ByteArrayOutputStream;
 import java.net.InetAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.arbutusfield.misc.Digests;
 
 /** Digests that tell whether two requests are the same request. */
 final class RequestFingerprint {
     private static final byte SEPARATOR = 0;
     /** Enough to make two requests with the same digits implausible; the digest is sent between hosts and logged. */
-    private static final int CALLER_DIGITS = 32;
+    private static final int REPEAT_DIGITS = 32;
 
     private RequestFingerprint() {}
 
@@ -20,19 +21,23 @@
     }
 
     /**
-     * Digest of the same and of host name and caller: equal when a caller sends the same request again, with another
-     * request id and on any connection.
+     * Two digests that are equal when a request comes again, with another request id and on any connection: one of its
+     * host name, method, target and body, and one of these and the caller. A request may be harmful whoever sends it,
+     * or only because of its caller.
      *
-     * @param caller address of the caller
-     * @return {@value #CALLER_DIGITS} lower-case hexadecimal digits
+     * @param caller address of the caller, which names it unless the request has credentials
+     * @return each with {@value #REPEAT_DIGITS} lower-case hexadecimal digits
      */
-    static String withCaller(RequestHead head, RequestBody body, InetAddress caller) {
+    static List<String> ofRepeats(RequestHead head, RequestBody body, InetAddress caller) {
         ByteArrayOutputStream content = content(head, body);
         content.write(SEPARATOR);
         content.writeBytes(head.headers().get(HttpHeaderNames.HOST, "").getBytes(StandardCharsets.UTF_8));
+        String ofContent = Digests.sha256(content.toByteArray());
+        String credentials = head.headers().get(HttpHeaderNames.AUTHORIZATION, "");
         content.write(SEPARATOR);
-        content.writeBytes(caller.getAddress());
-        return Digests.sha256(content.toByteArray()).substring(0, CALLER_DIGITS);
+        content.writeBytes(credentials.isEmpty() ? caller.getAddress() : credentials.getBytes(StandardCharsets.UTF_8));
+        String ofContentAndCaller = Digests.sha256(content.toByteArray());
+        return List.of(ofContent.substring(0, REPEAT_DIGITS), ofContentAndCaller.substring(0, REPEAT_DIGITS));
     }
 
     private static ByteArrayOutputStream content(RequestHead head, RequestBody body) {
--- a/src/main/java/org/arbutusfield/quarantine/CrashLedger.java
+++ b/src/main/java/org/arbutusfield/quarantine/CrashLedger.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.arbutusfield.state.SuspectRequest;
 import org.arbutusfield.state.UpstreamStart;
@@ -21,7 +22,8 @@
  *
  * <p>Idea: an upstream counts only if the request was sent to it after the one counted before had ended. Many upstreams
  * that end at once, as those of a failure domain do, therefore count as one. An innocent request that comes again is
- * answered sooner or later, which clears it; the one that ends its upstreams never is.
+ * answered sooner or later, which clears it; the one that ends its upstreams never is. For the last end, which decides,
+ * the request must have been sent after all hosts were told to report its answers.
  *
  * <p>Invariants: each start of an upstream counts at most once for a request. Once a request is known to end its
  * upstreams, those ends count against no other request. A request with an answer has no ends before it.
@@ -41,6 +43,8 @@
 
     private final Map<String, List<CrashedRun>> runs = new LinkedHashMap<>();
     private final Map<UpstreamStart, String> causes = new HashMap<>();
+    /** Monotonic time from which all hosts report answers to a request, by fingerprint. */
+    private final Map<String, Long> watchedSince = new HashMap<>();
 
     private CrashLedger() {}
 
@@ -63,7 +67,22 @@
             known.add(run);
             known.sort(Comparator.comparingLong(CrashedRun::endedNanos));
         }
-        return consecutive(known);
+        return consecutive(known, Optional.ofNullable(watchedSince.get(fingerprint)));
+    }
+
+    /**
+     * Tells from when on all hosts report the answers to a request that is suspect.
+     *
+     * @param sinceNanos monotonic time
+     */
+    void answersReportedSince(String fingerprint, long sinceNanos) {
+        watchedSince.putIfAbsent(fingerprint, sinceNanos);
+    }
+
+    /** Returns when the first upstream ended under a request; now if none is known. */
+    long firstEndNanos(String fingerprint, long nowNanos) {
+        List<CrashedRun> known = runs.getOrDefault(fingerprint, List.of());
+        return known.isEmpty() ? nowNanos : known.get(0).endedNanos();
     }
 
     /** Takes over what another host has found. */
@@ -88,6 +107,7 @@
     /** Forgets the ends of a request that an upstream has answered. */
     void clear(String fingerprint) {
         runs.remove(fingerprint);
+        watchedSince.remove(fingerprint);
         causes.values().removeIf(fingerprint::equals);
     }
 
@@ -103,11 +123,14 @@
         runs.values().removeIf(List::isEmpty);
     }
 
-    private static List<UpstreamStart> consecutive(List<CrashedRun> byEnd) {
+    private static List<UpstreamStart> consecutive(List<CrashedRun> byEnd, Optional<Long> watched) {
         List<UpstreamStart> counted = new ArrayList<>();
         long lastEnd = 0;
         for (CrashedRun run : byEnd) {
-            if (counted.isEmpty() || run.sentNanos() - lastEnd >= 0) {
+            boolean afterLast = counted.isEmpty() || run.sentNanos() - lastEnd >= 0;
+            boolean decides = counted.size() == SuspectRequest.QUARANTINE_AFTER_ENDS - 1;
+            boolean watchedThen = watched.isPresent() && run.sentNanos() - watched.get() >= 0;
+            if (afterLast && (!decides || watchedThen)) {
                 counted.add(run.upstream());
                 lastEnd = run.endedNanos();
             }
@@ -116,15 +139,18 @@
     }
 
     private void discardOldest(long nowNanos) {
-        Iterator<List<CrashedRun>> oldestFirst = runs.values().iterator();
+        Iterator<Map.Entry<String, List<CrashedRun>>> oldestFirst =
+                runs.entrySet().iterator();
         while (oldestFirst.hasNext()) {
-            List<CrashedRun> known = oldestFirst.next();
+            Map.Entry<String, List<CrashedRun>> oldest = oldestFirst.next();
+            List<CrashedRun> known = oldest.getValue();
             boolean outdated =
                     known.isEmpty() || nowNanos - known.get(known.size() - 1).endedNanos() > MEMORY.toNanos();
             if (!outdated && runs.size() < MAX_REQUESTS) {
                 break;
             }
             known.forEach(run -> causes.remove(run.upstream()));
+            watchedSince.remove(oldest.getKey());
             oldestFirst.remove();
         }
     }
--- a/src/main/java/org/arbutusfield/quarantine/CrashMessages.java
+++ b/src/main/java/org/arbutusfield/quarantine/CrashMessages.java
@@ -1,5 +1,6 @@
 package org.arbutusfield.quarantine;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.arbutusfield.proxy.InterruptedRun;
@@ -17,9 +18,9 @@
     private CrashMessages() {}
 
     /** A report of one run that was interrupted. */
-    static ControlMessage interrupted(InterruptedRun run, UpstreamStart upstream, long nowNanos) {
+    static ControlMessage interrupted(String fingerprint, InterruptedRun run, UpstreamStart upstream, long nowNanos) {
         InterruptedRequest request = new InterruptedRequest(
-                run.fingerprint(),
+                fingerprint,
                 upstream.upstream(),
                 upstream.startMillis(),
                 run.upstream().host(),
@@ -43,23 +44,30 @@
                 ended);
     }
 
+    /** A list of suspect requests that tells nothing about the time of the ends. */
     static ControlMessage suspects(List<SuspectRequest> suspects) {
-        return ControlMessage.suspectList(new SuspectList(
-                suspects.stream().map(CrashMessages::suspectRecord).toList()));
+        return ControlMessage.suspectList(new SuspectList(suspects.stream()
+                .map(suspect -> suspectRecord(suspect, Duration.ZERO))
+                .toList()));
+    }
+
+    /** A suspect request, with the time since the first of its upstreams ended. */
+    static ControlMessage suspect(SuspectRequest suspect, Duration sinceFirstEnd) {
+        return ControlMessage.suspectList(new SuspectList(List.of(suspectRecord(suspect, sinceFirstEnd))));
     }
 
     static List<SuspectRequest> suspects(SuspectList list) {
         return list.getSuspects().stream().map(CrashMessages::suspect).toList();
     }
 
-    private static SuspectRecord suspectRecord(SuspectRequest suspect) {
+    private static SuspectRecord suspectRecord(SuspectRequest suspect, Duration sinceFirstEnd) {
         List<EndedUpstream> ended = suspect.ended().stream()
                 .map(start -> new EndedUpstream(start.upstream(), start.startMillis()))
                 .toList();
-        return new SuspectRecord(suspect.fingerprint(), ended);
+        return new SuspectRecord(suspect.fingerprint(), ended, TimeUnit.NANOSECONDS.toMicros(sinceFirstEnd.toNanos()));
     }
 
-    private static SuspectRequest suspect(SuspectRecord suspectRecord) {
+    static SuspectRequest suspect(SuspectRecord suspectRecord) {
         List<UpstreamStart> ended = suspectRecord.getEnded().stream()
                 .map(start -> new UpstreamStart(start.getUpstream(), start.getStartMillis()))
                 .toList();
--- a/src/main/java/org/arbutusfield/quarantine/RequestQuarantine.java
+++ b/src/main/java/org/arbutusfield/quarantine/RequestQuarantine.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -28,6 +29,7 @@
 import org.arbutusfield.wire.gen.ControlMessage;
 import org.arbutusfield.wire.gen.CrashReport;
 import org.arbutusfield.wire.gen.InterruptedRequest;
+import org.arbutusfield.wire.gen.SuspectRecord;
 
 /**
  * Keeps a request that ends every upstream that runs it from reaching further ones, over all hosts.
@@ -65,6 +67,7 @@
     private final Predicate<LiveUpstream> leaving;
     private final TimerService timer;
     private final CrashLedger ledger = CrashLedger.create();
+    private final RecentAnswers answers = RecentAnswers.create();
     private final KnownSuspects known = KnownSuspects.of(LIFETIME);
     private final SuspectPublisher publisher;
     private StoreRevision revision = StoreRevision.NONE;
@@ -83,7 +86,7 @@
         this.probe = probe;
         this.leaving = leaving;
         this.timer = timer;
-        this.publisher = new SuspectPublisher(self, state, transport, store, known, timer);
+        this.publisher = new SuspectPublisher(self, state, transport, store, known, timer, this::clear);
     }
 
     /**
@@ -114,15 +117,17 @@
     public void register(ControlHandlers handlers) {
         handlers.register(ControlMessage._Fields.CRASH_REPORT, message -> onReport(message.getCrashReport()));
         handlers.register(ControlMessage._Fields.SUSPECT_LIST, message -> {
-            CrashMessages.suspects(message.getSuspectList()).forEach(this::learn);
-            return reply(List.of());
+            return reply(message.getSuspectList().getSuspects().stream()
+                    .filter(this::learnUnlessAnswered)
+                    .map(CrashMessages::suspect)
+                    .map(suspect -> new SuspectRequest(suspect.fingerprint(), List.of()))
+                    .toList());
         });
     }
 
     /** Takes a new state of the store into account. */
     public void stateChanged(SteeringState next) {
-        known.storeChanged(next.suspects(), timer.nowNanos())
-                .forEach(suspect -> ledger.adopt(suspect, timer.nowNanos()));
+        known.storeChanged(next.suspects(), timer.nowNanos()).forEach(this::adopt);
         if (next.revision().isOfLaterEra(revision)) {
             publisher.publishAgain(known.all());
         }
@@ -150,7 +155,16 @@
     }
 
     @Override
-    public void answered(String fingerprint) {
+    public void answered(Supplier<List<String>> fingerprints) {
+        for (String fingerprint : fingerprints.get()) {
+            answers.add(fingerprint, timer.nowNanos());
+            if (suspect(fingerprint)) {
+                clearEverywhere(fingerprint);
+            }
+        }
+    }
+
+    private void clearEverywhere(String fingerprint) {
         clear(fingerprint);
         report(fingerprint, () -> CrashMessages.answered(fingerprint), response -> {}, REPORT_TRIES);
     }
@@ -165,25 +179,28 @@
                 .filter(live -> !leaving.test(live));
         if (upstream.isEmpty()) {
             LOG.info(
-                    "event=crash_not_counted request={} upstream={} reason=was_to_end",
-                    run.fingerprint(),
+                    "event=crash_not_counted id={} upstream={} reason=was_to_end",
+                    run.requestId(),
                     run.upstream().name());
             return;
         }
         UpstreamStart start =
                 new UpstreamStart(upstream.get().name(), upstream.get().startMillis());
+        run.fingerprints().forEach(fingerprint -> report(fingerprint, run, start));
+    }
+
+    private void report(String fingerprint, InterruptedRun run, UpstreamStart start) {
         CrashedRun own = new CrashedRun(start, run.lostNanos() - run.sinceSent().toNanos(), run.lostNanos());
-        List<HostEntry> others = ledgerHosts(run.fingerprint()).stream()
-                .filter(host -> !host.name().equals(self))
-                .toList();
-        if (others.isEmpty()) {
-            count(run.fingerprint(), own);
+        boolean alone =
+                ledgerHosts(fingerprint).stream().allMatch(host -> host.name().equals(self));
+        if (alone) {
+            count(fingerprint, own);
             return;
         }
         report(
-                run.fingerprint(),
-                () -> CrashMessages.interrupted(run, start, timer.nowNanos()),
-                suspects -> onConfirmed(run.fingerprint(), own, suspects),
+                fingerprint,
+                () -> CrashMessages.interrupted(fingerprint, run, start, timer.nowNanos()),
+                suspects -> onConfirmed(fingerprint, own, suspects),
                 REPORT_TRIES);
     }
 
@@ -238,7 +255,7 @@
         SuspectRequest found =
                 new SuspectRequest(fingerprint, ended.subList(Math.max(0, ended.size() - enough), ended.size()));
         if (found.ended().size() >= SuspectRequest.SUSPECT_AFTER_ENDS && learn(found)) {
-            publisher.publish(found);
+            publisher.publish(found, ledger.firstEndNanos(fingerprint, timer.nowNanos()));
         }
         return found;
     }
@@ -251,11 +268,28 @@
         }
         boolean news = known.learn(suspect, timer.nowNanos());
         if (news) {
-            ledger.adopt(suspect, timer.nowNanos());
+            adopt(suspect);
         }
         return news;
     }
 
+    private void adopt(SuspectRequest suspect) {
+        long now = timer.nowNanos();
+        ledger.adopt(suspect, now);
+        ledger.answersReportedSince(
+                suspect.fingerprint(), now + publisher.spreadTime().toNanos());
+    }
+
+    /** Takes over what another host tells; returns true if this host knows that the request was answered since. */
+    private boolean learnUnlessAnswered(SuspectRecord told) {
+        long firstEnd = timer.nowNanos() - TimeUnit.MICROSECONDS.toNanos(told.getSinceMicros());
+        if (answers.contains(told.getFingerprint(), firstEnd)) {
+            return true;
+        }
+        learn(CrashMessages.suspect(told));
+        return false;
+    }
+
     private void clear(String fingerprint) {
         ledger.clear(fingerprint);
         known.forget(fingerprint, "answered");
--- a/src/main/java/org/arbutusfield/quarantine/SuspectPublisher.java
+++ b/src/main/java/org/arbutusfield/quarantine/SuspectPublisher.java
@@ -1,12 +1,15 @@
 package org.arbutusfield.quarantine;
 
+import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.arbutusfield.error.Failure;
 import org.arbutusfield.misc.Addresses;
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.SteeringState;
@@ -16,6 +19,7 @@
 import org.arbutusfield.timer.TimerService;
 import org.arbutusfield.wire.ControlTransport;
 import org.arbutusfield.wire.PeerAddress;
+import org.arbutusfield.wire.gen.ControlMessage;
 
 /**
  * Brings what this host has found about suspect requests to all hosts: directly, which is quick and needs no store, and
@@ -30,8 +34,10 @@
     private static final Duration STORE_RETRY_DELAY = Duration.ofMillis(500);
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
     /** Larger fleets learn from the store alone, because a host can't keep a connection to each of the others. */
-    private static final int MAX_DIRECT_HOSTS = 200;
+    private static final int MAX_DIRECT_HOSTS = 500;
 
+    private static final Duration SPREAD_DIRECTLY = Duration.ofMillis(50);
+    private static final Duration SPREAD_THROUGH_STORE = Duration.ofSeconds(2);
     private static final long NO_LEASE = 0;
 
     private final String self;
@@ -41,13 +47,18 @@
     private final KnownSuspects known;
     private final TimerService timer;
 
+    /** Receives the fingerprint of a request that another host has answered since its first upstream ended. */
+    private final Consumer<String> answered;
+
     SuspectPublisher(
             String self,
             Supplier<SteeringState> state,
             ControlTransport transport,
             WatchableStore store,
             KnownSuspects known,
-            TimerService timer) {
+            TimerService timer,
+            Consumer<String> answered) {
+        this.answered = answered;
         this.self = self;
         this.state = state;
         this.transport = transport;
@@ -56,35 +67,59 @@
         this.timer = timer;
     }
 
-    /** Publishes a request that this host knows, when it is its turn and nobody else has. */
-    void publish(SuspectRequest suspect) {
+    /**
+     * Publishes a request that this host knows, when it is its turn and nobody else has.
+     *
+     * @param firstEndNanos monotonic time at which the first of its upstreams ended
+     */
+    void publish(SuspectRequest suspect, long firstEndNanos) {
         int turn = turn(suspect.fingerprint());
         if (turn == 0) {
-            tellHosts(suspect);
-            write(suspect);
+            publishNow(suspect, firstEndNanos);
             return;
         }
         timer.after(TURN.multipliedBy(turn), () -> {
             if (!isStored(suspect) && isCurrent(suspect)) {
-                tellHosts(suspect);
-                write(suspect);
+                publishNow(suspect, firstEndNanos);
             }
         });
     }
 
+    /** Returns the time that it takes until all hosts know what is published. */
+    Duration spreadTime() {
+        return state.get().hosts().size() > MAX_DIRECT_HOSTS ? SPREAD_THROUGH_STORE : SPREAD_DIRECTLY;
+    }
+
+    private void publishNow(SuspectRequest suspect, long firstEndNanos) {
+        tellHosts(suspect, Duration.ofNanos(timer.nowNanos() - firstEndNanos));
+        write(suspect);
+    }
+
     /** Writes the requests again for whose publication this host is the first, after the store has lost them. */
     void publishAgain(List<SuspectRequest> suspects) {
         suspects.stream().filter(suspect -> turn(suspect.fingerprint()) == 0).forEach(this::write);
     }
 
-    /** Lifts the suspicion on all hosts, if this host is the first for its publication. */
+    /** Lifts the suspicion on all hosts, when it is this host's turn and nobody else has. */
     void withdraw(String fingerprint) {
-        if (turn(fingerprint) == 0) {
-            tellHosts(new SuspectRequest(fingerprint, List.of()));
-            store.remove(SuspectCodec.key(fingerprint))
-                    .thenAccept(done -> done.peekLeft(failure ->
-                            LOG.warn("event=suspect_not_removed request={} code={}", fingerprint, failure.code())));
+        int turn = turn(fingerprint);
+        if (turn == 0) {
+            withdrawNow(fingerprint);
+            return;
         }
+        timer.after(TURN.multipliedBy(turn), () -> {
+            boolean stillStored = state.get().suspects().containsKey(fingerprint);
+            if (stillStored && known.find(fingerprint).isEmpty()) {
+                withdrawNow(fingerprint);
+            }
+        });
+    }
+
+    private void withdrawNow(String fingerprint) {
+        tellHosts(new SuspectRequest(fingerprint, List.of()), Duration.ZERO);
+        store.remove(SuspectCodec.key(fingerprint))
+                .thenAccept(done -> done.peekLeft(failure ->
+                        LOG.warn("event=suspect_not_removed request={} code={}", fingerprint, failure.code())));
     }
 
     private int turn(String fingerprint) {
@@ -107,7 +142,7 @@
         return known.find(suspect.fingerprint()).equals(Optional.of(suspect));
     }
 
-    private void tellHosts(SuspectRequest suspect) {
+    private void tellHosts(SuspectRequest suspect, Duration sinceFirstEnd) {
         List<HostEntry> hosts = state.get().hosts();
         if (hosts.size() > MAX_DIRECT_HOSTS) {
             return;
@@ -115,16 +150,29 @@
         for (HostEntry host : hosts) {
             if (!host.name().equals(self)) {
                 transport
-                        .call(address(host), CrashMessages.suspects(List.of(suspect)), CALL_TIMEOUT)
-                        .thenAccept(response -> response.peekLeft(failure -> LOG.info(
-                                "event=suspect_not_delivered request={} host={} code={}",
-                                suspect.fingerprint(),
-                                host.name(),
-                                failure.code())));
+                        .call(address(host), CrashMessages.suspect(suspect, sinceFirstEnd), CALL_TIMEOUT)
+                        .thenAccept(response -> onTold(suspect.fingerprint(), host.name(), response));
             }
         }
     }
 
+    private void onTold(String fingerprint, String host, Either<Failure, ControlMessage> response) {
+        if (response.isLeft()) {
+            LOG.info(
+                    "event=suspect_not_delivered request={} host={} code={}",
+                    fingerprint,
+                    host,
+                    response.getLeft().code());
+            return;
+        }
+        boolean answeredThere = response.get().isSetSuspectList()
+                && CrashMessages.suspects(response.get().getSuspectList()).stream()
+                        .anyMatch(suspect -> suspect.fingerprint().equals(fingerprint));
+        if (answeredThere) {
+            answered.accept(fingerprint);
+        }
+    }
+
     private void write(SuspectRequest suspect) {
         store.put(SuspectCodec.key(suspect.fingerprint()), SuspectCodec.encode(suspect), NO_LEASE)
                 .thenAccept(done -> done.peekLeft(failure -> {
--- a/src/main/java/org/arbutusfield/wire/gen/SuspectRecord.java
+++ b/src/main/java/org/arbutusfield/wire/gen/SuspectRecord.java
@@ -12,17 +12,20 @@
 
   private static final org.apache.thrift.protocol.TField FINGERPRINT_FIELD_DESC = new org.apache.thrift.protocol.TField("fingerprint", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField ENDED_FIELD_DESC = new org.apache.thrift.protocol.TField("ended", org.apache.thrift.protocol.TType.LIST, (short)2);
+  private static final org.apache.thrift.protocol.TField SINCE_MICROS_FIELD_DESC = new org.apache.thrift.protocol.TField("sinceMicros", org.apache.thrift.protocol.TType.I64, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new SuspectRecordStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new SuspectRecordTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable java.lang.String fingerprint; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<EndedUpstream> ended; // required
+  private long sinceMicros; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     FINGERPRINT((short)1, "fingerprint"),
-    ENDED((short)2, "ended");
+    ENDED((short)2, "ended"),
+    SINCE_MICROS((short)3, "sinceMicros");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -42,6 +45,8 @@
           return FINGERPRINT;
         case 2: // ENDED
           return ENDED;
+        case 3: // SINCE_MICROS
+          return SINCE_MICROS;
         default:
           return null;
       }
@@ -85,6 +90,8 @@
   }
 
   // isset id assignments
+  private static final int __SINCEMICROS_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -93,6 +100,8 @@
     tmpMap.put(_Fields.ENDED, new org.apache.thrift.meta_data.FieldMetaData("ended", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, EndedUpstream.class))));
+    tmpMap.put(_Fields.SINCE_MICROS, new org.apache.thrift.meta_data.FieldMetaData("sinceMicros", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(SuspectRecord.class, metaDataMap);
   }
@@ -102,17 +111,21 @@
 
   public SuspectRecord(
     java.lang.String fingerprint,
-    java.util.List<EndedUpstream> ended)
+    java.util.List<EndedUpstream> ended,
+    long sinceMicros)
   {
     this();
     this.fingerprint = fingerprint;
     this.ended = ended;
+    this.sinceMicros = sinceMicros;
+    setSinceMicrosIsSet(true);
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
   public SuspectRecord(SuspectRecord other) {
+    __isset_bitfield = other.__isset_bitfield;
     if (other.isSetFingerprint()) {
       this.fingerprint = other.fingerprint;
     }
@@ -123,6 +136,7 @@
       }
       this.ended = __this__ended;
     }
+    this.sinceMicros = other.sinceMicros;
   }
 
   @Override
@@ -134,6 +148,8 @@
   public void clear() {
     this.fingerprint = null;
     this.ended = null;
+    setSinceMicrosIsSet(false);
+    this.sinceMicros = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -202,6 +218,29 @@
     }
   }
 
+  public long getSinceMicros() {
+    return this.sinceMicros;
+  }
+
+  public SuspectRecord setSinceMicros(long sinceMicros) {
+    this.sinceMicros = sinceMicros;
+    setSinceMicrosIsSet(true);
+    return this;
+  }
+
+  public void unsetSinceMicros() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SINCEMICROS_ISSET_ID);
+  }
+
+  /** Returns true if field sinceMicros is set (has been assigned a value) and false otherwise */
+  public boolean isSetSinceMicros() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SINCEMICROS_ISSET_ID);
+  }
+
+  public void setSinceMicrosIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SINCEMICROS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -221,6 +260,14 @@
       }
       break;
 
+    case SINCE_MICROS:
+      if (value == null) {
+        unsetSinceMicros();
+      } else {
+        setSinceMicros((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -234,6 +281,9 @@
     case ENDED:
       return getEnded();
 
+    case SINCE_MICROS:
+      return getSinceMicros();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -250,6 +300,8 @@
       return isSetFingerprint();
     case ENDED:
       return isSetEnded();
+    case SINCE_MICROS:
+      return isSetSinceMicros();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -285,6 +337,15 @@
         return false;
     }
 
+    boolean this_present_sinceMicros = true;
+    boolean that_present_sinceMicros = true;
+    if (this_present_sinceMicros || that_present_sinceMicros) {
+      if (!(this_present_sinceMicros && that_present_sinceMicros))
+        return false;
+      if (this.sinceMicros != that.sinceMicros)
+        return false;
+    }
+
     return true;
   }
 
@@ -300,6 +361,8 @@
     if (isSetEnded())
       hashCode = hashCode * 8191 + ended.hashCode();
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sinceMicros);
+
     return hashCode;
   }
 
@@ -331,6 +394,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSinceMicros(), other.isSetSinceMicros());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSinceMicros()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sinceMicros, other.sinceMicros);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -370,6 +443,10 @@
       sb.append(this.ended);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("sinceMicros:");
+    sb.append(this.sinceMicros);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -389,6 +466,8 @@
 
   private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
     try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
       read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
     } catch (org.apache.thrift.TException te) {
       throw new java.io.IOException(te);
@@ -442,6 +521,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // SINCE_MICROS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sinceMicros = iprot.readI64();
+              struct.setSinceMicrosIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -475,6 +562,9 @@
         }
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(SINCE_MICROS_FIELD_DESC);
+      oprot.writeI64(struct.sinceMicros);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -500,7 +590,10 @@
       if (struct.isSetEnded()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetSinceMicros()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetFingerprint()) {
         oprot.writeString(struct.fingerprint);
       }
@@ -513,12 +606,15 @@
           }
         }
       }
+      if (struct.isSetSinceMicros()) {
+        oprot.writeI64(struct.sinceMicros);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, SuspectRecord struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         struct.fingerprint = iprot.readString();
         struct.setFingerprintIsSet(true);
@@ -537,6 +633,10 @@
         }
         struct.setEndedIsSet(true);
       }
+      if (incoming.get(2)) {
+        struct.sinceMicros = iprot.readI64();
+        struct.setSinceMicrosIsSet(true);
+      }
     }
   }
 
--- a/src/main/thrift/control.thrift
+++ b/src/main/thrift/control.thrift
@@ -211,13 +211,16 @@
   2: i64 startMillis
 }
 
-// A request under which these upstreams ended, one after the other.
+// A request under which these upstreams ended, one after the other; none if it was answered. `sinceMicros`: from the end
+// of the first to the sending of this message.
 struct SuspectRecord {
   1: string fingerprint
   2: list<EndedUpstream> ended
+  3: i64 sinceMicros
 }
 
-// Requests under which upstreams ended. Sent as the response to a report, and to all hosts when one is added to.
+// Requests under which upstreams ended. Sent as the response to a report, and to all hosts when one is added to; the
+// response to that names those that the host has answered since.
 struct SuspectList {
   1: list<SuspectRecord> suspects
 }
