--- a/src/main/java/org/arbutusfield/proxy/CrashCheck.java
+++ b/src/main/java/org/arbutusfield/proxy/CrashCheck.java
@@ -11,6 +11,8 @@
  * loop.
  */
 final class CrashCheck {
+    private static final int FIRST_FAILURE_STATUS = 500;
+
     private final ProxyContext context;
     private final CallerRequest caller;
     private final RequestHead head;
@@ -41,9 +43,11 @@
         return !guard().hasSuspects() || fingerprints().stream().noneMatch(guard()::suspect);
     }
 
-    /** Called when an upstream has answered the request completely. */
-    void answered() {
-        guard().answered(this::fingerprints);
+    /** Called when an upstream has answered the request completely. An upstream that fails may still end. */
+    void answered(int status) {
+        if (status < FIRST_FAILURE_STATUS) {
+            guard().answered(this::fingerprints);
+        }
     }
 
     /** Called when the connection of an attempt was lost after the request was sent. */
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -309,7 +309,7 @@
             return;
         }
         from.release(AttemptOutcome.COMPLETED);
-        crashCheck.answered();
+        crashCheck.answered(relay.status());
         awaitFlush(RequestRecord.Result.WHOLE, Optional.empty());
     }
 
