--- a/src/main/java/org/arbutusfield/lab/soak/FaultProxy.java
+++ b/src/main/java/org/arbutusfield/lab/soak/FaultProxy.java
@@ -22,20 +22,21 @@
 import java.util.concurrent.TimeUnit;
 
 /** A TCP proxy on loopback that forwards connections to a target and injects faults according to its mode. */
-final class FaultProxy {
+public final class FaultProxy {
     private static final Duration DELAY = Duration.ofMillis(150);
 
     private final InetSocketAddress target;
     private final ChannelGroup openChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private volatile LinkMode mode = LinkMode.PASS;
     private Channel listener;
+    private InetSocketAddress address;
 
     private FaultProxy(InetSocketAddress target) {
         this.target = target;
     }
 
     /** Starts a proxy on a free port. */
-    static FaultProxy start(EventLoopGroup group, InetSocketAddress target) {
+    public static FaultProxy start(EventLoopGroup group, InetSocketAddress target) {
         FaultProxy proxy = new FaultProxy(target);
         proxy.listener = new ServerBootstrap()
                 .group(group)
@@ -50,21 +51,28 @@
                 .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                 .syncUninterruptibly()
                 .channel();
+        proxy.address = (InetSocketAddress) proxy.listener.localAddress();
         return proxy;
     }
 
-    InetSocketAddress address() {
-        return (InetSocketAddress) listener.localAddress();
+    /** The address that connections are forwarded from. */
+    public InetSocketAddress address() {
+        return address;
     }
 
     /** Switches the mode for open and new connections. */
-    void mode(LinkMode next) {
+    public void mode(LinkMode next) {
         mode = next;
         if (next == LinkMode.RESET) {
             openChannels.forEach(FaultProxy::reset);
         }
     }
 
+    /** Refuses new connections; open ones live on. */
+    public void stopListening() {
+        listener.close().awaitUninterruptibly();
+    }
+
     private void accept(SocketChannel accepted) {
         if (mode == LinkMode.RESET) {
             reset(accepted);
--- a/src/main/java/org/arbutusfield/lab/soak/LinkMode.java
+++ b/src/main/java/org/arbutusfield/lab/soak/LinkMode.java
@@ -1,7 +1,7 @@
 package org.arbutusfield.lab.soak;
 
 /** How a {@link FaultProxy} treats the connections through it. */
-enum LinkMode {
+public enum LinkMode {
     /** Forwards everything at once. */
     PASS,
     /** Forwards everything with a delay. */
