A host that is cut off from upstreams passes its callers' requests on through others

What callers saw: at hosts that had lost their links to all upstreams 5 of 215 and 1 of 81 first tries were served.

Cause: a host had no way to an upstream but its own links, took the loss of all of them for that many upstreams down, and spent its retry budget on connections that nothing arrived through. Class: a fault of the host itself that is charged to what it talks to.

Nobody to help: refused at once. Its entry in the store says so, and look-ups leave it out while there are others. Probes find the end; own links get a tenth of the requests, then twice as many each 0.3 s. Attempts that reached no upstream cost no retry budget. A failing start of the tests' hosts (a port taken between choice and start, seen once in the new test) is tried again on other ports.

--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -9,7 +9,7 @@
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.concurrent.CompletableFuture;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -30,7 +30,10 @@
 import org.arbutusfield.proxy.ProxyServer;
 import org.arbutusfield.proxy.RequestObserver;
 import org.arbutusfield.proxy.upstream.PortProbe;
+import org.arbutusfield.proxy.upstream.UpstreamProbe;
 import org.arbutusfield.quarantine.RequestQuarantine;
+import org.arbutusfield.reach.PeerForwarding;
+import org.arbutusfield.reach.UpstreamReach;
 import org.arbutusfield.route.RouteTable;
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.LiveUpstream;
@@ -66,6 +69,7 @@
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
     private final TimerService timer = SystemTimer.on(loop);
+    private final UpstreamProbe probe = PortProbe.of(loop, PROBE_TIMEOUT);
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final EdgeProtocol protocol;
@@ -80,6 +84,7 @@
     private HostRetryBudget retryBudget;
     private SteeringPlacement placement;
     private RequestQuarantine quarantine;
+    private UpstreamReach reach;
     private HostRegistrar registrar;
     private StoreWatcher watcher;
     private ProxyServer proxyServer;
@@ -170,8 +175,7 @@
         ControlHandlers handlers = ControlHandlers.create();
         planner.register(handlers);
         ControlClient client = ControlClient.start(group, timer, ControlLimits.defaults());
-        quarantine =
-                RequestQuarantine.start(settings.name(), () -> state, client, store, this::probe, this::leaves, timer);
+        quarantine = RequestQuarantine.start(settings.name(), () -> state, client, store, probe, this::leaves, timer);
         quarantine.register(handlers);
         homeResolver = HomeResolver.start(settings.name(), () -> state, client, planner, timer);
         PeerAddress address = new PeerAddress(
@@ -188,8 +192,17 @@
         log = RequestLog.start(timer, () -> state.routesVersion());
         retryBudget = HostRetryBudget.create(
                 settings.retryBudget(), () -> state.hosts().size(), timer);
+        reach = UpstreamReach.create(() -> state, probe, timer, new SplittableRandom());
+        PeerForwarding forwarding = PeerForwarding.create(
+                settings.name(),
+                settings.region(),
+                settings.capacity(),
+                () -> state,
+                reach,
+                timer,
+                new SplittableRandom());
         placement = SteeringPlacement.create(
-                settings.name(), settings.region(), () -> state, homeResolver, retryBudget, log, timer);
+                settings.name(), settings.region(), () -> state, homeResolver, retryBudget, forwarding, log, timer);
         return this;
     }
 
@@ -241,6 +254,7 @@
         HomeStoreWriter.start(planner, () -> state, store, timer);
         StoreHealth health = StoreHealth.create();
         registrar = HostRegistrar.start(store, timer, self, health);
+        reach.onChange(() -> registrar.setReachesUpstreams(reach.reachesAny()));
         watcher = StoreWatcher.start(store, timer, cache, settings.maxPropagationDelay(), health, this::install);
     }
 
@@ -259,12 +273,6 @@
         quarantine.stateChanged(next);
     }
 
-    private CompletableFuture<Boolean> probe(InetSocketAddress upstream) {
-        CompletableFuture<Boolean> refused = new CompletableFuture<>();
-        PortProbe.connect(loop, upstream, PROBE_TIMEOUT, refused::complete);
-        return refused;
-    }
-
     /** Returns true if the upstream has said that it is about to stop. */
     private boolean leaves(LiveUpstream upstream) {
         return placement.isLeaving(upstream);
--- a/src/main/java/org/arbutusfield/edge/HostRegistrar.java
+++ b/src/main/java/org/arbutusfield/edge/HostRegistrar.java
@@ -28,14 +28,18 @@
     private static final Logger LOG = LogManager.getLogger(HostRegistrar.class);
     private static final Duration LEASE_DURATION = Duration.ofMillis(4500);
     private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(1400);
+    /** Each change is read by all hosts. */
+    private static final Duration REACH_CHANGE_DELAY = Duration.ofMillis(600);
+
     private static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
     private final WatchableStore store;
     private final TimerService timer;
-    private final HostEntry self;
+    private HostEntry self;
     private final StoreHealth health;
     private Optional<StoreLease> lease = Optional.empty();
     private StoreRevision registeredRevision = StoreRevision.NONE;
+    private boolean wantedReach = true;
     private boolean registered;
     private boolean registering;
     private boolean leaving;
@@ -69,6 +73,38 @@
         }
     }
 
+    /** Tells other hosts whether this one reaches upstreams, unless that changes again soon. */
+    void setReachesUpstreams(boolean reaches) {
+        wantedReach = reaches;
+        timer.after(REACH_CHANGE_DELAY, this::applyReach);
+    }
+
+    private void applyReach() {
+        boolean reaches = wantedReach;
+        if (self.reachesUpstreams() == reaches) {
+            return;
+        }
+        self = self.withReachesUpstreams(reaches);
+        LOG.info("event=registration_changed host={} reaches_upstreams={}", self.name(), reaches);
+        if (registered && !registering && !leaving) {
+            lease.ifPresent(this::writeAgain);
+        }
+    }
+
+    /** Writes a changed entry under the lease that is held. */
+    private void writeAgain(StoreLease held) {
+        HostEntry written = self;
+        store.put(HostEntryCodec.key(self.name()), HostEntryCodec.encode(self), held.id())
+                .thenAccept(done -> done.peekLeft(failure -> {
+                    LOG.warn("event=registration_not_changed host={} code={}", self.name(), failure.code());
+                    timer.after(RETRY_DELAY, () -> {
+                        if (registered && isHeld(held) && self.equals(written)) {
+                            writeAgain(held);
+                        }
+                    });
+                }));
+    }
+
     /** Removes the entry permanently. */
     void leave() {
         leaving = true;
--- a/src/main/java/org/arbutusfield/edge/NearbyHosts.java
+++ b/src/main/java/org/arbutusfield/edge/NearbyHosts.java
@@ -6,7 +6,8 @@
 
 /**
  * Selects the hosts for a look-up: those in the caller's failure domain, else in its region, else all. A failure domain
- * or region with a single live host is not enough, because callers need another one when it fails.
+ * or region with a single live host is not enough, because callers need another one when it fails. Hosts that are cut
+ * off from all upstreams are left out while there are others.
  */
 public final class NearbyHosts {
     private static final int MIN_HOSTS_FOR_FAILOVER = 2;
@@ -22,12 +23,14 @@
      * @param failureDomain failure domain of the caller
      */
     public static List<HostEntry> of(List<HostEntry> hosts, String region, String failureDomain) {
-        List<HostEntry> near = filter(hosts, host -> host.failureDomain().equals(failureDomain));
+        List<HostEntry> reaching = filter(hosts, HostEntry::reachesUpstreams);
+        List<HostEntry> usable = reaching.isEmpty() ? hosts : reaching;
+        List<HostEntry> near = filter(usable, host -> host.failureDomain().equals(failureDomain));
         if (near.size() < MIN_HOSTS_FOR_FAILOVER) {
-            near = filter(hosts, host -> host.region().equals(region));
+            near = filter(usable, host -> host.region().equals(region));
         }
         if (near.size() < MIN_HOSTS_FOR_FAILOVER) {
-            near = hosts;
+            near = usable;
         }
         return near.size() > MAX_HOSTS ? near.subList(0, MAX_HOSTS) : near;
     }
--- a/src/main/java/org/arbutusfield/error/ErrorCode.java
+++ b/src/main/java/org/arbutusfield/error/ErrorCode.java
@@ -69,6 +69,8 @@
     OVERLOADED(Severity.NOTICE, 503, Execution.NOT_RUN, "no slot is free and the queue is full"),
     NO_UPSTREAM(Severity.WARNING, 503, Execution.NOT_RUN, "no healthy upstream may take the request"),
     CAP_REACHED(Severity.NOTICE, 503, Execution.NOT_RUN, "the cap on shifted traffic is reached"),
+    HOST_CUT_OFF(Severity.WARNING, 503, Execution.NOT_RUN, "this host reaches no upstream of the service now"),
+    HOST_BUSY(Severity.NOTICE, 503, Execution.NOT_RUN, "this host takes no more requests from other hosts now"),
     HOST_LEAVING(Severity.NOTICE, 503, Execution.NOT_RUN, "this host is leaving"),
     CONNECTION_LIMIT(Severity.NOTICE, 503, Execution.NOT_RUN, "a connection limit is reached"),
     NO_CONFIGURATION(Severity.WARNING, 503, Execution.NOT_RUN, "no configuration is in force yet"),
--- a/src/main/java/org/arbutusfield/proxy/Attempt.java
+++ b/src/main/java/org/arbutusfield/proxy/Attempt.java
@@ -169,7 +169,7 @@
      * Discards the rest of the response, after which the connection can be reused. A rest that is long or late is not
      * worth waiting for, and the connection is closed.
      */
-    void discardRest(AttemptOutcome outcome) {
+    private void discardRest(AttemptOutcome outcome) {
         discarding = true;
         ended = true;
         release(outcome);
@@ -204,6 +204,12 @@
         pool.checkEnded(exchange.loop(), callback);
     }
 
+    /** Ends the attempt, because the target stated that it did not run the request. */
+    void refused(Failure failure) {
+        target.permit().refused(failure);
+        discardRest(AttemptOutcome.SHED);
+    }
+
     void release(AttemptOutcome outcome) {
         if (released) {
             return;
@@ -215,6 +221,9 @@
     @Override
     public void responseHead(HttpResponse response) {
         if (!ended) {
+            if (!onReusedConnection()) {
+                target.permit().reached();
+            }
             boolean related = ResponseCheck.isRelated(response, head);
             UpstreamNoticeReader.read(response, target, related, headerNames).forEach(this::noticed);
             exchange.responseHead(this, response);
@@ -255,6 +264,10 @@
             return;
         }
         ended = true;
+        boolean nothingReceived = connection.lastReadNanos() - sentNanos <= 0;
+        if (nothingReceived && !onReusedConnection()) {
+            target.permit().unreachable();
+        }
         release(onReusedConnection() ? AttemptOutcome.CANCELLED : AttemptOutcome.FAILED);
         ErrorCode code = cause == Loss.MALFORMED ? ErrorCode.UPSTREAM_PROTOCOL : ErrorCode.UPSTREAM_LOST;
         exchange.responseLost(this, Failure.of(code, target.name()));
@@ -284,6 +297,9 @@
         if (result.isLeft()) {
             ended = true;
             boolean limit = result.getLeft().code() == ErrorCode.CONNECTION_LIMIT;
+            if (!limit) {
+                target.permit().unreachable();
+            }
             release(limit ? AttemptOutcome.CANCELLED : AttemptOutcome.FAILED);
             exchange.attemptFailed(this, Failure.of(result.getLeft().code(), target.name()), true);
             return;
--- a/src/main/java/org/arbutusfield/proxy/AttemptHistory.java
+++ b/src/main/java/org/arbutusfield/proxy/AttemptHistory.java
@@ -1,6 +1,7 @@
 package org.arbutusfield.proxy;
 
 import java.time.Duration;
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -19,6 +20,9 @@
     /** A request that has lost as many upstreams may be the cause. */
     private static final int MAX_LOST_RUNS = 2;
 
+    private static final Set<ErrorCode> WITHOUT_ARRIVAL =
+            EnumSet.of(ErrorCode.UPSTREAM_CONNECT, ErrorCode.HOST_CUT_OFF, ErrorCode.HOST_BUSY);
+
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
 
     private final RequestHead head;
@@ -84,7 +88,14 @@
                 && lostRuns < MAX_LOST_RUNS
                 && (notRun || head.requestClass().repeatable())
                 && body.replayable()
-                && retryLimiter.tryAcquire(head.service());
+                && (!mayHaveReachedUpstream() || retryLimiter.tryAcquire(head.service()));
+    }
+
+    /** False if the last attempt certainly brought no request to an upstream, so that another adds none either. */
+    private boolean mayHaveReachedUpstream() {
+        return lastFailure
+                .map(failure -> !WITHOUT_ARRIVAL.contains(failure.code()))
+                .orElse(true);
     }
 
     /** Acquires the right to request the rest of a response; returns false if no attempt or retry is left. */
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -210,7 +210,6 @@
     }
 
     private void deadlinePassed() {
-        cancelAttempt();
         fail(Failure.of(ErrorCode.DEADLINE_PASSED, head.service().name()));
     }
 
@@ -253,8 +252,9 @@
             return;
         }
         if (NotRunStatement.isIn(response, from.target(), context.components().headerNames())) {
-            from.discardRest(AttemptOutcome.SHED);
-            attemptFailed(from, NotRunStatement.failure(response, from.target()), true);
+            Failure refusal = NotRunStatement.failure(response, from.target());
+            from.refused(refusal);
+            attemptFailed(from, refusal, true);
             return;
         }
         if (!ResponseCheck.hasProof(response, context.components().headerNames())) {
--- a/src/main/java/org/arbutusfield/proxy/Permit.java
+++ b/src/main/java/org/arbutusfield/proxy/Permit.java
@@ -1,5 +1,7 @@
 package org.arbutusfield.proxy;
 
+import org.arbutusfield.error.Failure;
+
 /** The permission to run one request at a target. Thread-safe. */
 @FunctionalInterface
 public interface Permit {
@@ -14,6 +16,15 @@
      */
     void release(AttemptOutcome outcome, long serviceNanos);
 
+    /** Called when the target stated that it did not run the request. Called before the permit is released. */
+    default void refused(Failure failure) {}
+
+    /** Called when the target responded on a connection that was opened for the request. */
+    default void reached() {}
+
+    /** Called when no connection to the target could be opened, or a new one was lost before a byte came. */
+    default void unreachable() {}
+
     /** Receives what the target says about itself in its response. Called before the permit is released. */
     default void noticed(UpstreamNotice notice) {}
 }
--- a/src/main/java/org/arbutusfield/proxy/RequestFingerprint.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestFingerprint.java
@@ -26,13 +26,18 @@
      * or only because of its caller.
      *
      * @param caller address of the caller, which names it unless the request has credentials
-     * @return each with {@value #REPEAT_DIGITS} lower-case hexadecimal digits
+     * @return one or, unless another host has passed the request on, both; each with {@value #REPEAT_DIGITS} lower-case
+     *     hexadecimal digits
      */
     static List<String> ofRepeats(RequestHead head, RequestBody body, InetAddress caller) {
         ByteArrayOutputStream content = content(head, body);
         content.write(SEPARATOR);
         content.writeBytes(head.headers().get(HttpHeaderNames.HOST, "").getBytes(StandardCharsets.UTF_8));
         String ofContent = Digests.sha256(content.toByteArray());
+        if (head.hops() > 0) {
+            // The caller is the host that passed the request on.
+            return List.of(ofContent.substring(0, REPEAT_DIGITS));
+        }
         String credentials = head.headers().get(HttpHeaderNames.AUTHORIZATION, "");
         content.write(SEPARATOR);
         content.writeBytes(credentials.isEmpty() ? caller.getAddress() : credentials.getBytes(StandardCharsets.UTF_8));
--- a/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
@@ -131,12 +131,12 @@
      * @param callback receives true if the upstream has ended
      */
     public void checkEnded(EventLoop loop, Consumer<Boolean> callback) {
-        PortProbe.connect(loop, address, connectTimeout, refused -> {
+        PortProbe.of(loop, connectTimeout).connect(address).thenAccept(result -> {
             boolean othersOpen;
             synchronized (lock) {
                 othersOpen = !connected.isEmpty();
             }
-            callback.accept(refused && !othersOpen);
+            callback.accept(result == UpstreamProbe.Result.REFUSED && !othersOpen);
         });
     }
 
--- a/src/main/java/org/arbutusfield/proxy/upstream/PortProbe.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/PortProbe.java
@@ -10,21 +10,31 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.function.Consumer;
+import java.util.concurrent.CompletableFuture;
 
-/** Tells whether nothing listens at an address. */
-public final class PortProbe {
-    private PortProbe() {}
+/** An {@link UpstreamProbe} over TCP. */
+public final class PortProbe implements UpstreamProbe {
+    private final EventLoop loop;
+    private final Duration timeout;
+
+    private PortProbe(EventLoop loop, Duration timeout) {
+        this.loop = loop;
+        this.timeout = timeout;
+    }
 
     /**
-     * Tries to connect, and closes the connection at once.
+     * Creates a probe.
      *
-     * @param loop event loop on which the callback runs
-     * @param address the address
-     * @param timeout how long to wait
-     * @param refused receives true if the connection was refused; false if it was accepted or nothing came back in time
+     * @param loop event loop on which the futures complete
+     * @param timeout how long to wait for an answer
      */
-    public static void connect(EventLoop loop, InetSocketAddress address, Duration timeout, Consumer<Boolean> refused) {
+    public static PortProbe of(EventLoop loop, Duration timeout) {
+        return new PortProbe(loop, timeout);
+    }
+
+    @Override
+    public CompletableFuture<Result> connect(InetSocketAddress address) {
+        CompletableFuture<Result> result = new CompletableFuture<>();
         ChannelFuture opened = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -33,8 +43,13 @@
                 .connect(address);
         opened.addListener(done -> {
             opened.channel().close();
-            Throwable cause = done.cause();
-            refused.accept(cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException));
+            result.complete(done.isSuccess() ? Result.ACCEPTED : failure(done.cause()));
         });
+        return result;
+    }
+
+    private static Result failure(Throwable cause) {
+        boolean refused = cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+        return refused ? Result.REFUSED : Result.NO_ANSWER;
     }
 }
--- a/src/main/java/org/arbutusfield/quarantine/RequestQuarantine.java
+++ b/src/main/java/org/arbutusfield/quarantine/RequestQuarantine.java
@@ -16,6 +16,7 @@
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.proxy.CrashGuard;
 import org.arbutusfield.proxy.InterruptedRun;
+import org.arbutusfield.proxy.upstream.UpstreamProbe;
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.LiveUpstream;
 import org.arbutusfield.state.SteeringState;
@@ -224,8 +225,8 @@
         List<CompletableFuture<Optional<SuspectRequest>>> counted = new ArrayList<>();
         for (InterruptedRequest request : report.getInterrupted()) {
             CrashedRun run = CrashMessages.run(request, receivedNanos);
-            counted.add(probe.refuses(new InetSocketAddress(request.getAddress(), request.getPort()))
-                    .thenApply(refused -> confirm(request.getFingerprint(), run, refused)));
+            counted.add(probe.connect(new InetSocketAddress(request.getAddress(), request.getPort()))
+                    .thenApply(result -> confirm(request.getFingerprint(), run, result)));
         }
         return CompletableFuture.allOf(counted.toArray(CompletableFuture[]::new))
                 .thenCompose(done -> reply(counted.stream()
@@ -233,12 +234,13 @@
                         .toList()));
     }
 
-    private Optional<SuspectRequest> confirm(String fingerprint, CrashedRun run, boolean refused) {
-        if (!refused) {
+    private Optional<SuspectRequest> confirm(String fingerprint, CrashedRun run, UpstreamProbe.Result result) {
+        if (result != UpstreamProbe.Result.REFUSED) {
             LOG.info(
-                    "event=crash_not_counted request={} upstream={} reason=reachable_from_here",
+                    "event=crash_not_counted request={} upstream={} reason=not_refused_here result={}",
                     fingerprint,
-                    run.upstream().upstream());
+                    run.upstream().upstream(),
+                    result);
             return Optional.empty();
         }
         return Optional.of(count(fingerprint, run));
--- a/src/main/java/org/arbutusfield/state/HostEntryCodec.java
+++ b/src/main/java/org/arbutusfield/state/HostEntryCodec.java
@@ -31,6 +31,7 @@
                 .put("callers", entry.callerAddress())
                 .put("control", entry.controlAddress())
                 .put("capacity", entry.capacity())
+                .put("reachesUpstreams", entry.reachesUpstreams())
                 .toString()
                 .getBytes(StandardCharsets.UTF_8);
     }
@@ -45,7 +46,8 @@
                     node.path("failureDomain").asText(),
                     node.path("callers").asText(),
                     node.path("control").asText(),
-                    node.path("capacity").asInt());
+                    node.path("capacity").asInt(),
+                    node.path("reachesUpstreams").asBoolean(true));
             boolean valid = Addresses.parse(entry.callerAddress()).isPresent()
                     && Addresses.parse(entry.controlAddress()).isPresent();
             return valid
--- a/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
@@ -24,6 +24,7 @@
 import org.arbutusfield.proxy.PlacementRequest;
 import org.arbutusfield.proxy.PlacementTarget;
 import org.arbutusfield.proxy.UpstreamNotice;
+import org.arbutusfield.reach.PeerForwarding;
 import org.arbutusfield.route.Route;
 import org.arbutusfield.route.ServicePolicy;
 import org.arbutusfield.state.LiveUpstream;
@@ -48,6 +49,7 @@
     private final TimerService timer;
     private final HostRetryBudget retryBudget;
     private final PlacementObserver observer;
+    private final PeerForwarding forwarding;
     private final UpstreamRateLimiter rateLimiter;
     private final FleetSize fleetSize;
     private final UpstreamAvailability availability = UpstreamAvailability.create();
@@ -60,8 +62,10 @@
             Supplier<SteeringState> state,
             HomeResolver homeResolver,
             HostRetryBudget retryBudget,
+            PeerForwarding forwarding,
             PlacementObserver observer,
             TimerService timer) {
+        this.forwarding = forwarding;
         this.region = region;
         this.state = state;
         this.homeResolver = homeResolver;
@@ -80,6 +84,7 @@
      * @param state supplies the current state
      * @param homeResolver resolves objects to upstreams
      * @param retryBudget records each request of a caller, and knows the size of the fleet
+     * @param forwarding passes requests on through other hosts while this one doesn't reach upstreams
      * @param observer notified of each placement
      * @param timer monotonic clock
      */
@@ -89,16 +94,21 @@
             Supplier<SteeringState> state,
             HomeResolver homeResolver,
             HostRetryBudget retryBudget,
+            PeerForwarding forwarding,
             PlacementObserver observer,
             TimerService timer) {
-        return new SteeringPlacement(self, region, state, homeResolver, retryBudget, observer, timer);
+        return new SteeringPlacement(self, region, state, homeResolver, retryBudget, forwarding, observer, timer);
     }
 
     @Override
     public CompletableFuture<Either<Failure, PlacementTarget>> place(PlacementRequest request) {
-        if (request.tried().isEmpty()) {
+        if (request.tried().isEmpty() && request.hops() == 0) {
             retryBudget.recordRequest(request.service().name());
         }
+        Optional<Either<Failure, PlacementTarget>> forwarded = forwarding.place(request);
+        if (forwarded.isPresent()) {
+            return CompletableFuture.completedFuture(forwarded.get());
+        }
         Optional<ObjectId> object = objectOf(request);
         if (object.isEmpty()) {
             return CompletableFuture.completedFuture(place(request, object, Optional.empty()));
@@ -365,6 +375,16 @@
             object.ifPresent(o -> objectRequestEnded(o, upstream.name(), outcome, serviceNanos));
         }
 
+        @Override
+        public void reached() {
+            forwarding.reached(upstream.upstream().service());
+        }
+
+        @Override
+        public void unreachable() {
+            forwarding.failed(upstream.upstream().service(), upstream.name());
+        }
+
         @Override
         public void noticed(UpstreamNotice notice) {
             long nanos = timer.nowNanos();
--- a/src/test/java/org/arbutusfield/edge/ColdUpstreamRateTest.java
+++ b/src/test/java/org/arbutusfield/edge/ColdUpstreamRateTest.java
@@ -25,6 +25,7 @@
 import org.arbutusfield.proxy.AttemptOutcome;
 import org.arbutusfield.proxy.PlacementRequest;
 import org.arbutusfield.proxy.PlacementTarget;
+import org.arbutusfield.reach.Forwardings;
 import org.arbutusfield.state.ContentStore;
 import org.arbutusfield.state.FaultyStore;
 import org.arbutusfield.state.HostEntry;
@@ -104,7 +105,14 @@
             HostRetryBudget retryBudget =
                     HostRetryBudget.create(RETRY_BUDGET, () -> state.hosts().size(), timer);
             placement = SteeringPlacement.create(
-                    name, "g", () -> state, resolver, retryBudget, (request, choice) -> {}, timer);
+                    name,
+                    "g",
+                    () -> state,
+                    resolver,
+                    retryBudget,
+                    Forwardings.unused(name, () -> state, timer),
+                    (request, choice) -> {},
+                    timer);
             StoreHealth health = StoreHealth.create();
             registrar = HostRegistrar.start(store, timer, self, health);
             StateCache cache = StateCache.create(PlatformItemDecoder.create(), Map.of("d", "g"));
--- a/src/test/java/org/arbutusfield/platform/CutOffHostPathTest.java
+++ b/src/test/java/org/arbutusfield/platform/CutOffHostPathTest.java
@@ -29,7 +29,6 @@
 import org.arbutusfield.lab.soak.FaultProxy;
 import org.arbutusfield.lab.soak.LinkMode;
 import org.arbutusfield.misc.Addresses;
-import org.arbutusfield.steering.SharedRetryBudget;
 import org.arbutusfield.timer.SystemTimer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Timeout;
@@ -113,23 +112,6 @@
 
     private void startHost(String routeType) {
         Node node = new Node(KeyValueStandIn.bind(group, ANY, timer).get());
-        node.settings = new EdgeSettings(
-                "edge-" + nodes.size(),
-                "gulf",
-                "gulf-a",
-                freeAddress(),
-                freeAddress(),
-                freeAddress(),
-                freeAddress(),
-                freeAddress(),
-                node.store.address(),
-                Map.of("gulf-a", "gulf"),
-                2_000,
-                420,
-                Duration.ofSeconds(5),
-                Duration.ofSeconds(2),
-                Duration.ofSeconds(2),
-                new SharedRetryBudget(0.2, Duration.ofSeconds(10), 112, 2));
         configure(node, routeType);
         for (int i = 0; i < UPSTREAMS; i++) {
             FaultProxy link = FaultProxy.start(group, upstreams.get(i).address());
@@ -139,7 +121,9 @@
                     .replace("1500ms", "0ms");
             node.store.content().put("servers/i-" + i, entry.getBytes(StandardCharsets.UTF_8), 0);
         }
-        node.host = PlatformMain.start(node.settings).get();
+        StartedHost started = StartedHost.start(group, "edge-" + nodes.size(), node.store.address());
+        node.settings = started.settings();
+        node.host = started.host();
         nodes.add(node);
     }
 
@@ -164,14 +148,6 @@
                 200, List.of(Header.of("x-server-seal", "s"), Header.of("x-request-id", requestId)), Body.of("done")));
     }
 
-    private InetSocketAddress freeAddress() {
-        HttpServer probe = HttpServer.bind(group, ANY, 1, request -> new CompletableFuture<>())
-                .get();
-        InetSocketAddress address = probe.address();
-        probe.close();
-        return address;
-    }
-
     private CompletableFuture<Integer> send(int host, String method) {
         int number = requests.incrementAndGet();
         SimpleHttpRequest request = new SimpleHttpRequest(
--- a/src/test/java/org/arbutusfield/platform/RepeatedCrashPathTest.java
+++ b/src/test/java/org/arbutusfield/platform/RepeatedCrashPathTest.java
@@ -12,7 +12,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Queue;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -27,10 +26,8 @@
 import org.arbutusfield.http.Body;
 import org.arbutusfield.http.Header;
 import org.arbutusfield.http.HttpClient;
-import org.arbutusfield.http.HttpServer;
 import org.arbutusfield.http.SimpleHttpRequest;
 import org.arbutusfield.lab.platform.KeyValueStandIn;
-import org.arbutusfield.steering.SharedRetryBudget;
 import org.arbutusfield.timer.SystemTimer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -93,33 +90,9 @@
     }
 
     private void startHost() {
-        EdgeSettings host = new EdgeSettings(
-                "edge-" + hosts.size(),
-                "gulf",
-                "gulf-a",
-                freeAddress(),
-                freeAddress(),
-                freeAddress(),
-                freeAddress(),
-                freeAddress(),
-                store.address(),
-                Map.of("gulf-a", "gulf"),
-                2_000,
-                420,
-                Duration.ofSeconds(5),
-                Duration.ofSeconds(2),
-                Duration.ofSeconds(2),
-                new SharedRetryBudget(0.2, Duration.ofSeconds(10), 112, 2));
-        settings.add(host);
-        hosts.add(PlatformMain.start(host).get());
-    }
-
-    private InetSocketAddress freeAddress() {
-        HttpServer probe = HttpServer.bind(group, ANY, 1, request -> new CompletableFuture<>())
-                .get();
-        InetSocketAddress address = probe.address();
-        probe.close();
-        return address;
+        StartedHost started = StartedHost.start(group, "edge-" + hosts.size(), store.address());
+        settings.add(started.settings());
+        hosts.add(started.host());
     }
 
     private static boolean crashes(SimpleHttpRequest request) {
--- a/src/test/java/org/arbutusfield/quarantine/QuarantineFleet.java
+++ b/src/test/java/org/arbutusfield/quarantine/QuarantineFleet.java
@@ -20,6 +20,7 @@
 import org.arbutusfield.model.Upstream;
 import org.arbutusfield.platform.PlatformItemDecoder;
 import org.arbutusfield.proxy.InterruptedRun;
+import org.arbutusfield.proxy.upstream.UpstreamProbe;
 import org.arbutusfield.state.ContentStore;
 import org.arbutusfield.state.FaultyStore;
 import org.arbutusfield.state.HostEntry;
@@ -105,7 +106,7 @@
                     () -> state,
                     (peer, message, timeout) -> call(this, peer, message, timeout),
                     store,
-                    this::refuses,
+                    this::probe,
                     upstream -> servers.get(upstream.name()).leaving,
                     timer);
             quarantine.register(handlers);
@@ -125,10 +126,15 @@
             }
         }
 
-        private CompletableFuture<Boolean> refuses(InetSocketAddress address) {
-            CompletableFuture<Boolean> refused = new CompletableFuture<>();
-            timer.after(MESSAGE_DELAY, () -> refused.complete(portClosed(address.getPort())));
-            return refused;
+        private CompletableFuture<UpstreamProbe.Result> probe(InetSocketAddress address) {
+            CompletableFuture<UpstreamProbe.Result> result = new CompletableFuture<>();
+            timer.after(
+                    MESSAGE_DELAY,
+                    () -> result.complete(
+                            portClosed(address.getPort())
+                                    ? UpstreamProbe.Result.REFUSED
+                                    : UpstreamProbe.Result.ACCEPTED));
+            return result;
         }
 
         private boolean portClosed(int port) {
--- a/src/test/java/org/arbutusfield/steering/SteeringPlacementTest.java
+++ b/src/test/java/org/arbutusfield/steering/SteeringPlacementTest.java
@@ -22,6 +22,7 @@
 import org.arbutusfield.proxy.PlacementRequest;
 import org.arbutusfield.proxy.PlacementTarget;
 import org.arbutusfield.proxy.UpstreamNotice;
+import org.arbutusfield.reach.Forwardings;
 import org.arbutusfield.route.Route;
 import org.arbutusfield.route.WeightedService;
 import org.arbutusfield.state.LiveUpstream;
@@ -91,7 +92,14 @@
         HostRetryBudget retryBudget =
                 HostRetryBudget.create(new SharedRetryBudget(0.2, COLD_PERIOD, 10, 2), () -> 1, timer);
         return SteeringPlacement.create(
-                "h", "near", state, resolver, retryBudget, (placementRequest, choice) -> {}, timer);
+                "h",
+                "near",
+                state,
+                resolver,
+                retryBudget,
+                Forwardings.unused("h", state, timer),
+                (placementRequest, choice) -> {},
+                timer);
     }
 
     /**
--- a/src/test/java/org/arbutusfield/steering/UpstreamRateLimitTest.java
+++ b/src/test/java/org/arbutusfield/steering/UpstreamRateLimitTest.java
@@ -22,6 +22,7 @@
 import org.arbutusfield.proxy.PlacementRequest;
 import org.arbutusfield.proxy.PlacementTarget;
 import org.arbutusfield.proxy.UpstreamNotice;
+import org.arbutusfield.reach.Forwardings;
 import org.arbutusfield.route.Route;
 import org.arbutusfield.route.WeightedService;
 import org.arbutusfield.state.HostEntry;
@@ -75,7 +76,14 @@
             HostRetryBudget retryBudget =
                     HostRetryBudget.create(RETRY_BUDGET, () -> state.hosts().size(), timer);
             placement = SteeringPlacement.create(
-                    name, "gulf", () -> state, resolver, retryBudget, (request, choice) -> {}, timer);
+                    name,
+                    "gulf",
+                    () -> state,
+                    resolver,
+                    retryBudget,
+                    Forwardings.unused(name, () -> state, timer),
+                    (request, choice) -> {},
+                    timer);
         }
 
         private void send(String object) {
