--- a/src/test/java/org/arbutusfield/quarantine/RequestQuarantineTest.java
+++ b/src/test/java/org/arbutusfield/quarantine/RequestQuarantineTest.java
@@ -184,6 +184,22 @@
         assertThat(fleet.hosts).noneMatch(host -> host.quarantine.hasSuspects());
     }
 
+    /** Guards against hosts that confirm each other's mistake, because most of them are cut off at the same time. */
+    @Test
+    void hostsThatAreCutOffTogetherGetNoRequestRefused() {
+        fleet = QuarantineFleet.start(HOSTS, UPSTREAMS, new Random(3));
+        for (int i = 0; i < 10; i++) {
+            load(SECOND, false);
+            List<Host> cutOff = fleet.hosts.subList(0, HOSTS - 4);
+            cutOff.forEach(Host::cutFromUpstreams);
+            load(SECOND, false);
+            cutOff.forEach(host -> host.reachesUpstreams = true);
+        }
+        load(OBSERVED, false);
+        assertThat(refused).as("of %s", sent).isZero();
+        assertThat(fleet.hosts).allMatch(host -> host.quarantine.size() == 0);
+    }
+
     /** Guards against requests that are accused of the planned stops of their upstreams. */
     @Test
     void upstreamThatWasToStopIsNoEvidence() {
