A host's entry tells the latest reach, also when that changed while the entry was written

Found by reading: a change during the first write, or while the host wasn't registered, left the old entry for good. HostRegistrarTest, with a store that takes 2 s to write, failed first in 2 of 3 cases. Now the entry is written again if it isn't the latest.

--- a/src/main/java/org/arbutusfield/edge/HostRegistrar.java
+++ b/src/main/java/org/arbutusfield/edge/HostRegistrar.java
@@ -140,12 +140,13 @@
             leave();
             return;
         }
+        HostEntry written = self;
         store.put(HostEntryCodec.key(self.name()), HostEntryCodec.encode(self), grantedLease.id())
-                .thenAccept(done ->
-                        done.peek(revision -> onWritten(grantedLease, revision)).peekLeft(this::onFailure));
+                .thenAccept(done -> done.peek(revision -> onWritten(grantedLease, written, revision))
+                        .peekLeft(this::onFailure));
     }
 
-    private void onWritten(StoreLease usedLease, StoreRevision revision) {
+    private void onWritten(StoreLease usedLease, HostEntry written, StoreRevision revision) {
         health.recordAnswer();
         health.recordEra(revision.era());
         registering = false;
@@ -162,6 +163,9 @@
                 revision.era(),
                 revision.number());
         timer.after(RENEWAL_INTERVAL, () -> renew(usedLease));
+        if (!self.equals(written)) {
+            writeAgain(usedLease);
+        }
     }
 
     private void onFailure(Failure failure) {
