Suspect requests are kept by key like the other items of the store; a test method that nothing called is gone

A removal in the store looked through all suspects. Behaviour stays: StateCacheTest, RequestQuarantineTest, CrashLedgerTest and RepeatedCrashPathTest green; the whole script was not run on this commit.

--- a/src/main/java/org/arbutusfield/state/StateCache.java
+++ b/src/main/java/org/arbutusfield/state/StateCache.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.lookup.WeightedRendezvous;
@@ -96,7 +97,7 @@
         hosts.keySet().retainAll(present);
         if (!newEra) {
             // What a new era lacks was lost and not lifted; one of the hosts writes it again.
-            suspects.keySet().removeIf(fingerprint -> !present.contains(SuspectCodec.key(fingerprint)));
+            suspects.keySet().retainAll(present);
         }
         for (String key : List.copyOf(upstreams.keySet())) {
             if (!present.contains(key)) {
@@ -121,7 +122,7 @@
                 drains.remove(change.key());
                 missingDrains.remove(change.key());
                 hosts.remove(change.key());
-                suspects.keySet().removeIf(fingerprint -> change.key().equals(SuspectCodec.key(fingerprint)));
+                suspects.remove(change.key());
                 removeUpstream(change.key(), afterOutage, nowNanos);
             }
         }
@@ -175,7 +176,8 @@
                 Set.copyOf(drained),
                 List.copyOf(hosts.values()),
                 Map.copyOf(homes),
-                Map.copyOf(suspects),
+                suspects.values().stream()
+                        .collect(Collectors.toUnmodifiableMap(SuspectRequest::fingerprint, suspect -> suspect)),
                 revision);
     }
 
@@ -201,7 +203,7 @@
         } else if (decoded instanceof StateItem.Homes stored) {
             homes.put(stored.service(), stored.upstreams());
         } else if (decoded instanceof StateItem.Suspect suspect) {
-            suspects.put(suspect.request().fingerprint(), suspect.request());
+            suspects.put(item.key(), suspect.request());
         } else if (decoded instanceof StateItem.UpstreamRegistration report) {
             putUpstream(item, report.entry(), nowNanos);
         }
--- a/src/test/java/org/arbutusfield/platform/CrashingUpstream.java
+++ b/src/test/java/org/arbutusfield/platform/CrashingUpstream.java
@@ -37,7 +37,6 @@
     private final Predicate<SimpleHttpRequest> crashes;
     private final Consumer<SimpleHttpRequest> arrivals;
     private EventLoopGroup group;
-    private String id;
     private volatile boolean closed;
 
     private CrashingUpstream(
@@ -69,11 +68,6 @@
         return upstream;
     }
 
-    /** Ends it as a crash does. */
-    void crash() {
-        end(group, id);
-    }
-
     @Override
     public void close() {
         closed = true;
@@ -87,7 +81,6 @@
         EventLoopGroup started = new NioEventLoopGroup(1);
         String name = "i-" + STARTS.incrementAndGet();
         group = started;
-        id = name;
         HttpServer server = HttpServer.bind(started, ANY, 1 << 20, request -> handle(request, started, name))
                 .get();
         String entry = PlatformItemDecoderTest.SERVER
