--- a/src/main/java/org/arbutusfield/proxy/ProxyComponents.java
+++ b/src/main/java/org/arbutusfield/proxy/ProxyComponents.java
@@ -107,6 +107,22 @@
                 headerNames);
     }
 
+    /** A copy with another crash guard. */
+    public ProxyComponents withCrashGuard(CrashGuard replacement) {
+        return new ProxyComponents(
+                router,
+                placement,
+                retryLimiter,
+                idempotencyGuard,
+                replacement,
+                observer,
+                localHandler,
+                peers,
+                limits,
+                connectionShare,
+                headerNames);
+    }
+
     /** A copy with another observer. */
     public ProxyComponents withObserver(RequestObserver replacement) {
         return new ProxyComponents(
