--- a/src/main/java/org/arbutusfield/proxy/Attempt.java
+++ b/src/main/java/org/arbutusfield/proxy/Attempt.java
@@ -16,6 +16,7 @@
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -295,13 +296,15 @@
             return;
         }
         if (result.isLeft()) {
+            connectFailed(result.getLeft().code());
+            return;
+        }
+        Optional<Failure> refusal = exchange.refusalToSend();
+        if (refusal.isPresent()) {
             ended = true;
-            boolean limit = result.getLeft().code() == ErrorCode.CONNECTION_LIMIT;
-            if (!limit) {
-                target.permit().unreachable();
-            }
-            release(limit ? AttemptOutcome.CANCELLED : AttemptOutcome.FAILED);
-            exchange.attemptFailed(this, Failure.of(result.getLeft().code(), target.name()), true);
+            release(AttemptOutcome.CANCELLED);
+            result.get().release();
+            exchange.sendingRefused(refusal.get());
             return;
         }
         connection = result.get();
@@ -314,6 +317,16 @@
         send();
     }
 
+    private void connectFailed(ErrorCode code) {
+        ended = true;
+        boolean limit = code == ErrorCode.CONNECTION_LIMIT;
+        if (!limit) {
+            target.permit().unreachable();
+        }
+        release(limit ? AttemptOutcome.CANCELLED : AttemptOutcome.FAILED);
+        exchange.attemptFailed(this, Failure.of(code, target.name()), true);
+    }
+
     private void send() {
         sentNanos = System.nanoTime();
         exchange.requestSending(this);
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -41,8 +41,6 @@
 final class Exchange implements RequestHandler {
     private static final Logger LOG = LogManager.getLogger(Exchange.class);
 
-    private static final int MIN_BODY_BYTES_PER_TIMEOUT = 1 << 10;
-
     private final CallerRequest caller;
     private final ProxyContext context;
     private final RequestHead head;
@@ -52,13 +50,13 @@
     private final AttemptHistory history;
     private final CrashCheck crashCheck;
     private final CallerProgress callerProgress;
+    private final ResponseWait responseWait;
     private long deadlineNanos;
     private Stage stage = Stage.BODY;
     private Attempt attempt;
     private Optional<Resumption> resumption = Optional.empty();
     private ResponseRelay relay;
     private boolean notRun;
-    private long receivedAtTimerStart;
 
     private Exchange(CallerRequest caller, ProxyContext context, RequestHead head, long startNanos) {
         this.caller = caller;
@@ -68,6 +66,7 @@
         history = AttemptHistory.of(head, context);
         crashCheck = CrashCheck.of(context, caller, head, body);
         callerProgress = CallerProgress.of(caller, context);
+        responseWait = ResponseWait.of(caller, context, head, body);
         recordBuilder = RequestRecordBuilder.of(head, startNanos);
         admission = RequestAdmission.of(context.components(), head, caller.loop(), caller.remoteAddress());
         deadlineNanos = startNanos + head.deadline().toNanos();
@@ -179,7 +178,7 @@
     private void place() {
         Optional<Failure> refusal = crashCheck.refusal();
         if (refusal.isPresent()) {
-            placementFailed(refusal.get());
+            refused(refusal.get());
             return;
         }
         stage = relay == null ? Stage.PLACE : Stage.RESPONSE;
@@ -192,11 +191,15 @@
     }
 
     private void placementFailed(Failure failure) {
+        refused(history.lastFailure().orElse(failure));
+    }
+
+    private void refused(Failure failure) {
         if (relay != null) {
             abortResponse();
-            return;
+        } else {
+            fail(failure);
         }
-        fail(history.lastFailure().orElse(failure));
     }
 
     private void connect(PlacementTarget target) {
@@ -213,11 +216,21 @@
         fail(Failure.of(ErrorCode.DEADLINE_PASSED, head.service().name()));
     }
 
+    /** The reason for which the current attempt must not send the request, if there is one since it was placed. */
+    Optional<Failure> refusalToSend() {
+        return crashCheck.refusal();
+    }
+
+    /** Called when the current attempt ended, with its connection unused, because of a {@link #refusalToSend()}. */
+    void sendingRefused(Failure refusal) {
+        refused(refusal);
+    }
+
     /** Called when the current attempt starts to send the request. */
     void requestSending(Attempt from) {
         if (relay == null) {
             stage = Stage.SENT;
-            startSentTimer();
+            responseWait.start(from, deadlineNanos);
         }
     }
 
@@ -349,25 +362,8 @@
     private void streamedBodyEnded() {
         if (stage == Stage.SENT) {
             deadlineNanos = System.nanoTime() + head.deadline().toNanos();
-            startSentTimer();
-        }
-    }
-
-    private void startSentTimer() {
-        long now = System.nanoTime();
-        if (!body.ended()) {
-            receivedAtTimerStart = body.received();
-            caller.timer().set(now + context.limits().bodyTimeout().toNanos());
-            return;
-        }
-        boolean leaveTimeForRetry =
-                attempt.onReusedConnection() && head.requestClass().repeatable() && body.replayable();
-        if (!leaveTimeForRetry) {
-            caller.timer().set(deadlineNanos);
-            return;
+            responseWait.start(attempt, deadlineNanos);
         }
-        Duration patience = context.responseTimes().patience(head, remaining(), now);
-        caller.timer().set(now + patience.toNanos());
     }
 
     private void sentTimerExpired() {
@@ -390,8 +386,8 @@
     }
 
     private void bodyTimerExpired(Attempt from) {
-        if (body.received() - receivedAtTimerStart >= MIN_BODY_BYTES_PER_TIMEOUT) {
-            startSentTimer();
+        if (responseWait.bodyProgresses()) {
+            responseWait.start(from, deadlineNanos);
         } else if (body.hasUnsent()) {
             from.closeSilentConnections();
             attemptFailed(
--- a/src/test/java/org/arbutusfield/proxy/QuarantineDuringRequestTest.java
+++ b/src/test/java/org/arbutusfield/proxy/QuarantineDuringRequestTest.java
@@ -40,7 +40,7 @@
         assertThat(response.status()).isEqualTo(400);
         assertThat(response.code()).isEqualTo("REQUEST_QUARANTINED");
         assertThat(response.statesNotRun()).isTrue();
-        assertThat(response.header("retry-after")).isEmpty();
+        assertThat(response.header("retry-after")).isNull();
     }
 
     /** Guards against a refusal that asks the caller to come again with a request that will be refused. */
