--- a/src/test/java/org/arbutusfield/edge/ColdUpstreamRateTest.java
+++ b/src/test/java/org/arbutusfield/edge/ColdUpstreamRateTest.java
@@ -268,6 +268,32 @@
         assertThat(maxPerSecond).as("the upstream got requests").isPositive();
     }
 
+    /**
+     * Guards against the flood of an upstream that starts again under its id, and is cold, while no host can read its
+     * new entry because the store is away.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {500, 1000, 3000})
+    void upstreamThatStartsAgainWhileTheStoreIsAwayIsNotFlooded(int downMillis) {
+        Random random = new Random(downMillis);
+        startHosts(random);
+        report("again", 1, Duration.ZERO);
+        for (int i = 0; i < WARM_UPSTREAMS; i++) {
+            report("warm-" + i, 1, Duration.ZERO);
+        }
+        timer.advance(MAX_PROPAGATION_DELAY);
+        load(SECOND, AttemptOutcome.COMPLETED, random);
+        hosts.forEach(host -> host.store.setReachable(false));
+        // Most hosts have sent it a request in the last second, and lose that connection.
+        hosts.subList(0, HOSTS / 2).forEach(host -> host.connect(false));
+        load(Duration.ofMillis(downMillis), AttemptOutcome.FAILED, random);
+        arrivals.clear();
+        maxPerSecond = 0;
+        load(COLD_PERIOD, AttemptOutcome.COMPLETED, random);
+        assertThat((double) maxPerSecond).isLessThanOrEqualTo(TOLERATED_PER_SECOND);
+        assertThat(maxPerSecond).as("the upstream got requests").isPositive();
+    }
+
     /** Sends the load of many callers through all hosts; requests to the upstream that starts again end as given. */
     private void load(Duration time, AttemptOutcome outcome, Random random) {
         double sends = (WARM_UPSTREAMS + 1) * REQUESTS_PER_UPSTREAM * STEP.toMillis() / 1000;
