--- a/src/main/java/org/arbutusfield/edge/CompositeRequestObserver.java
+++ b/src/main/java/org/arbutusfield/edge/CompositeRequestObserver.java
@@ -1,19 +1,20 @@
 package org.arbutusfield.edge;
 
 import java.net.InetSocketAddress;
+import java.util.function.Consumer;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.proxy.InterruptedRun;
 import org.arbutusfield.proxy.RequestObserver;
 import org.arbutusfield.proxy.RequestRecord;
 
 /**
- * Forwards the events of requests to the log and the metrics, and signs of restarts to the watch of the store.
+ * Forwards the events of requests to the log and the metrics, and signs of restarts to the host.
  *
  * @param log gets every event
  * @param meter gets the record of each finished request
- * @param restartSign called when an upstream may have restarted
+ * @param restartSign receives the address of an upstream that may have restarted
  */
-record CompositeRequestObserver(RequestLog log, RequestObserver meter, Runnable restartSign)
+record CompositeRequestObserver(RequestLog log, RequestObserver meter, Consumer<InetSocketAddress> restartSign)
         implements RequestObserver {
     @Override
     public void finished(RequestRecord request) {
@@ -38,6 +39,6 @@
 
     @Override
     public void upstreamMayHaveRestarted(InetSocketAddress upstream) {
-        restartSign.run();
+        restartSign.accept(upstream);
     }
 }
--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -33,6 +33,7 @@
 import org.arbutusfield.proxy.upstream.UpstreamProbe;
 import org.arbutusfield.quarantine.RequestQuarantine;
 import org.arbutusfield.reach.PeerForwarding;
+import org.arbutusfield.reach.RestartedUpstreams;
 import org.arbutusfield.reach.UpstreamReach;
 import org.arbutusfield.route.RouteTable;
 import org.arbutusfield.state.HostEntry;
@@ -87,6 +88,7 @@
     private UpstreamReach reach;
     private HostRegistrar registrar;
     private StoreWatcher watcher;
+    private RestartedUpstreams restarts;
     private ProxyServer proxyServer;
 
     private EdgeHost(EdgeSettings settings, EdgeProtocol protocol) {
@@ -192,6 +194,7 @@
         log = RequestLog.start(timer, () -> state.routesVersion());
         retryBudget = HostRetryBudget.create(
                 settings.retryBudget(), () -> state.hosts().size(), timer);
+        restarts = RestartedUpstreams.create(probe, timer, this::install);
         reach = UpstreamReach.create(() -> state, probe, timer, new SplittableRandom());
         PeerForwarding forwarding = PeerForwarding.create(
                 settings.name(),
@@ -226,7 +229,7 @@
     }
 
     private RequestObserver observer() {
-        return new CompositeRequestObserver(log, RequestMetrics.of(registry), this::refreshState);
+        return new CompositeRequestObserver(log, RequestMetrics.of(registry), this::upstreamMayHaveRestarted);
     }
 
     private Either<Failure, EdgeHost> openEndpoints() {
@@ -255,11 +258,13 @@
         StoreHealth health = StoreHealth.create();
         registrar = HostRegistrar.start(store, timer, self, health);
         reach.onChange(() -> registrar.setReachesUpstreams(reach.reachesAny()));
-        watcher = StoreWatcher.start(store, timer, cache, settings.maxPropagationDelay(), health, this::install);
+        watcher =
+                StoreWatcher.start(store, timer, cache, settings.maxPropagationDelay(), health, restarts::stateChanged);
     }
 
-    /** Reads an upstream's new state soon after connections have told that it may have restarted. */
-    private void refreshState() {
+    /** Finds out whether an upstream has restarted, from the store soon and from its port at once. */
+    private void upstreamMayHaveRestarted(InetSocketAddress upstream) {
+        restarts.mayHaveRestarted(upstream);
         if (watcher != null) {
             watcher.refreshSoon();
         }
--- /dev/null
+++ b/src/main/java/org/arbutusfield/reach/RestartedUpstreams.java
@@ -0,0 +1,164 @@
+package org.arbutusfield.reach;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.arbutusfield.proxy.upstream.UpstreamProbe;
+import org.arbutusfield.route.ServicePolicy;
+import org.arbutusfield.state.LiveUpstream;
+import org.arbutusfield.state.SteeringState;
+import org.arbutusfield.timer.TimerService;
+
+/**
+ * Adds to the state of the store which upstreams have ended and started again, as far as this host's own links show it.
+ *
+ * <p>Problem: an upstream is cold after a start and accepts only a few requests. Its entry in the store tells so, but
+ * the host may read that late, or not at all while the store is away, and meanwhile takes the upstream for warm.
+ *
+ * <p>Idea: connections that are lost, can't be opened or can be opened again are a sign that the upstream may have
+ * ended. The host then connects to its port. If that is refused, nothing listens there: the upstream has ended, and is
+ * cold when it is back. The host goes on trying until the port accepts, and takes the upstream for cold from the end
+ * until the cold period of its service has passed after that.
+ *
+ * <p>Invariants: an upstream whose port wasn't found closed is never taken for cold, whatever happens to connections.
+ * What was found holds for one start of the upstream; a new entry replaces it.
+ *
+ * <p>Example: the store is away. Upstream 3 crashes, this host loses a connection, and the port is closed. A second
+ * later the port accepts: for three seconds upstream 3 gets from this host only its part of the cold rate.
+ *
+ * <p>Runs on one event loop.
+ */
+public final class RestartedUpstreams {
+    private static final Logger LOG = LogManager.getLogger(RestartedUpstreams.class);
+    private static final Duration FIRST_PROBE_DELAY = Duration.ofMillis(200);
+    private static final Duration MAX_PROBE_DELAY = Duration.ofSeconds(1);
+    /** Longer than any outage of the store; replaced as soon as the upstream is back. */
+    private static final Duration WHILE_CLOSED = Duration.ofDays(1);
+
+    private final UpstreamProbe probe;
+    private final TimerService timer;
+    private final Consumer<SteeringState> subscriber;
+    private final Map<String, Long> coldUntilByStart = new HashMap<>();
+    private final Set<String> probing = new HashSet<>();
+    private SteeringState stored = SteeringState.empty();
+
+    private RestartedUpstreams(UpstreamProbe probe, TimerService timer, Consumer<SteeringState> subscriber) {
+        this.probe = probe;
+        this.timer = timer;
+        this.subscriber = subscriber;
+    }
+
+    /**
+     * Creates an instance that knows of no restart.
+     *
+     * @param probe tries to connect to an upstream
+     * @param timer clock and scheduler
+     * @param subscriber gets the state with what this host has found, each time that either changes
+     */
+    public static RestartedUpstreams create(
+            UpstreamProbe probe, TimerService timer, Consumer<SteeringState> subscriber) {
+        return new RestartedUpstreams(probe, timer, subscriber);
+    }
+
+    /** Takes a new state of the store into account. */
+    public void stateChanged(SteeringState next) {
+        stored = next;
+        Set<String> starts = new HashSet<>();
+        next.upstreams().values().forEach(list -> list.forEach(upstream -> starts.add(startOf(upstream))));
+        long now = timer.nowNanos();
+        coldUntilByStart.entrySet().removeIf(known -> !starts.contains(known.getKey()) || known.getValue() - now <= 0);
+        publish();
+    }
+
+    /** Called when connections to an address were lost, can't be opened, or can be opened again. */
+    public void mayHaveRestarted(InetSocketAddress address) {
+        for (LiveUpstream upstream : upstreamsAt(address)) {
+            if (!coldPeriod(upstream).isZero() && probing.add(startOf(upstream))) {
+                probe(upstream, FIRST_PROBE_DELAY);
+            }
+        }
+    }
+
+    private void probe(LiveUpstream upstream, Duration nextDelay) {
+        probe.connect(addressOf(upstream)).thenAccept(result -> onProbe(upstream, result, nextDelay));
+    }
+
+    private void onProbe(LiveUpstream upstream, UpstreamProbe.Result result, Duration nextDelay) {
+        boolean ended = coldUntilByStart.containsKey(startOf(upstream));
+        if (result == UpstreamProbe.Result.REFUSED && !ended) {
+            LOG.info("event=upstream_ended id={} start={}", upstream.name(), upstream.startMillis());
+            setColdFor(upstream, WHILE_CLOSED);
+            ended = true;
+        } else if (result == UpstreamProbe.Result.ACCEPTED && ended) {
+            Duration cold = coldPeriod(upstream);
+            LOG.info("event=upstream_started_again id={} cold_ms={}", upstream.name(), cold.toMillis());
+            setColdFor(upstream, cold);
+        }
+        if (result == UpstreamProbe.Result.ACCEPTED || !ended) {
+            probing.remove(startOf(upstream));
+            return;
+        }
+        timer.after(nextDelay, () -> probeAgain(upstream, nextDelay));
+    }
+
+    private void probeAgain(LiveUpstream upstream, Duration delay) {
+        boolean current = stored.upstream(upstream.upstream().service(), upstream.name())
+                .filter(live -> live.startMillis() == upstream.startMillis())
+                .isPresent();
+        if (!current) {
+            probing.remove(startOf(upstream));
+            return;
+        }
+        Duration doubled = delay.multipliedBy(2);
+        probe(upstream, doubled.compareTo(MAX_PROBE_DELAY) < 0 ? doubled : MAX_PROBE_DELAY);
+    }
+
+    private void setColdFor(LiveUpstream upstream, Duration time) {
+        coldUntilByStart.put(startOf(upstream), timer.nowNanos() + time.toNanos());
+        publish();
+    }
+
+    private void publish() {
+        subscriber.accept(coldUntilByStart.isEmpty() ? stored : stored.withUpstreams(this::withRestart));
+    }
+
+    private LiveUpstream withRestart(LiveUpstream upstream) {
+        Long coldUntil = coldUntilByStart.get(startOf(upstream));
+        boolean longer = coldUntil != null && coldUntil - upstream.coldUntilNanos() > 0;
+        return longer ? upstream.withColdUntil(coldUntil) : upstream;
+    }
+
+    /** More than one, while the entry of an upstream that has left the address stays in the store. */
+    private List<LiveUpstream> upstreamsAt(InetSocketAddress address) {
+        List<LiveUpstream> all = new ArrayList<>();
+        stored.upstreams().values().forEach(all::addAll);
+        return all.stream()
+                .filter(upstream -> addressOf(upstream).equals(address))
+                .toList();
+    }
+
+    private static InetSocketAddress addressOf(LiveUpstream upstream) {
+        return new InetSocketAddress(
+                upstream.upstream().host(), upstream.upstream().port());
+    }
+
+    private Duration coldPeriod(LiveUpstream upstream) {
+        return stored.routes()
+                .flatMap(table -> table.service(upstream.upstream().service()))
+                .map(ServicePolicy::coldPeriod)
+                .orElse(Duration.ZERO);
+    }
+
+    /** Identifies one start of an upstream. */
+    private static String startOf(LiveUpstream upstream) {
+        return upstream.name() + "@" + upstream.startMillis();
+    }
+}
--- a/src/main/java/org/arbutusfield/state/LiveUpstream.java
+++ b/src/main/java/org/arbutusfield/state/LiveUpstream.java
@@ -25,4 +25,9 @@
     public boolean cold(long nowNanos) {
         return coldUntilNanos - nowNanos > 0;
     }
+
+    /** Returns this upstream, cold until another time. */
+    public LiveUpstream withColdUntil(long nanos) {
+        return new LiveUpstream(upstream, region, nanos, firstSeenNanos, startMillis, nameHash);
+    }
 }
--- a/src/main/java/org/arbutusfield/state/SteeringState.java
+++ b/src/main/java/org/arbutusfield/state/SteeringState.java
@@ -1,9 +1,11 @@
 package org.arbutusfield.state;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.UnaryOperator;
 import org.arbutusfield.route.RouteTable;
 import org.arbutusfield.store.StoreRevision;
 
@@ -60,6 +62,14 @@
         return Optional.empty();
     }
 
+    /** Returns this state with each upstream replaced. The replacements must have the same names. */
+    public SteeringState withUpstreams(UnaryOperator<LiveUpstream> replacement) {
+        Map<String, List<LiveUpstream>> replaced = new HashMap<>();
+        upstreams.forEach((service, list) ->
+                replaced.put(service, list.stream().map(replacement).toList()));
+        return new SteeringState(routes, Map.copyOf(replaced), drainedDomains, hosts, homes, suspects, revision);
+    }
+
     /** Returns true when the named upstream of the service may get requests. */
     public boolean hasUpstream(String service, String name) {
         return upstream(service, name).isPresent();
--- a/src/test/java/org/arbutusfield/edge/ColdUpstreamRateTest.java
+++ b/src/test/java/org/arbutusfield/edge/ColdUpstreamRateTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vavr.control.Either;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -25,7 +27,9 @@
 import org.arbutusfield.proxy.AttemptOutcome;
 import org.arbutusfield.proxy.PlacementRequest;
 import org.arbutusfield.proxy.PlacementTarget;
+import org.arbutusfield.proxy.upstream.UpstreamProbe;
 import org.arbutusfield.reach.Forwardings;
+import org.arbutusfield.reach.RestartedUpstreams;
 import org.arbutusfield.state.ContentStore;
 import org.arbutusfield.state.FaultyStore;
 import org.arbutusfield.state.HostEntry;
@@ -71,7 +75,9 @@
     private static final double REQUESTS_PER_UPSTREAM = 26;
 
     private static final Duration COLD_PERIOD = Duration.ofSeconds(3);
-    private static final String ENTRY = "{\"address\":\"127.0.0.1:9\",\"born\":%d,\"details\":{\"service\":"
+    private static final int AGAIN_PORT = 10;
+    private static final int OTHERS_PORT = 9;
+    private static final String ENTRY = "{\"address\":\"127.0.0.1:%d\",\"born\":%d,\"details\":{\"service\":"
             + "\"desk\",\"version\":\"v\",\"zone\":\"d\",\"slots\":9},\"status\":{\"state\":\"ready\",\"sequence\":1,"
             + "\"cold_remaining\":\"%dms\"}}";
 
@@ -79,16 +85,19 @@
     private static final class Host {
         private final VirtualTimer timer;
         private final FaultyStore store;
+        private final UpstreamProbe probe;
         private String name;
         private HostRegistrar registrar;
         private SteeringPlacement placement;
         private StoreWatcher watcher;
+        private RestartedUpstreams restarts;
         private boolean connects = true;
         private SteeringState state = SteeringState.empty();
 
-        private Host(VirtualTimer timer, FaultyStore store) {
+        private Host(VirtualTimer timer, FaultyStore store, UpstreamProbe probe) {
             this.timer = timer;
             this.store = store;
+            this.probe = probe;
         }
 
         private void start(String hostName) {
@@ -116,7 +125,8 @@
             StoreHealth health = StoreHealth.create();
             registrar = HostRegistrar.start(store, timer, self, health);
             StateCache cache = StateCache.create(PlatformItemDecoder.create(), Map.of("d", "g"));
-            watcher = StoreWatcher.start(store, timer, cache, MAX_PROPAGATION_DELAY, health, this::install);
+            restarts = RestartedUpstreams.create(probe, timer, this::install);
+            watcher = StoreWatcher.start(store, timer, cache, MAX_PROPAGATION_DELAY, health, restarts::stateChanged);
         }
 
         private void install(SteeringState next) {
@@ -129,6 +139,7 @@
         private void connect(boolean succeeds) {
             if (connects != succeeds) {
                 connects = succeeds;
+                restarts.mayHaveRestarted(new InetSocketAddress(InetAddress.getLoopbackAddress(), AGAIN_PORT));
                 watcher.refreshSoon();
             }
         }
@@ -149,6 +160,7 @@
     private final KeyValueContent content = KeyValueContent.create(timer);
     private final List<Host> hosts = new ArrayList<>();
     private final Map<String, Deque<Long>> arrivals = new HashMap<>();
+    private boolean againRuns = true;
     private int maxPerSecond;
     private int total;
 
@@ -156,7 +168,7 @@
         content.put("op/config", ROUTES.getBytes(StandardCharsets.UTF_8), 0);
         for (int i = 0; i < HOSTS; i++) {
             WatchableStore direct = ContentStore.of(content, timer);
-            Host host = new Host(timer, FaultyStore.of(direct));
+            Host host = new Host(timer, FaultyStore.of(direct), this::probe);
             host.start("host-" + i);
             hosts.add(host);
             timer.advance(Duration.ofMillis(random.nextInt(100)));
@@ -164,6 +176,12 @@
         timer.advance(REGISTRATION);
     }
 
+    /** The port of the upstream that starts again is closed while it is down; the others are open. */
+    private CompletableFuture<UpstreamProbe.Result> probe(InetSocketAddress address) {
+        boolean open = address.getPort() != AGAIN_PORT || againRuns;
+        return CompletableFuture.completedFuture(open ? UpstreamProbe.Result.ACCEPTED : UpstreamProbe.Result.REFUSED);
+    }
+
     /** The hosts reach the store again one after the other. */
     private void makeStoreReachable(Random random) {
         for (Host host : hosts) {
@@ -179,10 +197,14 @@
     }
 
     private void report(String upstream, int start, Duration cold) {
-        byte[] entry = ENTRY.formatted(start, cold.toMillis()).getBytes(StandardCharsets.UTF_8);
+        byte[] entry = ENTRY.formatted(portOf(upstream), start, cold.toMillis()).getBytes(StandardCharsets.UTF_8);
         content.put("servers/" + upstream, entry, 0);
     }
 
+    private static int portOf(String upstream) {
+        return upstream.equals("again") ? AGAIN_PORT : OTHERS_PORT;
+    }
+
     /** All hosts send what they may, in varying order, for some time. */
     private void sendFor(Duration time, Random random) {
         for (long end = timer.nowNanos() + time.toNanos(); timer.nowNanos() < end; timer.advance(STEP)) {
@@ -284,7 +306,8 @@
         timer.advance(MAX_PROPAGATION_DELAY);
         load(SECOND, AttemptOutcome.COMPLETED, random);
         hosts.forEach(host -> host.store.setReachable(false));
-        // Most hosts have sent it a request in the last second, and lose that connection.
+        // Most hosts have sent it a request in the last two seconds, and lose that connection.
+        againRuns = false;
         hosts.subList(0, HOSTS / 2).forEach(host -> host.connect(false));
         load(Duration.ofMillis(downMillis), AttemptOutcome.FAILED, random);
         arrivals.clear();
@@ -297,6 +320,7 @@
     /** Sends the load of many callers through all hosts; requests to the upstream that starts again end as given. */
     private void load(Duration time, AttemptOutcome outcome, Random random) {
         double sends = (WARM_UPSTREAMS + 1) * REQUESTS_PER_UPSTREAM * STEP.toMillis() / 1000;
+        againRuns = outcome == AttemptOutcome.COMPLETED;
         for (long end = timer.nowNanos() + time.toNanos(); timer.nowNanos() < end; timer.advance(STEP)) {
             for (double left = sends; left > random.nextDouble(); left--) {
                 Host host = hosts.get(random.nextInt(HOSTS));
--- /dev/null
+++ b/src/test/java/org/arbutusfield/reach/RestartedUpstreamsTest.java
@@ -0,0 +1,147 @@
+package org.arbutusfield.reach;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.arbutusfield.model.Upstream;
+import org.arbutusfield.proxy.upstream.UpstreamProbe.Result;
+import org.arbutusfield.route.CallerLimits;
+import org.arbutusfield.route.RouteTable;
+import org.arbutusfield.route.ServicePolicy;
+import org.arbutusfield.state.LiveUpstream;
+import org.arbutusfield.state.SteeringState;
+import org.arbutusfield.store.StoreRevision;
+import org.arbutusfield.timer.VirtualTimer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** One host's view of two upstreams, one of which may restart, in virtual time. */
+class RestartedUpstreamsTest {
+    private static final Duration COLD_PERIOD = Duration.ofSeconds(3);
+    private static final Duration OUTAGE = Duration.ofSeconds(20);
+    private static final Duration MILLISECOND = Duration.ofMillis(1);
+    private static final int PORT = 10;
+    private static final InetSocketAddress ADDRESS = new InetSocketAddress(InetAddress.getLoopbackAddress(), PORT);
+
+    private final VirtualTimer timer = VirtualTimer.create();
+    private final RestartedUpstreams restarts =
+            RestartedUpstreams.create(this::probe, timer, state -> published = state);
+    private SteeringState published = SteeringState.empty();
+    private Result port = Result.ACCEPTED;
+    private int probes;
+
+    @BeforeEach
+    void start() {
+        restarts.stateChanged(state(1, COLD_PERIOD));
+    }
+
+    private CompletableFuture<Result> probe(InetSocketAddress address) {
+        probes++;
+        assertThat(address).isEqualTo(ADDRESS);
+        return CompletableFuture.completedFuture(port);
+    }
+
+    private static SteeringState state(long startMillis, Duration coldPeriod) {
+        ServicePolicy desk = new ServicePolicy("desk", "/health", 100, coldPeriod, 2.6);
+        CallerLimits limits = new CallerLimits(1, 1, Duration.ofSeconds(1), Duration.ofSeconds(1));
+        return new SteeringState(
+                Optional.of(RouteTable.of(1, limits, List.of(), List.of(desk))),
+                Map.of("desk", List.of(upstream("u1", PORT, startMillis), upstream("u2", PORT + 1, 1))),
+                Set.of(),
+                List.of(),
+                Map.of(),
+                Map.of(),
+                StoreRevision.NONE);
+    }
+
+    private static LiveUpstream upstream(String name, int port, long startMillis) {
+        Upstream upstream = new Upstream(name, "desk", "gulf-a", "127.0.0.1", port, 9, 9);
+        return new LiveUpstream(upstream, "gulf", 0, 0, startMillis, name.hashCode());
+    }
+
+    private boolean cold(String name) {
+        return published.upstream("desk", name).orElseThrow().cold(timer.nowNanos());
+    }
+
+    /** Guards against an upstream that has restarted during an outage of the store and is taken for warm. */
+    @Test
+    void upstreamWhoseClosedPortOpensAgainIsColdForItsColdPeriod() {
+        port = Result.REFUSED;
+        restarts.mayHaveRestarted(ADDRESS);
+        assertThat(cold("u1")).isTrue();
+        assertThat(cold("u2")).isFalse();
+        timer.advance(OUTAGE);
+        assertThat(cold("u1")).as("while its port is closed").isTrue();
+        port = Result.ACCEPTED;
+        timer.advance(Duration.ofSeconds(1));
+        assertThat(cold("u1")).as("after it has started").isTrue();
+        timer.advance(COLD_PERIOD);
+        assertThat(cold("u1")).as("after its cold period").isFalse();
+    }
+
+    /** The other side: lost connections, resets and links that are cut say nothing about the upstream. */
+    @ParameterizedTest
+    @EnumSource(
+            value = Result.class,
+            names = {"ACCEPTED", "NO_ANSWER"})
+    void upstreamWhosePortIsNotClosedStaysWarm(Result result) {
+        port = result;
+        for (int i = 0; i < 100; i++) {
+            restarts.mayHaveRestarted(ADDRESS);
+            timer.advance(MILLISECOND);
+            assertThat(cold("u1")).isFalse();
+        }
+        assertThat(probes).isEqualTo(100);
+    }
+
+    /** The entry that the upstream writes at its start says how long it is cold; what was found before is void. */
+    @Test
+    void entryOfTheNewStartReplacesWhatWasFound() {
+        port = Result.REFUSED;
+        restarts.mayHaveRestarted(ADDRESS);
+        restarts.stateChanged(state(2, COLD_PERIOD));
+        assertThat(cold("u1")).isFalse();
+        probes = 0;
+        timer.advance(OUTAGE);
+        assertThat(probes).as("probes of the earlier start").isZero();
+    }
+
+    /** An unrelated change of the store says nothing new about the upstream. */
+    @Test
+    void changeOfTheStoreWithTheSameStartKeepsWhatWasFound() {
+        port = Result.REFUSED;
+        restarts.mayHaveRestarted(ADDRESS);
+        restarts.stateChanged(state(1, COLD_PERIOD));
+        assertThat(cold("u1")).isTrue();
+    }
+
+    /** While the port is closed, many signs cause no more probes than one. */
+    @Test
+    void probesOfAClosedPortAreLimited() {
+        port = Result.REFUSED;
+        for (int i = 0; i < OUTAGE.toMillis(); i++) {
+            restarts.mayHaveRestarted(ADDRESS);
+            timer.advance(MILLISECOND);
+        }
+        assertThat(probes).isBetween((int) OUTAGE.toSeconds(), (int) OUTAGE.toSeconds() + 3);
+    }
+
+    /** Upstreams of a service without a cold period need no attention. */
+    @Test
+    void upstreamWithoutAColdPeriodIsNotProbed() {
+        restarts.stateChanged(state(1, Duration.ZERO));
+        port = Result.REFUSED;
+        restarts.mayHaveRestarted(ADDRESS);
+        assertThat(probes).isZero();
+        assertThat(cold("u1")).isFalse();
+    }
+}
