--- a/src/test/java/org/arbutusfield/quarantine/RequestQuarantineTest.java
+++ b/src/test/java/org/arbutusfield/quarantine/RequestQuarantineTest.java
@@ -37,6 +37,7 @@
     private static final int REPEATED_REQUESTS = 40;
     private static final Duration OUTAGE = Duration.ofSeconds(5);
     private static final Duration OBSERVED = Duration.ofSeconds(10);
+    private static final Duration ALL_UPSTREAMS_BACK = Duration.ofSeconds(7);
     private static final Duration SECOND = Duration.ofSeconds(1);
 
     private QuarantineFleet fleet;
@@ -170,6 +171,21 @@
         assertThat(fleet.hosts).allMatch(host -> host.quarantine.size() == 0);
     }
 
+    /** Guards against the suspicion of a request that was answered, through another host, between two ends. */
+    @Test
+    void requestAnsweredBetweenTwoEndsIsNotSuspected() {
+        fleet = QuarantineFleet.start(HOSTS, UPSTREAMS, new Random(10));
+        for (int i = 0; i < 3; i++) {
+            fleet.hosts.get(0).send("innocent");
+            fleet.timer.advance(QuarantineFleet.STEP);
+            fleet.crashTogether(UPSTREAMS);
+            fleet.timer.advance(ALL_UPSTREAMS_BACK);
+            fleet.hosts.get(1).send("innocent");
+            fleet.timer.advance(SECOND);
+        }
+        assertThat(fleet.hosts).noneMatch(host -> host.quarantine.hasSuspects());
+    }
+
     /** Guards against a host that takes a fault of its own network for the end of its upstreams. */
     @Test
     void hostThatIsCutOffFromUpstreamsAccusesNoRequest() {
--- a/src/test/java/org/arbutusfield/reach/PeerForwardingTest.java
+++ b/src/test/java/org/arbutusfield/reach/PeerForwardingTest.java
@@ -52,11 +52,14 @@
     private static final Duration KNOWN = Duration.ofSeconds(3);
     private static final Duration OBSERVED = Duration.ofSeconds(5);
     private static final double REQUESTS_PER_STEP = 0.06;
+    /** From fifteen hosts this is five times what one host takes from others. */
+    private static final double REQUESTS_PER_STEP_IN_RUSH = 0.3;
 
     private final VirtualTimer timer = VirtualTimer.create();
     private final Random random = new Random(1);
     private final List<Host> hosts = new ArrayList<>();
     private boolean upstreamsRun = true;
+    private double requestsPerStep = REQUESTS_PER_STEP;
     private int sent;
     private int served;
     private int ownServed;
@@ -211,7 +214,7 @@
         ownServed = 0;
         for (long end = timer.nowNanos() + time.toNanos(); timer.nowNanos() < end; timer.advance(STEP)) {
             for (Host host : loaded) {
-                if (random.nextDouble() < REQUESTS_PER_STEP) {
+                if (random.nextDouble() < requestsPerStep) {
                     sent++;
                     CompletableFuture<Boolean> answer = new CompletableFuture<>();
                     answer.thenAccept(ok -> served += ok ? 1 : 0);
@@ -249,6 +252,20 @@
         assertThat(served).as("its own callers").isEqualTo(sent);
     }
 
+    /** Guards against a host that takes from the others whatever they ask, when they get five times the usual load. */
+    @Test
+    void lastHostTakesNoMoreThanItsLimitInARush() {
+        cutOff(HOSTS - 1);
+        load(hosts, KNOWN);
+        requestsPerStep = REQUESTS_PER_STEP_IN_RUSH;
+        load(hosts.subList(0, HOSTS - 1), OBSERVED);
+        Host last = hosts.get(HOSTS - 1);
+        assertThat(last.maxHelpedInSecond).isBetween(MAX_HELPED_PER_SECOND, 2 * MAX_HELPED_PER_SECOND);
+        assertThat(served)
+                .as("served of %s", sent)
+                .isGreaterThanOrEqualTo((int) (OBSERVED.toSeconds() - 1) * MAX_HELPED_PER_SECOND);
+    }
+
     /** Guards against requests that are held or sent in circles while no upstream runs at all. */
     @Test
     void requestsAreRefusedAtOnceWhenNoHostReachesUpstreams() {
