--- a/src/main/java/org/arbutusfield/lab/ArbutusLab.java
+++ b/src/main/java/org/arbutusfield/lab/ArbutusLab.java
@@ -145,11 +145,12 @@
                     seed, processes, processes, 3 * processes, Duration.ofSeconds(seconds), processes * seconds / 5);
             SoakReport report = Soak.run(plan, Files.createDirectories(directory.resolve("seed-" + seed)));
             System.out.printf(
-                    "seed=%d requests=%d served=%d close_failures=%d broken=%d logs=%s%n",
+                    "seed=%d requests=%d served=%d close_failures=%d crashes=%d broken=%d logs=%s%n",
                     seed,
                     report.requests(),
                     report.served(),
                     report.closeFailures(),
+                    report.crashes(),
                     report.violations().size(),
                     directory);
             report.violations().forEach(violation -> System.out.println("  " + violation));
--- a/src/main/java/org/arbutusfield/lab/soak/Soak.java
+++ b/src/main/java/org/arbutusfield/lab/soak/Soak.java
@@ -40,6 +40,7 @@
     private static final Duration WRITE_AGAIN_DELAY = Duration.ofMillis(700);
 
     private static final Duration DRAIN_TIME = Duration.ofMillis(2300);
+    private static final Duration CRASHED_ENTRY_STAYS = Duration.ofMillis(1500);
     private static final double MIN_SERVED_SHARE = 0.9;
     private static final String STOP_SIGNAL = "TERM";
     /** 128 plus the number of the signal. */
@@ -91,6 +92,7 @@
                     soak.checker.requests(),
                     soak.counters.servedCount(),
                     soak.counters.closeFailureCount(),
+                    soak.checker.crashes(),
                     soak.checker.violations());
         }
     }
@@ -129,7 +131,8 @@
     private SoakUpstream startUpstream() {
         int number = upstreamNumbers.incrementAndGet();
         String domain = number % 2 == 0 ? "east-a" : "west-a";
-        SoakUpstream upstream = SoakUpstream.start("u-" + number, domain, checker, store.content(), timer, group);
+        SoakUpstream upstream =
+                SoakUpstream.start("u-" + number, domain, checker, store.content(), timer, group, this::replaceCrashed);
         synchronized (upstreams) {
             startedUpstreams.add(upstream);
         }
@@ -181,6 +184,7 @@
                 case HOST_RELOAD -> reload(host);
                 case ROUTES_CHANGE -> routes.publishNext();
                 case STORE_ROLL_BACK -> rollBackStore(fault);
+                case CRASHING_REQUEST -> sendCrashingRequest(fault);
                 default -> throw new IllegalStateException(fault.toString());
             }
         } catch (InterruptedException e) {
@@ -265,6 +269,25 @@
         end.run();
     }
 
+    private void sendCrashingRequest(SoakFault fault) throws InterruptedException {
+        CrashingCaller.of(List.copyOf(hosts), checker, new Random(plan.seed()))
+                .sendUntil(System.nanoTime() + fault.length().toNanos());
+    }
+
+    /** Starts another upstream for one that has crashed, whose entry stays until the store notices its silence. */
+    private void replaceCrashed(SoakUpstream crashed) {
+        Runnable end = disruptions.begin(Disruptions.UPSTREAMS);
+        synchronized (upstreams) {
+            if (upstreams.remove(crashed)) {
+                upstreams.add(startUpstream());
+            }
+        }
+        timer.after(CRASHED_ENTRY_STAYS, () -> {
+            crashed.deregister();
+            end.run();
+        });
+    }
+
     private void kill(SoakHost host) throws IOException, InterruptedException {
         synchronized (host) {
             Runnable end = disruptions.begin(host.name());
--- a/src/main/java/org/arbutusfield/lab/soak/SoakChecker.java
+++ b/src/main/java/org/arbutusfield/lab/soak/SoakChecker.java
@@ -1,6 +1,7 @@
 package org.arbutusfield.lab.soak;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -13,6 +14,8 @@
 final class SoakChecker {
     private static final Duration SETTLING_TIME = Duration.ofSeconds(3);
     private static final Duration DRAIN_LIMIT = Duration.ofSeconds(2);
+    private static final int CRASHES_BEFORE_KNOWN = 3;
+    private static final int TOLERATED_LATE_RUNS = 3;
     private static final int MAX_REPORTED = 20;
 
     private final Disruptions disruptions;
@@ -20,8 +23,13 @@
     private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     private final Map<String, String> refusedRequests = new ConcurrentHashMap<>();
     private final Map<String, Long> drainingSinceNanos = new ConcurrentHashMap<>();
+    /** When a request that ends upstreams first reached each one, in monotonic nanoseconds. */
+    private final Map<String, Long> crashed = new HashMap<>();
+
     private final ConcurrentLinkedQueue<Violation> violations = new ConcurrentLinkedQueue<>();
 
+    private int lateCrashingRuns;
+
     private SoakChecker(Disruptions disruptions) {
         this.disruptions = disruptions;
     }
@@ -82,6 +90,35 @@
         }
     }
 
+    /** Records that a request that ends upstreams has reached one, and will end it. */
+    synchronized void recordCrashingRun(String id, String upstream) {
+        SentRequest request = sentRequests.get(id);
+        long now = System.nanoTime();
+        crashed.putIfAbsent(upstream, now);
+        boolean known = crashed.size() > CRASHES_BEFORE_KNOWN
+                && request.sentNanos() - thirdCrashNanos() > SETTLING_TIME.toNanos();
+        if (!known || !disruptions.undisturbed(request.host(), SETTLING_TIME, request.sentNanos(), now)) {
+            return;
+        }
+        lateCrashingRuns++;
+        if (lateCrashingRuns > TOLERATED_LATE_RUNS) {
+            recordViolation(Guarantee.CRASHES_CONTAINED, id, upstream + " from " + request.host());
+        }
+    }
+
+    private long thirdCrashNanos() {
+        return crashed.values().stream()
+                .sorted()
+                .skip(CRASHES_BEFORE_KNOWN - 1)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Returns the number of upstreams that were ended by a request. */
+    synchronized int crashes() {
+        return crashed.size();
+    }
+
     /** Records that an upstream ran a request. */
     void recordRun(String id, String upstream) {
         SentRequest request = sentRequests.get(id);
--- a/src/main/java/org/arbutusfield/lab/soak/SoakFault.java
+++ b/src/main/java/org/arbutusfield/lab/soak/SoakFault.java
@@ -20,6 +20,8 @@
     private static final int LENGTH_RANGE_MILLIS = 3200;
     private static final int MAX_SERIES_LENGTH = 3;
     private static final int SERIES_GAP_MILLIS = 900;
+    /** The crashing request begins early, so that most of the run sees what follows. */
+    private static final int LATEST_CRASHING_START_DIVISOR = 4;
 
     /** The kinds of faults. */
     enum Kind {
@@ -62,12 +64,14 @@
         /** The operator changes the routes. */
         ROUTES_CHANGE,
         /** The store returns from a copy that is as old as the fault is long; its writers then write again. */
-        STORE_ROLL_BACK
+        STORE_ROLL_BACK,
+        /** From then on a caller sends a request that ends each upstream that runs it. */
+        CRASHING_REQUEST
     }
 
     /** The kinds that come in random series. Adding to them would change the faults of every seed. */
     private static final List<Kind> SERIES_KINDS = Stream.of(Kind.values())
-            .filter(kind -> kind != Kind.STORE_ROLL_BACK)
+            .filter(kind -> kind != Kind.STORE_ROLL_BACK && kind != Kind.CRASHING_REQUEST)
             .toList();
 
     /**
@@ -90,6 +94,9 @@
         }
         Duration copyAge = Duration.ofMillis(MIN_LENGTH_MILLIS + random.nextInt(LENGTH_RANGE_MILLIS));
         faults.add(new SoakFault(Duration.ofMillis(random.nextLong(end)), Kind.STORE_ROLL_BACK, 0, copyAge));
+        Duration crashingFrom = Duration.ofMillis(random.nextLong(end / LATEST_CRASHING_START_DIVISOR));
+        Duration crashingFor = plan.faultWindow().minus(crashingFrom);
+        faults.add(new SoakFault(crashingFrom, Kind.CRASHING_REQUEST, 0, crashingFor));
         faults.sort(Comparator.comparing(SoakFault::at));
         return faults;
     }
--- a/src/main/java/org/arbutusfield/lab/soak/SoakRoutes.java
+++ b/src/main/java/org/arbutusfield/lab/soak/SoakRoutes.java
@@ -7,15 +7,21 @@
 import org.arbutusfield.lab.platform.KeyValueContent;
 
 /**
- * Publishes versions of the routes. Version n has the paths {@code /vN/} and {@code /vN-1/}, so that responses show
- * which versions a host may have. Thread-safe.
+ * Publishes versions of the routes. Version n has the paths {@code /vN/} and {@code /vN-1/} (and one for requests that
+ * end upstreams), so that responses show which versions a host may have. Thread-safe.
  */
 final class SoakRoutes {
+    /** Begins the paths of requests that end each upstream that runs them; the same in all versions. */
+    static final String CRASHING_PREFIX = "/crash/";
+
     private static final Duration PROPAGATION_LIMIT = Duration.ofSeconds(2);
     private static final String ROUTE_TEMPLATE =
             "{\"name\":\"%1$s-v%2$d\",\"route_type\":\"%3$s\",\"target_latency\":\"600ms\","
                     + "\"priority\":1,\"session_affinity\":true,\"match\":{\"prefix\":\"/v%2$d/%1$s/\"},\"action\":"
                     + "{\"service\":\"desk\",\"timeout\":\"2s\",\"attempts\":2}}";
+    private static final String CRASHING_ROUTE = "{\"name\":\"crash\",\"route_type\":\"idempotent\","
+            + "\"target_latency\":\"600ms\",\"priority\":1,\"session_affinity\":true,\"match\":{\"prefix\":\""
+            + CRASHING_PREFIX + "\"},\"action\":{\"service\":\"desk\",\"timeout\":\"2s\",\"attempts\":2}}";
     private static final String DOCUMENT_TEMPLATE = "{\"version\":\"r%d\",\"limits\":{\"max_header_bytes\":16384,"
             + "\"max_body_bytes\":1000000,\"header_timeout\":\"3s\",\"idle_timeout\":\"15s\"},\"listeners\":[{\"host\":"
             + "\"soak.example\",\"policy\":[%s]}],\"upstreams\":[{\"name\":\"desk\",\"health_path\":\"/\","
@@ -37,9 +43,9 @@
     /** Writes the next version to the store. */
     synchronized void publishNext() {
         int next = version + 1;
-        StringBuilder rules = new StringBuilder();
+        StringBuilder rules = new StringBuilder(CRASHING_ROUTE);
         for (int path = Math.max(1, next - 1); path <= next; path++) {
-            rules.append(rules.isEmpty() ? "" : ",")
+            rules.append(',')
                     .append(ROUTE_TEMPLATE.formatted("look", path, "idempotent"))
                     .append(',')
                     .append(ROUTE_TEMPLATE.formatted("book", path, "non_idempotent"));
--- a/src/main/java/org/arbutusfield/lab/soak/SoakUpstream.java
+++ b/src/main/java/org/arbutusfield/lab/soak/SoakUpstream.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.arbutusfield.http.Body;
 import org.arbutusfield.http.Header;
 import org.arbutusfield.http.HttpServer;
@@ -25,6 +26,7 @@
     private static final InetSocketAddress ANY_PORT = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     private static final int MAX_BODY_BYTES = 1 << 20;
     private static final int MAX_SERVICE_MILLIS = 120;
+    private static final Duration TIME_TO_CRASH = Duration.ofMillis(40);
     private static final String ENTRY_TEMPLATE =
             "{\"address\":\"%s\",\"details\":{\"service\":\"desk\",\"version\":\"v1\","
                     + "\"zone\":\"%s\",\"slots\":8},\"status\":{\"state\":\"%s\",\"sequence\":%d,\"cold_remaining\":\"0ms\"},\"born\":%d}";
@@ -36,12 +38,15 @@
     private final TimerService timer;
     private final Random random;
     private final long startMillis = System.currentTimeMillis();
+    private final Consumer<SoakUpstream> crashListener;
+    private HttpServer server;
     private FaultProxy proxy;
     private volatile boolean shedding;
     /** State in the entry; empty after it was removed. */
     private volatile String currentState = "";
 
     private int sequence;
+    private volatile boolean crashed;
 
     private SoakUpstream(
             String id,
@@ -49,26 +54,33 @@
             SoakChecker checker,
             KeyValueContent store,
             TimerService timer,
-            Random random) {
+            Consumer<SoakUpstream> crashListener) {
         this.id = id;
         this.failureDomain = failureDomain;
         this.checker = checker;
         this.store = store;
         this.timer = timer;
-        this.random = random;
+        this.crashListener = crashListener;
+        this.random = new Random(id.hashCode());
     }
 
+    /**
+     * Starts an instance.
+     *
+     * @param crashListener called when it has ended under a request; its entry stays in the store
+     */
     static SoakUpstream start(
             String id,
             String failureDomain,
             SoakChecker checker,
             KeyValueContent store,
             TimerService timer,
-            EventLoopGroup group) {
-        SoakUpstream upstream = new SoakUpstream(id, failureDomain, checker, store, timer, new Random(id.hashCode()));
-        HttpServer server = HttpServer.bind(group, ANY_PORT, MAX_BODY_BYTES, upstream::handle)
+            EventLoopGroup group,
+            Consumer<SoakUpstream> crashListener) {
+        SoakUpstream upstream = new SoakUpstream(id, failureDomain, checker, store, timer, crashListener);
+        upstream.server = HttpServer.bind(group, ANY_PORT, MAX_BODY_BYTES, upstream::handle)
                 .get();
-        upstream.proxy = FaultProxy.start(group, server.address());
+        upstream.proxy = FaultProxy.start(group, upstream.server.address());
         upstream.register("ready");
         return upstream;
     }
@@ -102,7 +114,7 @@
     void writeAgain() {
         if (currentState.isEmpty()) {
             store.remove(key());
-        } else {
+        } else if (!crashed) {
             register(currentState);
         }
     }
@@ -115,6 +127,17 @@
         store.put(key(), entry.getBytes(StandardCharsets.UTF_8), 0);
     }
 
+    private synchronized void crash() {
+        if (crashed) {
+            return;
+        }
+        crashed = true;
+        proxy.stopListening();
+        proxy.mode(LinkMode.RESET);
+        server.close();
+        crashListener.accept(this);
+    }
+
     private CompletableFuture<SimpleHttpResponse> handle(SimpleHttpRequest request) {
         String requestId = request.header("x-request-id").orElse("");
         boolean addressedHere = request.header("x-expect-instance").orElse("").equals(id);
@@ -127,6 +150,11 @@
                     new SimpleHttpResponse(503, List.of(Header.of("x-not-executed", "1")), Body.empty()));
         }
         checker.recordRun(requestId, id);
+        if (request.path().startsWith(SoakRoutes.CRASHING_PREFIX)) {
+            checker.recordCrashingRun(requestId, id);
+            timer.after(TIME_TO_CRASH, this::crash);
+            return new CompletableFuture<>();
+        }
         SimpleHttpResponse response = new SimpleHttpResponse(
                 200,
                 List.of(Header.of("x-server-seal", "seal-" + id), Header.of("x-request-id", requestId)),
--- a/src/main/java/org/arbutusfield/lab/soak/Violation.java
+++ b/src/main/java/org/arbutusfield/lab/soak/Violation.java
@@ -18,6 +18,8 @@
         AT_MOST_ONCE,
         /** A request that was refused as not run has not run and never will. */
         NOT_RUN,
+        /** A request that has ended three upstreams reaches few more once all hosts must know. */
+        CRASHES_CONTAINED,
         /** A draining upstream receives no requests once the change must be in force. */
         DRAINED,
         /** New routes are in force in time, and a host does not return to older ones. */
--- a/src/test/java/org/arbutusfield/quarantine/RequestQuarantineTest.java
+++ b/src/test/java/org/arbutusfield/quarantine/RequestQuarantineTest.java
@@ -180,10 +180,10 @@
             fleet.timer.advance(QuarantineFleet.STEP);
             fleet.crashTogether(UPSTREAMS);
             fleet.timer.advance(ALL_UPSTREAMS_BACK);
+            assertThat(fleet.hosts).noneMatch(host -> host.quarantine.hasSuspects());
             fleet.hosts.get(1).send("innocent");
             fleet.timer.advance(SECOND);
         }
-        assertThat(fleet.hosts).noneMatch(host -> host.quarantine.hasSuspects());
     }
 
     /** Guards against a host that takes a fault of its own network for the end of its upstreams. */
