--- a/src/main/java/org/arbutusfield/quarantine/RequestQuarantine.java
+++ b/src/main/java/org/arbutusfield/quarantine/RequestQuarantine.java
@@ -87,7 +87,7 @@
         this.probe = probe;
         this.leaving = leaving;
         this.timer = timer;
-        this.publisher = new SuspectPublisher(self, state, transport, store, known, timer, this::clear);
+        this.publisher = SuspectPublisher.of(self, state, transport, store, known, timer, this::clear);
     }
 
     /**
--- a/src/main/java/org/arbutusfield/quarantine/SuspectPublisher.java
+++ b/src/main/java/org/arbutusfield/quarantine/SuspectPublisher.java
@@ -46,11 +46,9 @@
     private final WatchableStore store;
     private final KnownSuspects known;
     private final TimerService timer;
-
-    /** Receives the fingerprint of a request that another host has answered since its first upstream ended. */
     private final Consumer<String> answered;
 
-    SuspectPublisher(
+    private SuspectPublisher(
             String self,
             Supplier<SteeringState> state,
             ControlTransport transport,
@@ -58,13 +56,36 @@
             KnownSuspects known,
             TimerService timer,
             Consumer<String> answered) {
-        this.answered = answered;
         this.self = self;
         this.state = state;
         this.transport = transport;
         this.store = store;
         this.known = known;
         this.timer = timer;
+        this.answered = answered;
+    }
+
+    /**
+     * Creates the publisher of one host.
+     *
+     * @param self name of the host
+     * @param state supplies the current state
+     * @param transport sends messages to other hosts
+     * @param store keeps the suspect requests
+     * @param known what this host knows
+     * @param timer clock and scheduler
+     * @param answered receives the fingerprint of a request that another host has answered since its first upstream
+     *     ended
+     */
+    static SuspectPublisher of(
+            String self,
+            Supplier<SteeringState> state,
+            ControlTransport transport,
+            WatchableStore store,
+            KnownSuspects known,
+            TimerService timer,
+            Consumer<String> answered) {
+        return new SuspectPublisher(self, state, transport, store, known, timer, answered);
     }
 
     /**
--- a/src/test/java/org/arbutusfield/platform/PlatformPathTest.java
+++ b/src/test/java/org/arbutusfield/platform/PlatformPathTest.java
@@ -31,7 +31,6 @@
 import org.arbutusfield.lab.platform.KeyValueStandIn;
 import org.arbutusfield.lab.platform.KeyValueStandIn.FaultMode;
 import org.arbutusfield.misc.Addresses;
-import org.arbutusfield.steering.SharedRetryBudget;
 import org.arbutusfield.timer.SystemTimer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -55,24 +54,9 @@
     @BeforeEach
     void start() {
         store = KeyValueStandIn.bind(group, ANY, timer).get();
-        settings = new EdgeSettings(
-                "edge-1",
-                "gulf",
-                "gulf-a",
-                freeAddress(),
-                freeAddress(),
-                freeAddress(),
-                freeAddress(),
-                freeAddress(),
-                store.address(),
-                Map.of("gulf-a", "gulf"),
-                2_000,
-                420,
-                Duration.ofSeconds(5),
-                Duration.ofSeconds(2),
-                Duration.ofSeconds(2),
-                new SharedRetryBudget(0.2, Duration.ofSeconds(10), 112, 2));
-        host = PlatformMain.start(settings).get();
+        StartedHost started = StartedHost.start(group, "edge-1", store.address());
+        settings = started.settings();
+        host = started.host();
     }
 
     @AfterEach
@@ -83,14 +67,6 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
-    private InetSocketAddress freeAddress() {
-        HttpServer probe = HttpServer.bind(group, ANY, 1, request -> new CompletableFuture<>())
-                .get();
-        InetSocketAddress address = probe.address();
-        probe.close();
-        return address;
-    }
-
     /** A server with the given behavior; by default it seals its responses and rejects requests for other instances. */
     private HttpServer server(String id, String behavior) {
         return HttpServer.bind(
