--- a/src/main/java/org/arbutusfield/reach/RestartedUpstreams.java
+++ b/src/main/java/org/arbutusfield/reach/RestartedUpstreams.java
@@ -46,8 +46,13 @@
     private final UpstreamProbe probe;
     private final TimerService timer;
     private final Consumer<SteeringState> subscriber;
+    /** Monotonic time until which an upstream counts as cold, by its start. */
     private final Map<String, Long> coldUntilByStart = new HashMap<>();
+
     private final Set<String> probing = new HashSet<>();
+    /** Starts whose port was closed when last looked at. */
+    private final Set<String> closed = new HashSet<>();
+
     private SteeringState stored = SteeringState.empty();
 
     private RestartedUpstreams(UpstreamProbe probe, TimerService timer, Consumer<SteeringState> subscriber) {
@@ -92,21 +97,20 @@
     }
 
     private void onProbe(LiveUpstream upstream, UpstreamProbe.Result result, Duration nextDelay) {
-        boolean ended = coldUntilByStart.containsKey(startOf(upstream));
-        if (result == UpstreamProbe.Result.REFUSED && !ended) {
+        String start = startOf(upstream);
+        if (result == UpstreamProbe.Result.REFUSED && closed.add(start)) {
             LOG.info("event=upstream_ended id={} start={}", upstream.name(), upstream.startMillis());
             setColdFor(upstream, WHILE_CLOSED);
-            ended = true;
-        } else if (result == UpstreamProbe.Result.ACCEPTED && ended) {
+        } else if (result == UpstreamProbe.Result.ACCEPTED && closed.remove(start)) {
             Duration cold = coldPeriod(upstream);
             LOG.info("event=upstream_started_again id={} cold_ms={}", upstream.name(), cold.toMillis());
             setColdFor(upstream, cold);
         }
-        if (result == UpstreamProbe.Result.ACCEPTED || !ended) {
-            probing.remove(startOf(upstream));
-            return;
+        if (closed.contains(start)) {
+            timer.after(nextDelay, () -> probeAgain(upstream, nextDelay));
+        } else {
+            probing.remove(start);
         }
-        timer.after(nextDelay, () -> probeAgain(upstream, nextDelay));
     }
 
     private void probeAgain(LiveUpstream upstream, Duration delay) {
@@ -115,6 +119,7 @@
                 .isPresent();
         if (!current) {
             probing.remove(startOf(upstream));
+            closed.remove(startOf(upstream));
             return;
         }
         Duration doubled = delay.multipliedBy(2);
--- a/src/test/java/org/arbutusfield/reach/RestartedUpstreamsTest.java
+++ b/src/test/java/org/arbutusfield/reach/RestartedUpstreamsTest.java
@@ -103,6 +103,45 @@
         assertThat(probes).isEqualTo(100);
     }
 
+    private void restart() {
+        port = Result.REFUSED;
+        restarts.mayHaveRestarted(ADDRESS);
+        timer.advance(Duration.ofSeconds(1));
+        port = Result.ACCEPTED;
+        timer.advance(Duration.ofSeconds(1));
+    }
+
+    /** Guards against an upstream that is taken for cold again at each reset, because it did restart once. */
+    @Test
+    void upstreamThatIsBackIsNotColdForLongerBecauseOfLostConnections() {
+        restart();
+        long steps = COLD_PERIOD.toMillis();
+        for (int i = 0; i < steps; i++) {
+            restarts.mayHaveRestarted(ADDRESS);
+            timer.advance(MILLISECOND);
+        }
+        assertThat(cold("u1")).as("after its cold period").isFalse();
+        restarts.mayHaveRestarted(ADDRESS);
+        assertThat(cold("u1")).as("after one more lost connection").isFalse();
+    }
+
+    /** Guards against the second restart in one outage of the store, which the first one hides. */
+    @Test
+    void secondRestartIsSeenLikeTheFirst() {
+        restart();
+        timer.advance(COLD_PERIOD);
+        port = Result.REFUSED;
+        restarts.mayHaveRestarted(ADDRESS);
+        assertThat(cold("u1")).as("while its port is closed").isTrue();
+        timer.advance(OUTAGE);
+        assertThat(cold("u1")).as("while its port is still closed").isTrue();
+        port = Result.ACCEPTED;
+        timer.advance(Duration.ofSeconds(1));
+        assertThat(cold("u1")).as("after it has started").isTrue();
+        timer.advance(COLD_PERIOD);
+        assertThat(cold("u1")).as("after its cold period").isFalse();
+    }
+
     /** The entry that the upstream writes at its start says how long it is cold; what was found before is void. */
     @Test
     void entryOfTheNewStartReplacesWhatWasFound() {
