--- a/src/main/java/org/arbutusfield/reach/RestartedUpstreams.java
+++ b/src/main/java/org/arbutusfield/reach/RestartedUpstreams.java
@@ -79,6 +79,7 @@
         Set<String> starts = new HashSet<>();
         next.upstreams().values().forEach(list -> list.forEach(upstream -> starts.add(startOf(upstream))));
         long now = timer.nowNanos();
+        closed.retainAll(starts);
         coldUntilByStart.entrySet().removeIf(known -> !starts.contains(known.getKey()) || known.getValue() - now <= 0);
         publish();
     }
--- a/src/test/java/org/arbutusfield/reach/RestartedUpstreamsTest.java
+++ b/src/test/java/org/arbutusfield/reach/RestartedUpstreamsTest.java
@@ -163,6 +163,20 @@
         assertThat(cold("u1")).isTrue();
     }
 
+    /**
+     * Guards against an upstream that is taken for warm although its port is closed, because its entry had gone from
+     * the store and come back in between.
+     */
+    @Test
+    void upstreamWhoseEntryComesBackIsColdWhileItsPortIsClosed() {
+        port = Result.REFUSED;
+        restarts.mayHaveRestarted(ADDRESS);
+        restarts.stateChanged(SteeringState.empty());
+        restarts.stateChanged(state(1, COLD_PERIOD));
+        timer.advance(Duration.ofSeconds(1));
+        assertThat(cold("u1")).isTrue();
+    }
+
     /** While the port is closed, many signs cause no more probes than one. */
     @Test
     void probesOfAClosedPortAreLimited() {
