--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -46,6 +46,7 @@
 import org.arbutusfield.steering.RouteTableRouter;
 import org.arbutusfield.steering.SteeringPlacement;
 import org.arbutusfield.store.WatchableStore;
+import org.arbutusfield.timer.PauseMonitor;
 import org.arbutusfield.timer.SystemTimer;
 import org.arbutusfield.timer.TimerService;
 import org.arbutusfield.wire.ControlClient;
@@ -118,6 +119,7 @@
             return started;
         }
         host.watchStore();
+        host.loop.execute(() -> PauseMonitor.start(host.timer));
         LOG.info(
                 "event=host_started host={} region={} domain={} callers={}",
                 settings.name(),
--- a/src/main/java/org/arbutusfield/proxy/Attempt.java
+++ b/src/main/java/org/arbutusfield/proxy/Attempt.java
@@ -329,6 +329,7 @@
 
     private void send() {
         sentNanos = System.nanoTime();
+        target.permit().sending();
         exchange.requestSending(this);
         String requestTarget = target instanceof PlacementTarget.HostTarget ? head.target() : head.upstreamTarget();
         HttpMethod method = HttpMethod.valueOf(head.method());
--- a/src/main/java/org/arbutusfield/proxy/Permit.java
+++ b/src/main/java/org/arbutusfield/proxy/Permit.java
@@ -19,6 +19,9 @@
     /** Called when the target stated that it did not run the request. Called before the permit is released. */
     default void refused(Failure failure) {}
 
+    /** Called when the first byte of the request is about to be sent, on a connection that is open. */
+    default void sending() {}
+
     /** Called when the target responded on a connection that was opened for the request. */
     default void reached() {}
 
--- a/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
@@ -42,6 +42,8 @@
     private static final double MIN_NAMED_RATE = 0.3;
     /** Shared rate of an upstream without a limit, in the record of a choice. */
     private static final double UNLIMITED = 0;
+    /** Longer than it takes to open a connection. */
+    private static final Duration LATE = Duration.ofMillis(250);
 
     private final String region;
     private final Supplier<SteeringState> state;
@@ -326,6 +328,7 @@
                         rationale.considered(),
                         sharedRate.orElse(UNLIMITED),
                         current.hosts().size(),
+                        fleetSize.largest(),
                         current.revision().number()));
         if (sharedRate.isPresent()) {
             rateLimiter.recordSent(upstream, nanos);
@@ -333,8 +336,8 @@
         String name = upstream.name();
         inFlight.merge(name, 1, Integer::sum);
         object.ifPresent(o -> homeResolver.recordFallback(o.group(), o.key(), name));
-        return Either.right(
-                new PlacementTarget.UpstreamTarget(upstream.upstream(), new UpstreamPermit(upstream, object)));
+        return Either.right(new PlacementTarget.UpstreamTarget(
+                upstream.upstream(), new UpstreamPermit(request.requestId(), upstream, object, sharedRate, nanos)));
     }
 
     private void objectRequestEnded(ObjectId object, String name, AttemptOutcome outcome, long serviceNanos) {
@@ -361,12 +364,42 @@
 
     /** The permit of one request at an upstream. */
     private final class UpstreamPermit implements Permit {
+        private final String requestId;
         private final LiveUpstream upstream;
         private final Optional<ObjectId> object;
-
-        private UpstreamPermit(LiveUpstream upstream, Optional<ObjectId> object) {
+        private final OptionalDouble rateWhenPlaced;
+        private final long placedNanos;
+
+        private UpstreamPermit(
+                String requestId,
+                LiveUpstream upstream,
+                Optional<ObjectId> object,
+                OptionalDouble rateWhenPlaced,
+                long placedNanos) {
+            this.requestId = requestId;
             this.upstream = upstream;
             this.object = object;
+            this.rateWhenPlaced = rateWhenPlaced;
+            this.placedNanos = placedNanos;
+        }
+
+        @Override
+        public void sending() {
+            long nanos = timer.nowNanos();
+            OptionalDouble rateNow = state.get()
+                    .upstream(upstream.upstream().service(), upstream.name())
+                    .map(current -> sharedRate(current, state.get(), nanos))
+                    .orElse(OptionalDouble.empty());
+            Duration sincePlaced = Duration.ofNanos(nanos - placedNanos);
+            boolean newlyLimited = rateNow.isPresent() && rateWhenPlaced.isEmpty();
+            if (newlyLimited || sincePlaced.compareTo(LATE) > 0) {
+                observer.sentLate(new LateSend(
+                        requestId,
+                        upstream.name(),
+                        sincePlaced,
+                        rateWhenPlaced.orElse(UNLIMITED),
+                        rateNow.orElse(UNLIMITED)));
+            }
         }
 
         @Override
