--- /dev/null
+++ b/src/test/java/org/arbutusfield/edge/ColdUpstreamBoundTest.java
@@ -0,0 +1,62 @@
+package org.arbutusfield.edge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Many upstreams turn cold at once, and every host has a request for each of them at any time. In no second may one of
+ * them get more requests than its rate, the tolerated excess and the tolerated number beyond it.
+ */
+class ColdUpstreamBoundTest {
+    private static final int COLD_UPSTREAMS = 400;
+    private static final int PORT = 9;
+
+    private static double tolerated(double perSecond) {
+        return perSecond * 1.5 + 5;
+    }
+
+    private static void coldStarts(SteeringFleet fleet, int round) {
+        for (int i = 0; i < COLD_UPSTREAMS; i++) {
+            fleet.report("u-" + round + "-" + i, 1, PORT, SteeringFleet.COLD_PERIOD);
+        }
+    }
+
+    /**
+     * Guards against the flood of a cold upstream by hosts that each keep to a part of its rate, and happen to send at
+     * the same time. Nothing fails meanwhile.
+     */
+    @ParameterizedTest
+    @CsvSource({"16, 2.6", "20, 2.6", "16, 2.3"})
+    void coldUpstreamIsNotFloodedByHostsThatHappenToSendAtTheSameTime(int hostCount, double perSecond) {
+        SteeringFleet fleet = SteeringFleet.create(perSecond, new Random(1));
+        fleet.startHosts(hostCount);
+        for (int round = 0; round < 10; round++) {
+            coldStarts(fleet, round);
+            fleet.sendEagerly(SteeringFleet.COLD_PERIOD);
+            for (int i = 0; i < COLD_UPSTREAMS; i++) {
+                fleet.remove("u-" + round + "-" + i);
+            }
+        }
+        assertThat((double) fleet.maxPerSecond()).isLessThanOrEqualTo(tolerated(perSecond));
+        assertThat(fleet.total()).isPositive();
+    }
+
+    /**
+     * Guards against the flood of a cold upstream by hosts that start together, for example when all of them have been
+     * killed, and each of which takes the fleet for smaller than it is.
+     */
+    @ParameterizedTest
+    @CsvSource({"16, 2.6", "20, 2.6", "20, 7.6", "118, 2.6"})
+    void coldUpstreamIsNotFloodedByHostsThatStartTogether(int hostCount, double perSecond) {
+        SteeringFleet fleet = SteeringFleet.create(perSecond, new Random(2));
+        fleet.addHosts(hostCount);
+        coldStarts(fleet, 0);
+        fleet.hosts.forEach(host -> fleet.timer.after(Duration.ofMillis(fleet.random.nextInt(500)), host::start));
+        fleet.sendEagerly(SteeringFleet.COLD_PERIOD);
+        assertThat((double) fleet.maxPerSecond()).isLessThanOrEqualTo(tolerated(perSecond));
+    }
+}
