--- a/src/main/java/org/arbutusfield/edge/HostRegistrar.java
+++ b/src/main/java/org/arbutusfield/edge/HostRegistrar.java
@@ -3,14 +3,17 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.state.HeldRegistration;
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.HostEntryCodec;
 import org.arbutusfield.state.SteeringState;
 import org.arbutusfield.state.StoreHealth;
+import org.arbutusfield.store.ConditionalWrite;
 import org.arbutusfield.store.StoreLease;
 import org.arbutusfield.store.StoreRevision;
 import org.arbutusfield.store.WatchableStore;
@@ -23,10 +26,16 @@
  * <p>When the store has dropped the entry, which the host sees in its copy of the state, the entry is written again. In
  * a new era of the store the entry is written under a new lease, and the old lease is neither renewed nor ended, since
  * its id may belong to another host by then.
+ *
+ * <p>Each write expects the entry as this host knows it. A write without an answer that the store carries out late
+ * would otherwise bind the entry to a lease that is no longer renewed.
  */
 final class HostRegistrar {
     private static final Logger LOG = LogManager.getLogger(HostRegistrar.class);
-    private static final Duration LEASE_DURATION = Duration.ofMillis(4500);
+    static final Duration LEASE_DURATION = Duration.ofMillis(4500);
+    /** Covers that clocks run at slightly different rates. */
+    private static final Duration LEASE_MARGIN = Duration.ofMillis(250);
+
     private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(1400);
     /** Each change is read by all hosts. */
     private static final Duration REACH_CHANGE_DELAY = Duration.ofMillis(600);
@@ -38,6 +47,10 @@
     private HostEntry self;
     private final StoreHealth health;
     private Optional<StoreLease> lease = Optional.empty();
+    private long leaseEndNanos;
+    /** Revision of the entry, as far as this host knows; 0 if there is none. */
+    private long entryRevision;
+
     private StoreRevision registeredRevision = StoreRevision.NONE;
     private boolean wantedReach = true;
     private boolean registered;
@@ -58,6 +71,14 @@
         return registrar;
     }
 
+    /** Returns the registration, if this host certainly has one now. */
+    Optional<HeldRegistration> held() {
+        boolean certain = registered && !leaving && leaseEndNanos - timer.nowNanos() > 0;
+        return certain
+                ? lease.map(held -> new HeldRegistration(held, registeredRevision, leaseEndNanos))
+                : Optional.empty();
+    }
+
     /** Writes the entry again if the store no longer has it. */
     void stateChanged(SteeringState state) {
         if (!registered || registering || leaving) {
@@ -94,7 +115,7 @@
     /** Writes a changed entry under the lease that is held. */
     private void writeAgain(StoreLease held) {
         HostEntry written = self;
-        store.put(HostEntryCodec.key(self.name()), HostEntryCodec.encode(self), held.id())
+        putEntry(written, held)
                 .thenAccept(done -> done.peekLeft(failure -> {
                     LOG.warn("event=registration_not_changed host={} code={}", self.name(), failure.code());
                     timer.after(RETRY_DELAY, () -> {
@@ -105,6 +126,29 @@
                 }));
     }
 
+    /** Writes the entry in place of the one that this host knows or, if that has changed, of the one that is there. */
+    private CompletableFuture<Either<Failure, StoreRevision>> putEntry(HostEntry entry, StoreLease under) {
+        return putEntryIfUnchanged(entry, under)
+                .thenCompose(result -> {
+                    boolean conflict = result.isRight() && !result.get().written();
+                    return conflict && isHeld(under)
+                            ? putEntryIfUnchanged(entry, under)
+                            : CompletableFuture.completedFuture(result);
+                })
+                .thenApply(result -> result.flatMap(HostRegistrar::revisionIfWritten));
+    }
+
+    private CompletableFuture<Either<Failure, ConditionalWrite>> putEntryIfUnchanged(
+            HostEntry entry, StoreLease under) {
+        return store.putIf(HostEntryCodec.key(entry.name()), HostEntryCodec.encode(entry), under.id(), entryRevision)
+                .thenApply(result ->
+                        result.peek(write -> entryRevision = write.revision().number()));
+    }
+
+    private static Either<Failure, StoreRevision> revisionIfWritten(ConditionalWrite write) {
+        return write.written() ? Either.right(write.revision()) : Either.left(Failure.of(ErrorCode.STORE_CONFLICT));
+    }
+
     /** Removes the entry permanently. */
     void leave() {
         leaving = true;
@@ -130,22 +174,30 @@
             return;
         }
         registering = true;
+        long calledNanos = timer.nowNanos();
         store.grantLease(LEASE_DURATION)
-                .thenAccept(grantedLease -> grantedLease.peek(this::write).peekLeft(this::onFailure));
+                .thenAccept(granted ->
+                        granted.peek(lease -> write(lease, calledNanos)).peekLeft(this::onFailure));
     }
 
-    private void write(StoreLease grantedLease) {
+    private void write(StoreLease grantedLease, long calledNanos) {
         lease = Optional.of(grantedLease);
+        leaseEndNanos = leaseEnd(calledNanos);
         if (leaving) {
             leave();
             return;
         }
         HostEntry written = self;
-        store.put(HostEntryCodec.key(self.name()), HostEntryCodec.encode(self), grantedLease.id())
+        putEntry(written, grantedLease)
                 .thenAccept(done -> done.peek(revision -> onWritten(grantedLease, written, revision))
                         .peekLeft(this::onFailure));
     }
 
+    /** Returns the end of a lease that the store granted or renewed in answer to a call. */
+    private static long leaseEnd(long calledNanos) {
+        return calledNanos + LEASE_DURATION.minus(LEASE_MARGIN).toNanos();
+    }
+
     private void onWritten(StoreLease usedLease, HostEntry written, StoreRevision revision) {
         health.recordAnswer();
         health.recordEra(revision.era());
@@ -176,7 +228,8 @@
 
     private void renew(StoreLease held) {
         if (!leaving && registered && isHeld(held)) {
-            store.renewLease(held.id()).thenAccept(result -> onRenewed(held, result));
+            long calledNanos = timer.nowNanos();
+            store.renewLease(held.id()).thenAccept(result -> onRenewed(held, calledNanos, result));
         }
     }
 
@@ -184,7 +237,7 @@
         return lease.isPresent() && lease.get().equals(other);
     }
 
-    private void onRenewed(StoreLease held, Either<Failure, Long> result) {
+    private void onRenewed(StoreLease held, long calledNanos, Either<Failure, Long> result) {
         if (leaving || !registered || !isHeld(held)) {
             return;
         }
@@ -201,6 +254,7 @@
                 registrationLost("store_era_changed", StoreRevision.of(result.get(), 0));
                 return;
             }
+            leaseEndNanos = leaseEnd(calledNanos);
         } else {
             health.recordFailure();
         }
--- a/src/main/java/org/arbutusfield/lab/platform/KeyValueContent.java
+++ b/src/main/java/org/arbutusfield/lab/platform/KeyValueContent.java
@@ -188,6 +188,12 @@
         return Optional.of(written);
     }
 
+    /** Returns the revision of an item's last change; 0 if there is no such item. */
+    public synchronized long revisionOf(String key) {
+        expire();
+        return items.containsKey(key) ? items.get(key).revision() : 0;
+    }
+
     /** Removes a key if it exists. */
     public void remove(String key) {
         synchronized (this) {
--- a/src/main/java/org/arbutusfield/lab/platform/KeyValueStandIn.java
+++ b/src/main/java/org/arbutusfield/lab/platform/KeyValueStandIn.java
@@ -196,6 +196,10 @@
 
     private SimpleHttpResponse transaction(SimpleHttpRequest request) {
         JsonNode body = readBody(request);
+        Optional<SimpleHttpResponse> conflict = conflict(body);
+        if (conflict.isPresent()) {
+            return conflict.get();
+        }
         long revision = content.revision();
         for (JsonNode itemJson : body.path("puts")) {
             byte[] value = Base64.getDecoder().decode(itemJson.path("value").asText());
@@ -210,6 +214,22 @@
         return SimpleHttpResponse.json(200, "{\"revision\":" + revision + "}");
     }
 
+    /** Returns the answer to a change whose condition does not hold: the present state of the items it names. */
+    private Optional<SimpleHttpResponse> conflict(JsonNode change) {
+        ArrayNode present = JSON.createArrayNode();
+        boolean failed = false;
+        for (JsonNode expected : change.path("expect")) {
+            String key = expected.path("key").asText();
+            failed |= content.revisionOf(key) != expected.path("revision").asLong();
+            content.list(key, "", 1).stream()
+                    .filter(item -> item.key().equals(key))
+                    .forEach(item -> present.add(itemJson(item)));
+        }
+        ObjectNode body = JSON.createObjectNode();
+        body.set("items", present);
+        return failed ? Optional.of(SimpleHttpResponse.json(412, body.toString())) : Optional.empty();
+    }
+
     private SimpleHttpResponse lease(SimpleHttpRequest request) {
         String requestedTtl = readBody(request).path("ttl_time").asText();
         Duration ttl = DurationText.parse(requestedTtl).orElse(Duration.ofSeconds(1));
--- a/src/main/java/org/arbutusfield/platform/PlatformStoreClient.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformStoreClient.java
@@ -25,6 +25,7 @@
 import org.arbutusfield.http.SimpleHttpRequest;
 import org.arbutusfield.http.SimpleHttpResponse;
 import org.arbutusfield.misc.DurationText;
+import org.arbutusfield.store.ConditionalWrite;
 import org.arbutusfield.store.ItemChange;
 import org.arbutusfield.store.ItemChanges;
 import org.arbutusfield.store.ItemPage;
@@ -100,13 +101,36 @@
 
     @Override
     public CompletableFuture<Either<Failure, StoreRevision>> put(String key, byte[] value, long lease) {
+        return change("put", putChange(key, value, lease));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, ConditionalWrite>> putIf(
+            String key, byte[] value, long lease, long expectedRevision) {
+        ObjectNode change = putChange(key, value, lease);
+        change.withArray("/expect").add(JSON.createObjectNode().put("key", key).put("revision", expectedRevision));
+        return send("put", post("/kv-txn", change), timeout)
+                .thenApply(r -> r.flatMap(response -> response.status() == CONDITION_FAILED
+                        ? conflict(response)
+                        : written(response).map(revision -> new ConditionalWrite(true, revision))));
+    }
+
+    private static ObjectNode putChange(String key, byte[] value, long lease) {
         ObjectNode entry = JSON.createObjectNode()
                 .put("key", key)
                 .put("value", Base64.getEncoder().encodeToString(value))
                 .put("lease", lease);
         ObjectNode change = emptyChange();
         change.withArray("/puts").add(entry);
-        return change("put", change);
+        return change;
+    }
+
+    /** Reads which item made the condition fail; an item that isn't there is left out, or has revision 0. */
+    private static Either<Failure, ConditionalWrite> conflict(SimpleHttpResponse response) {
+        return json(response).map(node -> {
+            long revision = node.path("items").path(0).path("revision").asLong(0);
+            return new ConditionalWrite(false, StoreRevision.of(era(response), revision));
+        });
     }
 
     @Override
@@ -125,10 +149,13 @@
     }
 
     private CompletableFuture<Either<Failure, StoreRevision>> change(String kind, ObjectNode change) {
-        return send(kind, post("/kv-txn", change), timeout)
-                .thenApply(r -> r.flatMap(response -> body(response)
-                        .flatMap(node -> number(node, "revision"))
-                        .map(number -> StoreRevision.of(era(response), number))));
+        return send(kind, post("/kv-txn", change), timeout).thenApply(r -> r.flatMap(PlatformStoreClient::written));
+    }
+
+    private static Either<Failure, StoreRevision> written(SimpleHttpResponse response) {
+        return body(response)
+                .flatMap(node -> number(node, "revision"))
+                .map(number -> StoreRevision.of(era(response), number));
     }
 
     @Override
@@ -181,13 +208,15 @@
     }
 
     private static Either<Failure, JsonNode> body(SimpleHttpResponse response) {
-        return checkStatus(response).flatMap(ok -> {
-            try {
-                return Either.right(JSON.readTree(ok.body().bytes()));
-            } catch (IOException e) {
-                return Either.left(Failure.of(ErrorCode.STORE_PROTOCOL, "", "response is not valid JSON"));
-            }
-        });
+        return checkStatus(response).flatMap(PlatformStoreClient::json);
+    }
+
+    private static Either<Failure, JsonNode> json(SimpleHttpResponse response) {
+        try {
+            return Either.right(JSON.readTree(response.body().bytes()));
+        } catch (IOException e) {
+            return Either.left(Failure.of(ErrorCode.STORE_PROTOCOL, "", "response is not valid JSON"));
+        }
     }
 
     /** Era in which the store responded. An unreadable one counts as not stated. */
@@ -231,8 +260,9 @@
         try {
             byte[] value = Base64.getDecoder().decode(entry.path("value").asText());
             String key = entry.path("key").asText();
-            return Optional.of(
-                    new StoreItem(key, Body.of(value), entry.path("revision").asLong()));
+            long revision = entry.path("revision").asLong();
+            long created = entry.path("created").asLong(revision);
+            return Optional.of(new StoreItem(key, Body.of(value), revision, created));
         } catch (IllegalArgumentException e) {
             return Optional.empty();
         }
--- a/src/main/java/org/arbutusfield/store/WatchableStore.java
+++ b/src/main/java/org/arbutusfield/store/WatchableStore.java
@@ -47,6 +47,16 @@
      */
     CompletableFuture<Either<Failure, StoreRevision>> put(String key, byte[] value, long leaseId);
 
+    /**
+     * Writes a value that is removed when its lease ends, if the item has not changed since a revision. A call without
+     * a result that is carried out late does no harm if the item was written again in the meantime.
+     *
+     * @param expectedRevision revision of the item's last change; 0 if there must be no such item
+     * @return whether it was written; {@code LEASE_LAPSED} when the lease does not exist or has ended
+     */
+    CompletableFuture<Either<Failure, ConditionalWrite>> putIf(
+            String key, byte[] value, long leaseId, long expectedRevision);
+
     /** Removes a key and returns the revision of the store after it; no error if there is no such key. */
     CompletableFuture<Either<Failure, StoreRevision>> remove(String key);
 
--- a/src/test/java/org/arbutusfield/edge/HostRegistrarTest.java
+++ b/src/test/java/org/arbutusfield/edge/HostRegistrarTest.java
@@ -6,6 +6,8 @@
 import java.lang.reflect.Proxy;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.lab.platform.KeyValueContent;
 import org.arbutusfield.state.ContentStore;
@@ -13,15 +15,17 @@
 import org.arbutusfield.state.HostEntryCodec;
 import org.arbutusfield.state.StateItem;
 import org.arbutusfield.state.StoreHealth;
-import org.arbutusfield.store.StoreRevision;
+import org.arbutusfield.store.ConditionalWrite;
 import org.arbutusfield.store.WatchableStore;
 import org.arbutusfield.timer.VirtualTimer;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** The entry of a host in a store that answers writes late. */
 class HostRegistrarTest {
     private static final Duration WRITE_TIME = Duration.ofSeconds(2);
+    private static final Duration LATE_WRITE = Duration.ofSeconds(3);
     private static final HostEntry SELF = new HostEntry("host-1", "g", "d", "127.0.0.1:1", "127.0.0.1:2", 1);
 
     private final VirtualTimer timer = VirtualTimer.create();
@@ -31,13 +35,14 @@
         ContentStore direct = ContentStore.of(content, timer);
         return (WatchableStore) Proxy.newProxyInstance(
                 getClass().getClassLoader(), new Class<?>[] {WatchableStore.class}, (proxy, method, arguments) -> {
-                    if (!method.getName().equals("put")) {
+                    if (!method.getName().equals("putIf")) {
                         return method.invoke(direct, arguments);
                     }
-                    CompletableFuture<Either<Failure, StoreRevision>> result = new CompletableFuture<>();
+                    CompletableFuture<Either<Failure, ConditionalWrite>> result = new CompletableFuture<>();
                     timer.after(
                             WRITE_TIME,
-                            () -> direct.put((String) arguments[0], (byte[]) arguments[1], (long) arguments[2])
+                            () -> direct.putIf((String) arguments[0], (byte[]) arguments[1], (long) arguments[2], (long)
+                                            arguments[3])
                                     .thenAccept(result::complete));
                     return result;
                 });
@@ -60,4 +65,40 @@
         timer.advance(Duration.ofSeconds(6));
         assertThat(storedReach()).isFalse();
     }
+
+    /** The first write gets no answer, and is carried out three seconds later. */
+    private WatchableStore storeWithALateWrite() {
+        ContentStore direct = ContentStore.of(content, timer);
+        AtomicBoolean first = new AtomicBoolean(true);
+        return (WatchableStore) Proxy.newProxyInstance(
+                getClass().getClassLoader(), new Class<?>[] {WatchableStore.class}, (proxy, method, arguments) -> {
+                    boolean write = method.getName().startsWith("put");
+                    if (!write || !first.getAndSet(false)) {
+                        return method.invoke(direct, arguments);
+                    }
+                    timer.after(LATE_WRITE, () -> {
+                        try {
+                            method.invoke(direct, arguments);
+                        } catch (ReflectiveOperationException e) {
+                            throw new AssertionError(e);
+                        }
+                    });
+                    return CompletableFuture.completedFuture(Either.left(Failure.of(ErrorCode.STORE_TIMEOUT)));
+                });
+    }
+
+    /**
+     * Guards against an entry that disappears while its host renews the lease: a late write of an earlier try binds the
+     * entry to the lease of that try.
+     */
+    @Test
+    void lateWriteDoesNotBindTheEntryToAnEarlierLease() {
+        HostRegistrar registrar = HostRegistrar.start(storeWithALateWrite(), timer, SELF, StoreHealth.create());
+        timer.advance(Duration.ofSeconds(1));
+        for (int i = 0; i < 100; i++) {
+            timer.advance(Duration.ofMillis(100));
+            assertThat(content.list("hosts/", "", 1)).hasSize(1);
+            assertThat(registrar.held()).isPresent();
+        }
+    }
 }
--- a/src/test/java/org/arbutusfield/state/ContentStore.java
+++ b/src/test/java/org/arbutusfield/state/ContentStore.java
@@ -8,6 +8,7 @@
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.lab.platform.KeyValueContent;
+import org.arbutusfield.store.ConditionalWrite;
 import org.arbutusfield.store.ItemChange;
 import org.arbutusfield.store.ItemChanges;
 import org.arbutusfield.store.ItemPage;
@@ -74,6 +75,16 @@
         return written.isPresent() ? done(revision(written.get())) : failed(ErrorCode.LEASE_LAPSED);
     }
 
+    @Override
+    public CompletableFuture<Either<Failure, ConditionalWrite>> putIf(
+            String key, byte[] value, long leaseId, long expectedRevision) {
+        long present = content.revisionOf(key);
+        if (present != expectedRevision) {
+            return done(new ConditionalWrite(false, revision(present)));
+        }
+        return put(key, value, leaseId).thenApply(r -> r.map(written -> new ConditionalWrite(true, written)));
+    }
+
     @Override
     public CompletableFuture<Either<Failure, StoreRevision>> remove(String key) {
         content.remove(key);
@@ -100,7 +111,7 @@
     }
 
     private static StoreItem item(KeyValueContent.Item item) {
-        return new StoreItem(item.key(), item.value(), item.revision());
+        return new StoreItem(item.key(), item.value(), item.revision(), item.createdRevision());
     }
 
     private static <T> CompletableFuture<Either<Failure, T>> done(T value) {
--- a/src/test/java/org/arbutusfield/state/FaultyStore.java
+++ b/src/test/java/org/arbutusfield/state/FaultyStore.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.store.ConditionalWrite;
 import org.arbutusfield.store.ItemChanges;
 import org.arbutusfield.store.ItemPage;
 import org.arbutusfield.store.StoreLease;
@@ -46,6 +47,12 @@
         return call(() -> store.put(key, value, leaseId));
     }
 
+    @Override
+    public CompletableFuture<Either<Failure, ConditionalWrite>> putIf(
+            String key, byte[] value, long leaseId, long expectedRevision) {
+        return call(() -> store.putIf(key, value, leaseId, expectedRevision));
+    }
+
     @Override
     public CompletableFuture<Either<Failure, StoreRevision>> remove(String key) {
         return call(() -> store.remove(key));
--- a/src/test/java/org/arbutusfield/state/ProcessStore.java
+++ b/src/test/java/org/arbutusfield/state/ProcessStore.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.store.ConditionalWrite;
 import org.arbutusfield.store.ItemChanges;
 import org.arbutusfield.store.ItemPage;
 import org.arbutusfield.store.StoreLease;
@@ -43,6 +44,12 @@
         return late(store.put(key, value, leaseId));
     }
 
+    @Override
+    public CompletableFuture<Either<Failure, ConditionalWrite>> putIf(
+            String key, byte[] value, long leaseId, long expectedRevision) {
+        return late(store.putIf(key, value, leaseId, expectedRevision));
+    }
+
     @Override
     public CompletableFuture<Either<Failure, StoreRevision>> remove(String key) {
         return late(store.remove(key));
--- a/src/test/java/org/arbutusfield/state/StoreWatcherTest.java
+++ b/src/test/java/org/arbutusfield/state/StoreWatcherTest.java
@@ -13,6 +13,7 @@
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.http.Body;
 import org.arbutusfield.misc.Addresses;
+import org.arbutusfield.store.ConditionalWrite;
 import org.arbutusfield.store.ItemChange;
 import org.arbutusfield.store.ItemChanges;
 import org.arbutusfield.store.ItemPage;
@@ -78,6 +79,12 @@
             return respond(StoreRevision.of(era, revision));
         }
 
+        @Override
+        public CompletableFuture<Either<Failure, ConditionalWrite>> putIf(
+                String key, byte[] value, long lease, long expectedRevision) {
+            return respond(new ConditionalWrite(true, StoreRevision.of(era, revision)));
+        }
+
         @Override
         public CompletableFuture<Either<Failure, StoreRevision>> remove(String key) {
             return respond(StoreRevision.of(era, revision));
