--- a/src/main/java/org/arbutusfield/state/StoreWatcher.java
+++ b/src/main/java/org/arbutusfield/state/StoreWatcher.java
@@ -60,6 +60,9 @@
     private Optional<TimerService.ScheduledTask> delayedWatch = Optional.empty();
 
     private long changeNanos;
+    /** Until then the change that a sign has announced is expected. */
+    private long urgentUntilNanos;
+
     private int failures;
     private long outageGraceEndNanos;
     private long watchCount;
@@ -79,6 +82,7 @@
         this.health = health;
         this.subscriber = subscriber;
         this.outageGraceEndNanos = timer.nowNanos();
+        this.urgentUntilNanos = timer.nowNanos();
     }
 
     /**
@@ -192,7 +196,12 @@
         }
         publish();
         changeNanos = timer.nowNanos();
-        watchAfter(changeDelay);
+        boolean urgent = urgentUntilNanos - changeNanos > 0;
+        watchAfter(urgent ? urgentDelay() : changeDelay);
+    }
+
+    private Duration urgentDelay() {
+        return changeDelay.dividedBy(URGENT_DELAY_DIVISOR);
     }
 
     private void watchAfter(Duration delay) {
@@ -203,17 +212,18 @@
     }
 
     /**
-     * Shortens the delay before the next watch, if one is running, because a change of the store's content is likely
-     * and urgent. Without such a sign many changes are worth waiting for.
+     * Shortens the delays before the next watches, because a change of the store's content is likely and urgent. Other
+     * changes may come before it. Without such a sign many changes are worth waiting for.
      */
     public void refreshSoon() {
+        urgentUntilNanos = timer.nowNanos() + changeDelay.toNanos();
         if (delayedWatch.isEmpty()) {
             return;
         }
         LOG.info("event=watch_hastened revision={}", revision.number());
         delayedWatch.get().cancel();
         long sinceChange = timer.nowNanos() - changeNanos;
-        long left = changeDelay.toNanos() / URGENT_DELAY_DIVISOR - sinceChange;
+        long left = urgentDelay().toNanos() - sinceChange;
         watchAfter(Duration.ofNanos(Math.max(0, left)));
     }
 
--- a/src/test/java/org/arbutusfield/state/StoreWatcherTest.java
+++ b/src/test/java/org/arbutusfield/state/StoreWatcherTest.java
@@ -166,6 +166,22 @@
         assertThat(store.watches).as("after the usual delay").hasSize(2);
     }
 
+    /**
+     * Guards against an upstream that starts again and whose new entry is read late, because another change came right
+     * after its connections told so.
+     */
+    @Test
+    void signOfARestartBeforeAnotherChangeShortensTheDelayAfterThatChange() {
+        start("a", "b");
+        watcher.refreshSoon();
+        store.completeWatch(removed("a"));
+        timer.advance(Duration.ofMillis(300));
+        assertThat(store.watches).as("soon").hasSize(2);
+        store.completeWatch(removed("b"));
+        timer.advance(MAX_PROPAGATION_DELAY);
+        assertThat(store.watches).hasSize(3);
+    }
+
     /** A watch that is open tells of the next change anyway; another one would only cost. */
     @Test
     void signOfARestartOpensNoSecondWatch() {
