--- a/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
@@ -252,8 +252,16 @@
 
         @Override
         public Optional<Failure> refusalToSend() {
-            return grant.filter(given -> given.expired(timer.nowNanos()))
-                    .map(expired -> Failure.of(ErrorCode.PERMIT_EXPIRED, upstream.name()));
+            long nanos = timer.nowNanos();
+            boolean refused = grant.map(given -> given.expired(nanos)).orElseGet(() -> limitedNow(nanos));
+            return refused ? Optional.of(Failure.of(ErrorCode.PERMIT_EXPIRED, upstream.name())) : Optional.empty();
+        }
+
+        private boolean limitedNow(long nanos) {
+            SteeringState current = state.get();
+            return current.upstream(upstream.upstream().service(), upstream.name())
+                    .filter(known -> sharedRates.of(known, current, nanos).isPresent())
+                    .isPresent();
         }
 
         @Override
--- a/src/test/java/org/arbutusfield/steering/GrantedQuota.java
+++ b/src/test/java/org/arbutusfield/steering/GrantedQuota.java
@@ -9,7 +9,7 @@
 
 /** Quotas of a host that gets every permission, or none, for tests of other things. */
 final class GrantedQuota implements UpstreamQuota {
-    private static final Duration VALIDITY = Duration.ofSeconds(1);
+    static final Duration VALIDITY = Duration.ofSeconds(1);
 
     private final TimerService timer;
     private final boolean granted;
--- a/src/test/java/org/arbutusfield/steering/SteeringPlacementTest.java
+++ b/src/test/java/org/arbutusfield/steering/SteeringPlacementTest.java
@@ -19,9 +19,11 @@
 import org.arbutusfield.lookup.WeightedRendezvous;
 import org.arbutusfield.model.Upstream;
 import org.arbutusfield.proxy.AttemptOutcome;
+import org.arbutusfield.proxy.Permit;
 import org.arbutusfield.proxy.PlacementRequest;
 import org.arbutusfield.proxy.PlacementTarget;
 import org.arbutusfield.proxy.UpstreamNotice;
+import org.arbutusfield.quota.UpstreamQuota;
 import org.arbutusfield.reach.Forwardings;
 import org.arbutusfield.route.Route;
 import org.arbutusfield.route.WeightedService;
@@ -81,6 +83,10 @@
     }
 
     private SteeringPlacement placement(Supplier<SteeringState> state) {
+        return placement(state, GrantedQuota.never(timer));
+    }
+
+    private SteeringPlacement placement(Supplier<SteeringState> state, UpstreamQuota quota) {
         HomePlanner planner = HomePlanner.create(state, timer);
         HomeResolver resolver = HomeResolver.start(
                 "h",
@@ -96,7 +102,7 @@
                 "near",
                 state,
                 resolver,
-                new SharedLimits(retryBudget, GrantedQuota.never(timer)),
+                new SharedLimits(retryBudget, quota),
                 Forwardings.unused("h", state, timer),
                 (placementRequest, choice) -> {},
                 timer);
@@ -129,6 +135,30 @@
         assertThat(placedAt(state, request(triedUpstreams, download(regions)))).isEqualTo(expected);
     }
 
+    /**
+     * Guards against a request that is placed while its upstream is warm, waits for a connection, and is sent when the
+     * upstream is known to be cold, in addition to those that were counted.
+     */
+    @Test
+    void requestPlacedBeforeItsUpstreamWasKnownToBeColdIsNotSent() {
+        AtomicReference<SteeringState> current = new AtomicReference<>(state(upstream("u-a", "near", 0)));
+        Permit permit = placement(current::get).place(untried()).join().get().permit();
+        assertThat(permit.refusalToSend()).isEmpty();
+        current.set(state(upstream("u-a", "near", timer.nowNanos() + COLD_PERIOD.toNanos())));
+        assertThat(permit.refusalToSend().map(Failure::code)).contains(ErrorCode.PERMIT_EXPIRED);
+    }
+
+    /** Guards against a request that a paused host sends long after it got the permission. */
+    @Test
+    void requestIsNotSentAfterItsPermissionHasExpired() {
+        SteeringState cold = state(upstream("u-a", "near", timer.nowNanos() + COLD_PERIOD.toNanos()));
+        SteeringPlacement placement = placement(() -> cold, GrantedQuota.always(timer));
+        Permit permit = placement.place(untried()).join().get().permit();
+        assertThat(permit.refusalToSend()).isEmpty();
+        timer.advance(GrantedQuota.VALIDITY.plusMillis(1));
+        assertThat(permit.refusalToSend().map(Failure::code)).contains(ErrorCode.PERMIT_EXPIRED);
+    }
+
     private static SteeringState state(LiveUpstream... upstreams) {
         return new SteeringState(
                 Optional.empty(),
