--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -38,6 +38,7 @@
 import org.arbutusfield.quota.QuotaServer;
 import org.arbutusfield.quota.UpstreamQuota;
 import org.arbutusfield.reach.PeerForwarding;
+import org.arbutusfield.reach.PortReports;
 import org.arbutusfield.reach.RestartedUpstreams;
 import org.arbutusfield.reach.UpstreamReach;
 import org.arbutusfield.route.RouteTable;
@@ -191,6 +192,7 @@
         quarantine.register(handlers);
         homeResolver = HomeResolver.start(settings.name(), () -> state, client, planner, timer);
         createQuota(client, handlers);
+        createRestartDetection(client, handlers);
         PeerAddress address = new PeerAddress(
                 settings.controlAddress().getHostString(),
                 settings.controlAddress().getPort());
@@ -210,6 +212,18 @@
                 settings.name(), () -> state, client, server, QuotaMetrics.of(registry)::count, timer);
     }
 
+    private void createRestartDetection(ControlClient client, ControlHandlers handlers) {
+        PortReports reports = PortReports.create(
+                settings.name(),
+                () -> state,
+                client,
+                (start, open) -> restarts.portReported(start, open),
+                timer,
+                new SplittableRandom());
+        restarts = RestartedUpstreams.create(probe, reports, timer, this::install);
+        reports.register(handlers);
+    }
+
     private EdgeHost createPlacement() {
         Gauge.builder("arbutusfield.requests.quarantined", quarantine, RequestQuarantine::size)
                 .description("requests that reach no upstream, because they end those that run them")
@@ -217,7 +231,6 @@
         log = RequestLog.start(timer, () -> state.routesVersion());
         retryBudget = HostRetryBudget.create(
                 settings.retryBudget(), () -> state.hosts().size(), timer);
-        restarts = RestartedUpstreams.create(probe, timer, this::install);
         reach = UpstreamReach.create(() -> state, probe, timer, new SplittableRandom());
         PeerForwarding forwarding = PeerForwarding.create(
                 settings.name(),
--- a/src/main/java/org/arbutusfield/reach/RestartedUpstreams.java
+++ b/src/main/java/org/arbutusfield/reach/RestartedUpstreams.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -15,6 +16,7 @@
 import org.arbutusfield.route.ServicePolicy;
 import org.arbutusfield.state.LiveUpstream;
 import org.arbutusfield.state.SteeringState;
+import org.arbutusfield.state.UpstreamStart;
 import org.arbutusfield.timer.TimerService;
 
 /**
@@ -26,9 +28,10 @@
  * <p>Idea: connections that are lost, can't be opened or can be opened again are a sign that the upstream may have
  * ended. The host then connects to its port. If that is refused, nothing listens there: the upstream has ended, and is
  * cold when it is back. The host goes on trying until the port accepts, and takes the upstream for cold from the end
- * until the cold period of its service has passed after that.
+ * until the cold period of its service has passed after that. It tells the other hosts what it finds, since those that
+ * have no connection to lose see nothing.
  *
- * <p>Invariants: an upstream whose port wasn't found closed is never taken for cold, whatever happens to connections.
+ * <p>Invariants: an upstream whose port no host found closed is never taken for cold, whatever happens to connections.
  * What was found holds for one start of the upstream; a new entry replaces it.
  *
  * <p>Example: the store is away. Upstream 3 crashes, this host loses a connection, and the port is closed. A second
@@ -43,20 +46,26 @@
     /** Longer than any outage of the store; replaced as soon as the upstream is back. */
     private static final Duration WHILE_CLOSED = Duration.ofDays(1);
 
+    /** Reports are repeated while a port stays closed, in less than this. */
+    private static final Duration REPORT_VALIDITY = Duration.ofSeconds(10);
+
     private final UpstreamProbe probe;
+    private final PortListener listener;
     private final TimerService timer;
     private final Consumer<SteeringState> subscriber;
     /** Monotonic time until which an upstream counts as cold, by its start. */
-    private final Map<String, Long> coldUntilByStart = new HashMap<>();
+    private final Map<UpstreamStart, Long> coldUntilByStart = new HashMap<>();
 
-    private final Set<String> probing = new HashSet<>();
+    private final Set<UpstreamStart> probing = new HashSet<>();
     /** Starts whose port was closed when last looked at. */
-    private final Set<String> closed = new HashSet<>();
+    private final Set<UpstreamStart> closed = new HashSet<>();
 
     private SteeringState stored = SteeringState.empty();
 
-    private RestartedUpstreams(UpstreamProbe probe, TimerService timer, Consumer<SteeringState> subscriber) {
+    private RestartedUpstreams(
+            UpstreamProbe probe, PortListener listener, TimerService timer, Consumer<SteeringState> subscriber) {
         this.probe = probe;
+        this.listener = listener;
         this.timer = timer;
         this.subscriber = subscriber;
     }
@@ -65,18 +74,19 @@
      * Creates an instance that knows of no restart.
      *
      * @param probe tries to connect to an upstream
+     * @param listener gets what this host finds of ports
      * @param timer clock and scheduler
      * @param subscriber gets the state with what this host has found, each time that either changes
      */
     public static RestartedUpstreams create(
-            UpstreamProbe probe, TimerService timer, Consumer<SteeringState> subscriber) {
-        return new RestartedUpstreams(probe, timer, subscriber);
+            UpstreamProbe probe, PortListener listener, TimerService timer, Consumer<SteeringState> subscriber) {
+        return new RestartedUpstreams(probe, listener, timer, subscriber);
     }
 
     /** Takes a new state of the store into account. */
     public void stateChanged(SteeringState next) {
         stored = next;
-        Set<String> starts = new HashSet<>();
+        Set<UpstreamStart> starts = new HashSet<>();
         next.upstreams().values().forEach(list -> list.forEach(upstream -> starts.add(startOf(upstream))));
         long now = timer.nowNanos();
         closed.retainAll(starts);
@@ -98,14 +108,14 @@
     }
 
     private void onProbe(LiveUpstream upstream, UpstreamProbe.Result result, Duration nextDelay) {
-        String start = startOf(upstream);
-        if (result == UpstreamProbe.Result.REFUSED && closed.add(start)) {
-            LOG.info("event=upstream_ended id={} start={}", upstream.name(), upstream.startMillis());
-            setColdFor(upstream, WHILE_CLOSED);
+        UpstreamStart start = startOf(upstream);
+        if (result == UpstreamProbe.Result.REFUSED) {
+            foundClosed(upstream);
         } else if (result == UpstreamProbe.Result.ACCEPTED && closed.remove(start)) {
             Duration cold = coldPeriod(upstream);
             LOG.info("event=upstream_started_again id={} cold_ms={}", upstream.name(), cold.toMillis());
-            setColdFor(upstream, cold);
+            setColdFor(start, cold);
+            listener.found(start, true);
         }
         if (closed.contains(start)) {
             timer.after(nextDelay, () -> probeAgain(upstream, nextDelay));
@@ -114,6 +124,41 @@
         }
     }
 
+    private void foundClosed(LiveUpstream upstream) {
+        UpstreamStart start = startOf(upstream);
+        if (closed.add(start)) {
+            LOG.info("event=upstream_ended id={} start={}", upstream.name(), upstream.startMillis());
+            setColdFor(start, WHILE_CLOSED);
+        }
+        listener.found(start, false);
+    }
+
+    /**
+     * Takes into account what another host has found of an upstream's port. What this host finds itself counts more.
+     *
+     * @param start start of the upstream for which it was found
+     * @param open false if nothing listens at the port; true if something does again
+     */
+    public void portReported(UpstreamStart start, boolean open) {
+        Optional<LiveUpstream> upstream = current(start);
+        if (upstream.isEmpty() || closed.contains(start)) {
+            return;
+        }
+        Duration cold = coldPeriod(upstream.get());
+        if (cold.isZero()) {
+            return;
+        }
+        LOG.info("event=upstream_port_reported id={} start={} open={}", start.upstream(), start.startMillis(), open);
+        setColdFor(start, open ? cold : REPORT_VALIDITY);
+    }
+
+    private Optional<LiveUpstream> current(UpstreamStart start) {
+        return stored.upstreams().values().stream()
+                .flatMap(List::stream)
+                .filter(upstream -> startOf(upstream).equals(start))
+                .findFirst();
+    }
+
     private void probeAgain(LiveUpstream upstream, Duration delay) {
         boolean current = stored.upstream(upstream.upstream().service(), upstream.name())
                 .filter(live -> live.startMillis() == upstream.startMillis())
@@ -127,8 +172,8 @@
         probe(upstream, doubled.compareTo(MAX_PROBE_DELAY) < 0 ? doubled : MAX_PROBE_DELAY);
     }
 
-    private void setColdFor(LiveUpstream upstream, Duration time) {
-        coldUntilByStart.put(startOf(upstream), timer.nowNanos() + time.toNanos());
+    private void setColdFor(UpstreamStart start, Duration time) {
+        coldUntilByStart.put(start, timer.nowNanos() + time.toNanos());
         publish();
     }
 
@@ -163,8 +208,7 @@
                 .orElse(Duration.ZERO);
     }
 
-    /** Identifies one start of an upstream. */
-    private static String startOf(LiveUpstream upstream) {
-        return upstream.name() + "@" + upstream.startMillis();
+    private static UpstreamStart startOf(LiveUpstream upstream) {
+        return new UpstreamStart(upstream.name(), upstream.startMillis());
     }
 }
--- a/src/main/java/org/arbutusfield/wire/gen/ControlMessage.java
+++ b/src/main/java/org/arbutusfield/wire/gen/ControlMessage.java
@@ -30,6 +30,8 @@
   private static final org.apache.thrift.protocol.TField SUSPECT_LIST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectList", org.apache.thrift.protocol.TType.STRUCT, (short)51);
   private static final org.apache.thrift.protocol.TField QUOTA_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("quotaRequest", org.apache.thrift.protocol.TType.STRUCT, (short)60);
   private static final org.apache.thrift.protocol.TField QUOTA_RESPONSE_FIELD_DESC = new org.apache.thrift.protocol.TField("quotaResponse", org.apache.thrift.protocol.TType.STRUCT, (short)61);
+  private static final org.apache.thrift.protocol.TField PORT_REPORT_FIELD_DESC = new org.apache.thrift.protocol.TField("portReport", org.apache.thrift.protocol.TType.STRUCT, (short)70);
+  private static final org.apache.thrift.protocol.TField PORT_REPORT_RECEIVED_FIELD_DESC = new org.apache.thrift.protocol.TField("portReportReceived", org.apache.thrift.protocol.TType.STRUCT, (short)71);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -53,7 +55,9 @@
     CRASH_REPORT((short)50, "crashReport"),
     SUSPECT_LIST((short)51, "suspectList"),
     QUOTA_REQUEST((short)60, "quotaRequest"),
-    QUOTA_RESPONSE((short)61, "quotaResponse");
+    QUOTA_RESPONSE((short)61, "quotaResponse"),
+    PORT_REPORT((short)70, "portReport"),
+    PORT_REPORT_RECEIVED((short)71, "portReportReceived");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -111,6 +115,10 @@
           return QUOTA_REQUEST;
         case 61: // QUOTA_RESPONSE
           return QUOTA_RESPONSE;
+        case 70: // PORT_REPORT
+          return PORT_REPORT;
+        case 71: // PORT_REPORT_RECEIVED
+          return PORT_REPORT_RECEIVED;
         default:
           return null;
       }
@@ -198,6 +206,10 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, QuotaRequest.class)));
     tmpMap.put(_Fields.QUOTA_RESPONSE, new org.apache.thrift.meta_data.FieldMetaData("quotaResponse", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, QuotaResponse.class)));
+    tmpMap.put(_Fields.PORT_REPORT, new org.apache.thrift.meta_data.FieldMetaData("portReport", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PortReport.class)));
+    tmpMap.put(_Fields.PORT_REPORT_RECEIVED, new org.apache.thrift.meta_data.FieldMetaData("portReportReceived", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PortReportReceived.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ControlMessage.class, metaDataMap);
   }
@@ -344,6 +356,18 @@
     return x;
   }
 
+  public static ControlMessage portReport(PortReport value) {
+    ControlMessage x = new ControlMessage();
+    x.setPortReport(value);
+    return x;
+  }
+
+  public static ControlMessage portReportReceived(PortReportReceived value) {
+    ControlMessage x = new ControlMessage();
+    x.setPortReportReceived(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -453,6 +477,16 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type QuotaResponse for field 'quotaResponse', but got " + value.getClass().getSimpleName());
+      case PORT_REPORT:
+        if (value instanceof PortReport) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type PortReport for field 'portReport', but got " + value.getClass().getSimpleName());
+      case PORT_REPORT_RECEIVED:
+        if (value instanceof PortReportReceived) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type PortReportReceived for field 'portReportReceived', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -673,6 +707,26 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case PORT_REPORT:
+          if (field.type == PORT_REPORT_FIELD_DESC.type) {
+            PortReport portReport;
+            portReport = new PortReport();
+            portReport.read(iprot);
+            return portReport;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case PORT_REPORT_RECEIVED:
+          if (field.type == PORT_REPORT_RECEIVED_FIELD_DESC.type) {
+            PortReportReceived portReportReceived;
+            portReportReceived = new PortReportReceived();
+            portReportReceived.read(iprot);
+            return portReportReceived;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -769,6 +823,14 @@
         QuotaResponse quotaResponse = (QuotaResponse)value_;
         quotaResponse.write(oprot);
         return;
+      case PORT_REPORT:
+        PortReport portReport = (PortReport)value_;
+        portReport.write(oprot);
+        return;
+      case PORT_REPORT_RECEIVED:
+        PortReportReceived portReportReceived = (PortReportReceived)value_;
+        portReportReceived.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -884,6 +946,16 @@
           quotaResponse = new QuotaResponse();
           quotaResponse.read(iprot);
           return quotaResponse;
+        case PORT_REPORT:
+          PortReport portReport;
+          portReport = new PortReport();
+          portReport.read(iprot);
+          return portReport;
+        case PORT_REPORT_RECEIVED:
+          PortReportReceived portReportReceived;
+          portReportReceived = new PortReportReceived();
+          portReportReceived.read(iprot);
+          return portReportReceived;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -979,6 +1051,14 @@
         QuotaResponse quotaResponse = (QuotaResponse)value_;
         quotaResponse.write(oprot);
         return;
+      case PORT_REPORT:
+        PortReport portReport = (PortReport)value_;
+        portReport.write(oprot);
+        return;
+      case PORT_REPORT_RECEIVED:
+        PortReportReceived portReportReceived = (PortReportReceived)value_;
+        portReportReceived.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -1029,6 +1109,10 @@
         return QUOTA_REQUEST_FIELD_DESC;
       case QUOTA_RESPONSE:
         return QUOTA_RESPONSE_FIELD_DESC;
+      case PORT_REPORT:
+        return PORT_REPORT_FIELD_DESC;
+      case PORT_REPORT_RECEIVED:
+        return PORT_REPORT_RECEIVED_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -1324,6 +1408,32 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.QUOTA_RESPONSE");
   }
 
+  public PortReport getPortReport() {
+    if (getSetField() == _Fields.PORT_REPORT) {
+      return (PortReport)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'portReport' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setPortReport(PortReport value) {
+    setField_ = _Fields.PORT_REPORT;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.PORT_REPORT");
+  }
+
+  public PortReportReceived getPortReportReceived() {
+    if (getSetField() == _Fields.PORT_REPORT_RECEIVED) {
+      return (PortReportReceived)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'portReportReceived' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setPortReportReceived(PortReportReceived value) {
+    setField_ = _Fields.PORT_REPORT_RECEIVED;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.PORT_REPORT_RECEIVED");
+  }
+
   public boolean isSetRefusal() {
     return setField_ == _Fields.REFUSAL;
   }
@@ -1429,6 +1539,16 @@
   }
 
 
+  public boolean isSetPortReport() {
+    return setField_ == _Fields.PORT_REPORT;
+  }
+
+
+  public boolean isSetPortReportReceived() {
+    return setField_ == _Fields.PORT_REPORT_RECEIVED;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof ControlMessage) {
       return equals((ControlMessage)other);
--- a/src/main/thrift/control.thrift
+++ b/src/main/thrift/control.thrift
@@ -238,6 +238,17 @@
   2: i64 retryMicros
 }
 
+// Tells that the port of an upstream was found closed, or open again after that. `relayed`: the receiver need not pass it on.
+struct PortReport {
+  1: EndedUpstream upstream
+  2: bool open
+  3: bool relayed
+}
+
+// The response to a port report.
+struct PortReportReceived {
+}
+
 union ControlMessage {
   1: Refusal refusal
   2: Heartbeat heartbeat
@@ -260,6 +271,8 @@
   51: SuspectList suspectList
   60: QuotaRequest quotaRequest
   61: QuotaResponse quotaResponse
+  70: PortReport portReport
+  71: PortReportReceived portReportReceived
 }
 
 // The content of one frame. `kind`: 0 one-way, 1 request, 2 response.
--- a/src/test/java/org/arbutusfield/edge/ColdUpstreamRateTest.java
+++ b/src/test/java/org/arbutusfield/edge/ColdUpstreamRateTest.java
@@ -7,9 +7,11 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.IntStream;
 import org.arbutusfield.proxy.AttemptOutcome;
 import org.arbutusfield.proxy.PlacementTarget;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -38,6 +40,12 @@
 
     private SteeringFleet fleet;
 
+    /** Times in milliseconds, which are also the seeds. */
+    static IntStream timesDown() {
+        return IntStream.concat(
+                IntStream.iterate(300, down -> down < 2_700, down -> down + 60), IntStream.of(500, 1_000, 3_000));
+    }
+
     private void startHosts(Random random) {
         fleet = SteeringFleet.create(RATE, random);
         fleet.startHosts(HOSTS);
@@ -133,7 +141,7 @@
      * new entry because the store is away.
      */
     @ParameterizedTest
-    @ValueSource(ints = {500, 1000, 3000})
+    @MethodSource("timesDown")
     void upstreamThatStartsAgainWhileTheStoreIsAwayIsNotFlooded(int downMillis) {
         Random random = new Random(downMillis);
         startHosts(random);
--- a/src/test/java/org/arbutusfield/edge/SteeringHost.java
+++ b/src/test/java/org/arbutusfield/edge/SteeringHost.java
@@ -23,6 +23,7 @@
 import org.arbutusfield.quota.QuotaServer;
 import org.arbutusfield.quota.UpstreamQuota;
 import org.arbutusfield.reach.Forwardings;
+import org.arbutusfield.reach.PortReports;
 import org.arbutusfield.reach.RestartedUpstreams;
 import org.arbutusfield.state.ContentStore;
 import org.arbutusfield.state.FaultyStore;
@@ -119,7 +120,15 @@
                 (request, choice) -> {},
                 process);
         StateCache cache = StateCache.create(PlatformItemDecoder.create(), Map.of("d", "g"));
-        restarts = RestartedUpstreams.create(this::probe, process, this::install);
+        PortReports reports = PortReports.create(
+                name,
+                () -> state,
+                (peer, message, timeout) -> fleet.call(this, peer, message, timeout),
+                (start, open) -> restarts.portReported(start, open),
+                process,
+                fleet.random);
+        reports.register(handlers);
+        restarts = RestartedUpstreams.create(this::probe, reports, process, this::install);
         watcher = StoreWatcher.start(
                 client, process, cache, SteeringFleet.MAX_PROPAGATION_DELAY, health, restarts::stateChanged);
     }
--- a/src/test/java/org/arbutusfield/reach/RestartedUpstreamsTest.java
+++ b/src/test/java/org/arbutusfield/reach/RestartedUpstreamsTest.java
@@ -17,6 +17,7 @@
 import org.arbutusfield.route.ServicePolicy;
 import org.arbutusfield.state.LiveUpstream;
 import org.arbutusfield.state.SteeringState;
+import org.arbutusfield.state.UpstreamStart;
 import org.arbutusfield.store.StoreRevision;
 import org.arbutusfield.timer.VirtualTimer;
 import org.junit.jupiter.api.BeforeEach;
@@ -34,7 +35,7 @@
 
     private final VirtualTimer timer = VirtualTimer.create();
     private final RestartedUpstreams restarts =
-            RestartedUpstreams.create(this::probe, timer, state -> published = state);
+            RestartedUpstreams.create(this::probe, (found, open) -> {}, timer, state -> published = state);
     private SteeringState published = SteeringState.empty();
     private Result port = Result.ACCEPTED;
     private int probes;
@@ -197,4 +198,27 @@
         assertThat(probes).isZero();
         assertThat(cold("u1")).isFalse();
     }
+
+    /** Guards against the flood of an upstream by a host that had no connection to lose when it ended. */
+    @Test
+    void upstreamThatAnotherHostFoundClosedIsColdUntilItsColdPeriodHasPassedAfterItsReturn() {
+        UpstreamStart start = new UpstreamStart("u1", 1);
+        restarts.portReported(start, false);
+        assertThat(cold("u1")).isTrue();
+        assertThat(cold("u2")).isFalse();
+        timer.advance(Duration.ofSeconds(5));
+        restarts.portReported(start, true);
+        timer.advance(COLD_PERIOD.minus(MILLISECOND));
+        assertThat(cold("u1")).isTrue();
+        timer.advance(MILLISECOND.multipliedBy(2));
+        assertThat(cold("u1")).isFalse();
+    }
+
+    /** A report about an earlier start says nothing about the present one. */
+    @Test
+    void reportAboutAnEarlierStartIsIgnored() {
+        restarts.stateChanged(state(2, COLD_PERIOD));
+        restarts.portReported(new UpstreamStart("u1", 1), false);
+        assertThat(cold("u1")).isFalse();
+    }
 }
