--- a/src/main/java/org/arbutusfield/edge/HostRegistrar.java
+++ b/src/main/java/org/arbutusfield/edge/HostRegistrar.java
@@ -116,14 +116,23 @@
     private void writeAgain(StoreLease held) {
         HostEntry written = self;
         putEntry(written, held)
-                .thenAccept(done -> done.peekLeft(failure -> {
-                    LOG.warn("event=registration_not_changed host={} code={}", self.name(), failure.code());
-                    timer.after(RETRY_DELAY, () -> {
-                        if (registered && isHeld(held) && self.equals(written)) {
-                            writeAgain(held);
-                        }
-                    });
-                }));
+                .thenAccept(done -> done.peek(revision -> onWrittenAgain(held, revision))
+                        .peekLeft(failure -> onNotWrittenAgain(held, written, failure)));
+    }
+
+    private void onWrittenAgain(StoreLease held, StoreRevision revision) {
+        if (registered && isHeld(held)) {
+            registeredRevision = revision;
+        }
+    }
+
+    private void onNotWrittenAgain(StoreLease held, HostEntry written, Failure failure) {
+        LOG.warn("event=registration_not_changed host={} code={}", self.name(), failure.code());
+        timer.after(RETRY_DELAY, () -> {
+            if (registered && isHeld(held) && self.equals(written)) {
+                writeAgain(held);
+            }
+        });
     }
 
     /** Writes the entry in place of the one that this host knows or, if that has changed, of the one that is there. */
--- a/src/main/java/org/arbutusfield/quota/Leadership.java
+++ b/src/main/java/org/arbutusfield/quota/Leadership.java
@@ -28,6 +28,9 @@
  * that returns from a copy loses entries before their leases end; a host leads in a new era, or after its start, only
  * when all leases of earlier eras must have ended.
  *
+ * <p>Limit: a call of an earlier era that is carried out late in a new one may meet an entry of the same revision and a
+ * lease of the same number, and bind the entry to that lease. The host stops leading as soon as it has read that.
+ *
  * <p>Example: entries of hosts a, b and c were created at revisions 7, 9 and 12; a leads. It is paused. When its lease
  * has ended the store removes its entry, b reads that, and leads. When a resumes it finds its lease ended, registers
  * again at revision 40, and is the youngest.
@@ -96,7 +99,11 @@
     }
 
     private boolean leadsWith(HeldRegistration held) {
-        boolean oldest = state.leader().filter(host -> host.name().equals(self)).isPresent();
+        boolean oldest = state.leader()
+                .filter(host -> host.entry().name().equals(self))
+                // Otherwise a call of an earlier era, carried out late, has bound the entry to another lease.
+                .filter(host -> host.revision() == held.revision().number())
+                .isPresent();
         boolean earlierLeasesEnded = timer.nowNanos() - eraFirstSeenNanos >= leaseDuration.toNanos();
         return oldest && earlierLeasesEnded && state.revision().includes(held.revision());
     }
--- a/src/main/java/org/arbutusfield/quota/QuotaClient.java
+++ b/src/main/java/org/arbutusfield/quota/QuotaClient.java
@@ -15,6 +15,7 @@
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.state.HostEntry;
+import org.arbutusfield.state.RegisteredHost;
 import org.arbutusfield.state.SteeringState;
 import org.arbutusfield.timer.TimerService;
 import org.arbutusfield.wire.ControlTransport;
@@ -97,7 +98,7 @@
 
     @Override
     public boolean mayAsk(String upstream) {
-        Optional<HostEntry> leader = state.get().leader();
+        Optional<HostEntry> leader = leader();
         if (leader.isEmpty() || asking.contains(upstream) || inBackoff(leader.get())) {
             return false;
         }
@@ -107,7 +108,7 @@
 
     @Override
     public CompletableFuture<Optional<QuotaGrant>> ask(String upstream, double perSecond) {
-        Optional<HostEntry> leader = state.get().leader();
+        Optional<HostEntry> leader = leader();
         if (leader.isEmpty()) {
             observer.accept(QuotaOutcome.NO_LEADER);
             return CompletableFuture.completedFuture(Optional.empty());
@@ -121,6 +122,10 @@
         });
     }
 
+    private Optional<HostEntry> leader() {
+        return state.get().leader().map(RegisteredHost::entry);
+    }
+
     private CompletableFuture<Either<Failure, QuotaDecision>> decide(
             HostEntry leader, String upstream, double perSecond) {
         if (leader.name().equals(self)) {
--- a/src/main/java/org/arbutusfield/state/StateCache.java
+++ b/src/main/java/org/arbutusfield/state/StateCache.java
@@ -175,9 +175,7 @@
                 Map.copyOf(byService),
                 Set.copyOf(drained),
                 hosts.values().stream().map(RegisteredHost::entry).toList(),
-                hosts.values().stream()
-                        .min(Comparator.comparingLong(RegisteredHost::createdRevision))
-                        .map(RegisteredHost::entry),
+                hosts.values().stream().min(Comparator.comparingLong(RegisteredHost::createdRevision)),
                 Map.copyOf(homes),
                 suspects.values().stream()
                         .collect(Collectors.toUnmodifiableMap(SuspectRequest::fingerprint, suspect -> suspect)),
@@ -202,7 +200,7 @@
                 LOG.info("event=domain_drained key={} revision={}", item.key(), item.revision());
             }
         } else if (decoded instanceof StateItem.HostRegistration host) {
-            hosts.put(item.key(), new RegisteredHost(host.entry(), item.createdRevision()));
+            hosts.put(item.key(), new RegisteredHost(host.entry(), item.revision(), item.createdRevision()));
         } else if (decoded instanceof StateItem.Homes stored) {
             homes.put(stored.service(), stored.upstreams());
         } else if (decoded instanceof StateItem.Suspect suspect) {
@@ -319,9 +317,6 @@
                 WeightedRendezvous.hash(entry.id()));
     }
 
-    /** The entry of a host, and the revision since which it has existed. */
-    private record RegisteredHost(HostEntry entry, long createdRevision) {}
-
     /** The entry of an upstream and what this host recorded about it. */
     private static final class TrackedUpstream {
         private final UpstreamEntry entry;
--- a/src/main/java/org/arbutusfield/state/SteeringState.java
+++ b/src/main/java/org/arbutusfield/state/SteeringState.java
@@ -26,7 +26,7 @@
         Map<String, List<LiveUpstream>> upstreams,
         Set<String> drainedDomains,
         List<HostEntry> hosts,
-        Optional<HostEntry> leader,
+        Optional<RegisteredHost> leader,
         Map<String, Map<Long, String>> homes,
         Map<String, SuspectRequest> suspects,
         StoreRevision revision) {
--- a/src/test/java/org/arbutusfield/steering/UpstreamRateLimitTest.java
+++ b/src/test/java/org/arbutusfield/steering/UpstreamRateLimitTest.java
@@ -30,6 +30,7 @@
 import org.arbutusfield.route.WeightedService;
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.LiveUpstream;
+import org.arbutusfield.state.RegisteredHost;
 import org.arbutusfield.state.SteeringState;
 import org.arbutusfield.store.StoreRevision;
 import org.arbutusfield.timer.VirtualTimer;
@@ -160,7 +161,7 @@
                 Map.of("desk", upstreams),
                 Set.of(),
                 entries,
-                Optional.of(entries.get(0)),
+                Optional.of(new RegisteredHost(entries.get(0), 1, 1)),
                 Map.of(),
                 Map.of(),
                 StoreRevision.NONE);
