--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -201,10 +201,11 @@
     }
 
     private void createQuota(ControlClient client, ControlHandlers handlers) {
-        leadership = Leadership.create(
+        leadership = Leadership.start(
                 settings.name(),
                 () -> Optional.ofNullable(registrar).flatMap(HostRegistrar::held),
                 HostRegistrar.LEASE_DURATION,
+                store,
                 timer);
         QuotaServer server = QuotaServer.start(leadership, timer);
         server.register(handlers);
--- a/src/main/java/org/arbutusfield/platform/PlatformItemDecoder.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformItemDecoder.java
@@ -22,6 +22,7 @@
 import org.arbutusfield.state.HomesCodec;
 import org.arbutusfield.state.HostEntryCodec;
 import org.arbutusfield.state.ItemDecoder;
+import org.arbutusfield.state.SettledEraCodec;
 import org.arbutusfield.state.StateItem;
 import org.arbutusfield.state.SuspectCodec;
 import org.arbutusfield.state.UpstreamEntry;
@@ -51,6 +52,9 @@
         if (key.startsWith(SuspectCodec.PREFIX)) {
             return SuspectCodec.decode(key, value);
         }
+        if (key.equals(SettledEraCodec.KEY)) {
+            return SettledEraCodec.decode(value);
+        }
         if (key.startsWith(EVACUATION_PREFIX)) {
             return Either.right(new StateItem.DomainDrain(key.substring(EVACUATION_PREFIX.length())));
         }
--- a/src/main/java/org/arbutusfield/quota/Leadership.java
+++ b/src/main/java/org/arbutusfield/quota/Leadership.java
@@ -7,16 +7,18 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.state.HeldRegistration;
+import org.arbutusfield.state.SettledEraCodec;
 import org.arbutusfield.state.SteeringState;
 import org.arbutusfield.store.StoreLease;
 import org.arbutusfield.store.StoreRevision;
+import org.arbutusfield.store.WatchableStore;
 import org.arbutusfield.timer.TimerService;
 
 /**
  * Decides whether this host leads: whether its registration has existed for longest among those of all hosts.
  *
  * <p>Problem: at most one host may lead at any time, although hosts read the store late, are paused or cut off, and the
- * store may return from an older copy. No call may be needed for it that isn't made anyway.
+ * store may return from an older copy. It may cost hardly a call that isn't made anyway.
  *
  * <p>Idea: every host already has an entry in the store under a lease that it renews, and the store numbers the entries
  * in the order of their creation. The oldest one leads. It needs to know only its own entry for certain; that no older
@@ -40,9 +42,15 @@
 public final class Leadership implements LeaderTerm {
     private static final Logger LOG = LogManager.getLogger(Leadership.class);
 
+    /** Also the pause between tries to write. Longer than a change takes to come back to this host. */
+    private static final Duration CHECK_PERIOD = Duration.ofSeconds(2);
+
+    private static final long NO_LEASE = 0;
+
     private final String self;
     private final Supplier<Optional<HeldRegistration>> registration;
     private final Duration leaseDuration;
+    private final WatchableStore store;
     private final TimerService timer;
     private SteeringState state = SteeringState.empty();
     private long eraFirstSeenNanos;
@@ -52,27 +60,33 @@
             String self,
             Supplier<Optional<HeldRegistration>> registration,
             Duration leaseDuration,
+            WatchableStore store,
             TimerService timer) {
         this.self = self;
         this.registration = registration;
         this.leaseDuration = leaseDuration;
+        this.store = store;
         this.timer = timer;
     }
 
     /**
-     * Creates the leadership of a host that has read nothing yet.
+     * Starts the leadership of a host that has read nothing yet.
      *
      * @param self name of this host
      * @param registration supplies the registration that this host certainly has now
      * @param leaseDuration duration of the leases of all hosts' registrations
-     * @param timer monotonic clock
+     * @param store keeps the settled era
+     * @param timer clock and scheduler
      */
-    public static Leadership create(
+    public static Leadership start(
             String self,
             Supplier<Optional<HeldRegistration>> registration,
             Duration leaseDuration,
+            WatchableStore store,
             TimerService timer) {
-        return new Leadership(self, registration, leaseDuration, timer);
+        Leadership leadership = new Leadership(self, registration, leaseDuration, store, timer);
+        timer.every(CHECK_PERIOD, leadership::check);
+        return leadership;
     }
 
     /** Takes a new state of the store into account. */
@@ -100,12 +114,32 @@
 
     private boolean leadsWith(HeldRegistration held) {
         boolean oldest = state.leader()
+                .host()
                 .filter(host -> host.entry().name().equals(self))
                 // Otherwise a call of an earlier era, carried out late, has bound the entry to another lease.
                 .filter(host -> host.revision() == held.revision().number())
                 .isPresent();
-        boolean earlierLeasesEnded = timer.nowNanos() - eraFirstSeenNanos >= leaseDuration.toNanos();
-        return oldest && earlierLeasesEnded && state.revision().includes(held.revision());
+        return oldest && earlierLeasesEnded() && state.revision().includes(held.revision());
+    }
+
+    private boolean earlierLeasesEnded() {
+        return eraIsSettled() || timer.nowNanos() - eraFirstSeenNanos >= leaseDuration.toNanos();
+    }
+
+    private boolean eraIsSettled() {
+        long era = state.revision().era();
+        return era != StoreRevision.UNKNOWN_ERA && state.leader().settledEra() == era;
+    }
+
+    /** Writes that the era is settled, once this host leads in it. */
+    private void check() {
+        long era = state.revision().era();
+        if (startNanos().isEmpty() || era == StoreRevision.UNKNOWN_ERA || eraIsSettled()) {
+            return;
+        }
+        store.put(SettledEraCodec.KEY, SettledEraCodec.encode(era), NO_LEASE)
+                .thenAccept(done -> done.peekLeft(
+                        failure -> LOG.warn("event=settled_era_not_written era={} code={}", era, failure.code())));
     }
 
     private void startTerm(StoreLease lease) {
--- a/src/main/java/org/arbutusfield/quota/QuotaClient.java
+++ b/src/main/java/org/arbutusfield/quota/QuotaClient.java
@@ -123,7 +123,7 @@
     }
 
     private Optional<HostEntry> leader() {
-        return state.get().leader().map(RegisteredHost::entry);
+        return state.get().leader().host().map(RegisteredHost::entry);
     }
 
     private CompletableFuture<Either<Failure, QuotaDecision>> decide(
--- a/src/main/java/org/arbutusfield/state/StateCache.java
+++ b/src/main/java/org/arbutusfield/state/StateCache.java
@@ -63,6 +63,7 @@
 
     private final DepartedUpstreams departed = DepartedUpstreams.create();
     private long era = StoreRevision.UNKNOWN_ERA;
+    private long settledEra = StoreRevision.UNKNOWN_ERA;
     private Optional<RouteTable> routes = Optional.empty();
 
     private StateCache(ItemDecoder decoder, Map<String, String> regions) {
@@ -175,7 +176,9 @@
                 Map.copyOf(byService),
                 Set.copyOf(drained),
                 hosts.values().stream().map(RegisteredHost::entry).toList(),
-                hosts.values().stream().min(Comparator.comparingLong(RegisteredHost::createdRevision)),
+                new LeaderView(
+                        hosts.values().stream().min(Comparator.comparingLong(RegisteredHost::createdRevision)),
+                        settledEra),
                 Map.copyOf(homes),
                 suspects.values().stream()
                         .collect(Collectors.toUnmodifiableMap(SuspectRequest::fingerprint, suspect -> suspect)),
@@ -203,6 +206,8 @@
             hosts.put(item.key(), new RegisteredHost(host.entry(), item.revision(), item.createdRevision()));
         } else if (decoded instanceof StateItem.Homes stored) {
             homes.put(stored.service(), stored.upstreams());
+        } else if (decoded instanceof StateItem.SettledEra settled) {
+            settledEra = settled.era();
         } else if (decoded instanceof StateItem.Suspect suspect) {
             suspects.put(item.key(), suspect.request());
         } else if (decoded instanceof StateItem.UpstreamRegistration report) {
--- a/src/main/java/org/arbutusfield/state/StateItem.java
+++ b/src/main/java/org/arbutusfield/state/StateItem.java
@@ -49,6 +49,13 @@
      */
     record Suspect(SuspectRequest request) implements StateItem {}
 
+    /**
+     * The settled era, see {@link LeaderView}.
+     *
+     * @param era number of the era
+     */
+    record SettledEra(long era) implements StateItem {}
+
     /** An item that is not used. */
     record Other() implements StateItem {}
 }
--- a/src/main/java/org/arbutusfield/state/SteeringState.java
+++ b/src/main/java/org/arbutusfield/state/SteeringState.java
@@ -16,7 +16,7 @@
  * @param upstreams upstreams that may get requests, by service, sorted by name
  * @param drainedDomains failure domains whose upstreams get no requests
  * @param hosts live entry hosts, sorted by name
- * @param leader the host whose registration has existed for longest; empty if no host is registered
+ * @param leader what the store tells about the leader
  * @param homes stored homes of objects by service: names of upstreams by object key
  * @param suspects requests under which upstreams ended, by fingerprint
  * @param revision revision of the store that the snapshot reflects
@@ -26,7 +26,7 @@
         Map<String, List<LiveUpstream>> upstreams,
         Set<String> drainedDomains,
         List<HostEntry> hosts,
-        Optional<RegisteredHost> leader,
+        LeaderView leader,
         Map<String, Map<Long, String>> homes,
         Map<String, SuspectRequest> suspects,
         StoreRevision revision) {
@@ -40,7 +40,7 @@
             Map<String, Map<Long, String>> homes,
             Map<String, SuspectRequest> suspects,
             StoreRevision revision) {
-        this(routes, upstreams, drainedDomains, hosts, Optional.empty(), homes, suspects, revision);
+        this(routes, upstreams, drainedDomains, hosts, LeaderView.NONE, homes, suspects, revision);
     }
 
     /** Returns the state before anything was read from the store. */
@@ -50,7 +50,7 @@
                 Map.of(),
                 Set.of(),
                 List.of(),
-                Optional.empty(),
+                LeaderView.NONE,
                 Map.of(),
                 Map.of(),
                 StoreRevision.NONE);
--- a/src/test/java/org/arbutusfield/edge/ColdUpstreamBoundTest.java
+++ b/src/test/java/org/arbutusfield/edge/ColdUpstreamBoundTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.Random;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -40,6 +41,8 @@
             for (int i = 0; i < COLD_UPSTREAMS; i++) {
                 fleet.remove("u-" + round + "-" + i);
             }
+            // Otherwise hosts that have not read the removal would send to upstreams that are warm by now.
+            fleet.timer.advance(SteeringFleet.MAX_PROPAGATION_DELAY);
         }
         assertThat((double) fleet.maxPerSecond()).isLessThanOrEqualTo(tolerated(perSecond));
         assertThat(fleet.total()).isPositive();
@@ -61,4 +64,25 @@
             assertThat((double) fleet.maxPerSecond()).isLessThanOrEqualTo(tolerated(perSecond));
         }
     }
+
+    /**
+     * Guards against cold upstreams that get nothing for as long as a lease lasts, each time that the host that counts
+     * for them is killed and starts again.
+     */
+    @Test
+    void coldUpstreamsGetRequestsSoonAfterTheLeaderHasStartedAgain() {
+        SteeringFleet fleet = SteeringFleet.create(2.6, new Random(3));
+        fleet.startHosts(16);
+        fleet.timer.advance(SteeringFleet.REGISTRATION);
+        fleet.hosts.stream()
+                .filter(SteeringHost::leads)
+                .findFirst()
+                .orElseThrow()
+                .start();
+        coldStarts(fleet, 0);
+        fleet.sendEagerly(SteeringFleet.COLD_PERIOD);
+        double used = fleet.total() / (2.6 * SteeringFleet.COLD_PERIOD.toSeconds() * COLD_UPSTREAMS);
+        assertThat(used).isGreaterThan(0.5);
+        assertThat((double) fleet.maxPerSecond()).isLessThanOrEqualTo(tolerated(2.6));
+    }
 }
--- a/src/test/java/org/arbutusfield/edge/SteeringHost.java
+++ b/src/test/java/org/arbutusfield/edge/SteeringHost.java
@@ -94,10 +94,11 @@
                 process);
         HostRetryBudget retryBudget =
                 HostRetryBudget.create(RETRY_BUDGET, () -> state.hosts().size(), process);
-        leadership = Leadership.create(
+        leadership = Leadership.start(
                 name,
                 () -> Optional.ofNullable(registrar).flatMap(HostRegistrar::held),
                 HostRegistrar.LEASE_DURATION,
+                client,
                 process);
         QuotaServer quotaServer = QuotaServer.start(leadership, process);
         quotaServer.register(handlers);
--- a/src/test/java/org/arbutusfield/quota/QuotaFleet.java
+++ b/src/test/java/org/arbutusfield/quota/QuotaFleet.java
@@ -15,6 +15,7 @@
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.state.HostEntry;
+import org.arbutusfield.state.LeaderView;
 import org.arbutusfield.state.RegisteredHost;
 import org.arbutusfield.state.SteeringState;
 import org.arbutusfield.store.StoreRevision;
@@ -62,7 +63,7 @@
                 Map.of(),
                 Set.of(),
                 List.of(leader),
-                Optional.of(new RegisteredHost(leader, 1, 1)),
+                new LeaderView(Optional.of(new RegisteredHost(leader, 1, 1)), 0),
                 Map.of(),
                 Map.of(),
                 StoreRevision.NONE);
--- a/src/test/java/org/arbutusfield/steering/UpstreamRateLimitTest.java
+++ b/src/test/java/org/arbutusfield/steering/UpstreamRateLimitTest.java
@@ -29,6 +29,7 @@
 import org.arbutusfield.route.Route;
 import org.arbutusfield.route.WeightedService;
 import org.arbutusfield.state.HostEntry;
+import org.arbutusfield.state.LeaderView;
 import org.arbutusfield.state.LiveUpstream;
 import org.arbutusfield.state.RegisteredHost;
 import org.arbutusfield.state.SteeringState;
@@ -161,7 +162,7 @@
                 Map.of("desk", upstreams),
                 Set.of(),
                 entries,
-                Optional.of(new RegisteredHost(entries.get(0), 1, 1)),
+                new LeaderView(Optional.of(new RegisteredHost(entries.get(0), 1, 1)), 0),
                 Map.of(),
                 Map.of(),
                 StoreRevision.NONE);
