--- a/src/main/java/org/arbutusfield/edge/HostRegistrar.java
+++ b/src/main/java/org/arbutusfield/edge/HostRegistrar.java
@@ -32,6 +32,7 @@
  */
 final class HostRegistrar {
     private static final Logger LOG = LogManager.getLogger(HostRegistrar.class);
+    /** Duration of the lease that the entry of each host is bound to. */
     static final Duration LEASE_DURATION = Duration.ofMillis(4500);
     /** Covers that clocks run at slightly different rates. */
     private static final Duration LEASE_MARGIN = Duration.ofMillis(250);
@@ -74,9 +75,7 @@
     /** Returns the registration, if this host certainly has one now. */
     Optional<HeldRegistration> held() {
         boolean certain = registered && !leaving && leaseEndNanos - timer.nowNanos() > 0;
-        return certain
-                ? lease.map(held -> new HeldRegistration(held, registeredRevision, leaseEndNanos))
-                : Optional.empty();
+        return certain ? lease.map(held -> new HeldRegistration(held, registeredRevision)) : Optional.empty();
     }
 
     /** Writes the entry again if the store no longer has it. */
--- a/src/main/java/org/arbutusfield/quota/Leadership.java
+++ b/src/main/java/org/arbutusfield/quota/Leadership.java
@@ -18,7 +18,7 @@
  * Decides whether this host leads: whether its registration has existed for longest among those of all hosts.
  *
  * <p>Problem: at most one host may lead at any time, although hosts read the store late, are paused or cut off, and the
- * store may return from an older copy. It may cost hardly a call that isn't made anyway.
+ * store may return from an older copy. It should cost hardly any calls beyond those made anyway.
  *
  * <p>Idea: every host already has an entry in the store under a lease that it renews, and the store numbers the entries
  * in the order of their creation. The oldest one leads. It needs to know only its own entry for certain; that no older
@@ -28,7 +28,8 @@
  * until the end of its lease by its own clock, which is before the end by the store's. The younger host has read a
  * state that includes its own entry, so it has also read the older one, which existed before and exists still. A store
  * that returns from a copy loses entries before their leases end; a host leads in a new era, or after its start, only
- * when all leases of earlier eras must have ended.
+ * when all leases of earlier eras must have ended. The first leader of an era writes that this is so, which spares
+ * others the wait.
  *
  * <p>Limit: a call of an earlier era that is carried out late in a new one may meet an entry of the same revision and a
  * lease of the same number, and bind the entry to that lease. The host stops leading as soon as it has read that.
