Review case 5: servers that become cold again are flooded

Cause: after one change of the store the next is read up to 1.25 s later, so the second and further servers that become cold get their usual load meanwhile. The stand-in servers now change their entries only when more than the sequence changes. Nothing is fixed.

--- a/review/src/Kit.java
+++ b/review/src/Kit.java
@@ -510,12 +510,15 @@
                 + "ms\",\"attempts\":" + attempts + ",\"allowed_regions\":[]}}";
     }
 
+    /** Requests a second that a cold server of any service tolerates. */
+    static double coldPerSecond = 2.6;
+
     static void configure(Store store, int version, List<String> services, String... routes) {
         List<String> upstreams = new ArrayList<>();
         for (String service : services) {
             upstreams.add("{\"name\":" + quote(service)
                     + ",\"health_path\":\"/health\",\"max_connections\":813,\"protocol\":\"h1\",\"tls\":false,"
-                    + "\"cold_start\":\"3s\",\"cold_per_s\":2.6}");
+                    + "\"cold_start\":\"3s\",\"cold_per_s\":" + coldPerSecond + "}");
         }
         store.put(
                 "op/config",
@@ -561,6 +564,7 @@
         final long born = System.currentTimeMillis() - 60_000;
         private final Behaviour behaviour;
         private final ServerSocket listener;
+        private final List<Socket> connections = new CopyOnWriteArrayList<>();
         private int sequence;
         volatile int receiveBuffer;
         volatile boolean headOnly;
@@ -580,31 +584,44 @@
                 while (true) {
                     Socket connection = listener.accept();
                     connection.setTcpNoDelay(true);
+                    connections.add(connection);
                     spawn("connection of " + id, () -> serve(connection));
                 }
             });
         }
 
-        /** Registers the server and renews its entry as PROTOCOL.md says. */
+        /** Registers the server. Its entry stays as it is while nothing but its sequence changes. */
         void register(String address) {
-            spawn("beat " + id, () -> {
-                while (true) {
-                    sequence++;
-                    store.put(
-                            "servers/" + id,
-                            "{\"address\":" + quote(address) + ",\"born\":" + born + ",\"details\":{\"service\":"
-                                    + quote(service) + ",\"version\":\"v1\",\"zone\":" + quote(zone)
-                                    + ",\"slots\":20},\"status\":{\"state\":\"ready\",\"sequence\":" + sequence
-                                    + ",\"cold_remaining\":\"0ms\"}}");
-                    sleep(1500);
-                }
-            });
+            report(address, 0);
+        }
+
+        /** Reports that the server is cold for a time, or warm if that is zero. */
+        void report(String address, int coldMs) {
+            sequence++;
+            store.put(
+                    "servers/" + id,
+                    "{\"address\":" + quote(address) + ",\"born\":" + born + ",\"details\":{\"service\":" + quote(service)
+                            + ",\"version\":\"v1\",\"zone\":" + quote(zone)
+                            + ",\"slots\":20},\"status\":{\"state\":\"ready\",\"sequence\":" + sequence
+                            + ",\"cold_remaining\":\"" + coldMs + "ms\"}}");
         }
 
         String address() {
             return ip + ":" + port;
         }
 
+        /** Ends the server as a crash does: its connections are closed, and its port. */
+        void crash() {
+            try {
+                listener.close();
+                for (Socket connection : connections) {
+                    connection.close();
+                }
+            } catch (IOException e) {
+                say("server " + id + " could not close: " + e);
+            }
+        }
+
         private boolean serve(Socket connection) throws Exception {
             try (connection) {
                 InputStream in = connection.getInputStream();
@@ -625,6 +642,8 @@
                 }
             } catch (IOException e) {
                 return false;
+            } finally {
+                connections.remove(connection);
             }
         }
     }
