--- a/src/main/java/org/arbutusfield/quota/QuotaServer.java
+++ b/src/main/java/org/arbutusfield/quota/QuotaServer.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.timer.TimerService;
@@ -23,6 +25,7 @@
  * <p>Runs on one event loop.
  */
 public final class QuotaServer {
+    private static final Logger LOG = LogManager.getLogger(QuotaServer.class);
     private static final Duration SWEEP_PERIOD = Duration.ofMinutes(1);
     /** The rate may change at any time. */
     private static final Duration NO_RATE_RETRY = Duration.ofSeconds(1);
@@ -74,8 +77,11 @@
             return Either.right(QuotaDecision.refuse(NO_RATE_RETRY));
         }
         beginTerm(start.getAsLong());
-        OptionalLong wait = buckets.computeIfAbsent(upstream, name -> TokenBucket.emptyAt(bucketsTermNanos))
-                .tryTake(perSecond, timer.nowNanos());
+        TokenBucket bucket = buckets.computeIfAbsent(upstream, name -> TokenBucket.emptyAt(bucketsTermNanos));
+        if (bucket.lastPerSecond() != perSecond) {
+            LOG.info("event=quota_rate id={} per_second={} before={}", upstream, perSecond, bucket.lastPerSecond());
+        }
+        OptionalLong wait = bucket.tryTake(perSecond, timer.nowNanos());
         return Either.right(
                 wait.isEmpty() ? QuotaDecision.grant() : QuotaDecision.refuse(Duration.ofNanos(wait.getAsLong())));
     }
--- a/src/main/java/org/arbutusfield/quota/TokenBucket.java
+++ b/src/main/java/org/arbutusfield/quota/TokenBucket.java
@@ -18,6 +18,7 @@
 
     private double tokens;
     private long updatedNanos;
+    private double lastPerSecond;
 
     private TokenBucket(long startNanos) {
         this.updatedNanos = startNanos;
@@ -38,6 +39,7 @@
     OptionalLong tryTake(double perSecond, long nowNanos) {
         tokens = Math.min(CAPACITY, tokens + (nowNanos - updatedNanos) * perSecond / NANOS_PER_SECOND);
         updatedNanos = nowNanos;
+        lastPerSecond = perSecond;
         if (tokens < 1 - ROUNDING) {
             return OptionalLong.of((long) Math.ceil((1 - tokens) * NANOS_PER_SECOND / perSecond));
         }
@@ -45,6 +47,11 @@
         return OptionalLong.empty();
     }
 
+    /** Rate of the last call; 0 if there was none. */
+    double lastPerSecond() {
+        return lastPerSecond;
+    }
+
     /** Monotonic time of the last call. */
     long updatedNanos() {
         return updatedNanos;
--- a/src/test/java/org/arbutusfield/proxy/UpstreamNoticeReaderTest.java
+++ b/src/test/java/org/arbutusfield/proxy/UpstreamNoticeReaderTest.java
@@ -1,6 +1,7 @@
 package org.arbutusfield.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
 
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
@@ -14,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Notices in responses, with values that upstreams should not send. */
 class UpstreamNoticeReaderTest {
@@ -121,4 +123,35 @@
         assertThat(UpstreamNoticeReader.read(response(status, "Limit", value), UPSTREAM, related, NAMES))
                 .isEqualTo(expected);
     }
+
+    /** Guards against a limit that goes unread because of the form in which its number is printed. */
+    @ParameterizedTest
+    @CsvSource({
+        "2.2800000000000002, 2.28",
+        "0.30000000000000004, 0.3",
+        "1.9999999999999999999999999999999999999999, 2",
+        "00000000000000000001.5, 1.5",
+        ".5, 0.5",
+        "5., 5",
+        "+2, 2",
+        "' 1.5 ', 1.5",
+        "1.5E0, 1.5",
+        "25e-1, 2.5",
+        "1e-9, 0.000000001",
+    })
+    void rateLimitIsReadInEachFormOfADecimalNumber(String value, double perSecond) {
+        List<UpstreamNotice> notices = UpstreamNoticeReader.read(response(200, "Limit", value), UPSTREAM, true, NAMES);
+        assertThat(notices).hasSize(1);
+        UpstreamNotice.RateLimit limit = (UpstreamNotice.RateLimit) notices.get(0);
+        assertThat(limit.perSecond()).isCloseTo(perSecond, within(1e-9));
+    }
+
+    /** Guards against an upstream in need that gets its usual load because what it names can't be read. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"-1", "NaN", "Infinity", "1,5", "", "soon", "1.5 per second", "0x10", "1d", "--2", "1e", "."})
+    void rateLimitThatCannotBeReadIsTakenForTheLowest(String value) {
+        assertThat(UpstreamNoticeReader.read(response(200, "Limit", value), UPSTREAM, true, NAMES))
+                .isEqualTo(List.of(new UpstreamNotice.RateLimit(0)));
+    }
 }
--- a/src/test/java/org/arbutusfield/steering/UpstreamRateLimitTest.java
+++ b/src/test/java/org/arbutusfield/steering/UpstreamRateLimitTest.java
@@ -70,6 +70,10 @@
 
     private long arrivals;
     private Optional<Double> namedRate = Optional.empty();
+    private Duration responseTime = RESPONSE_TIME;
+    private double loadPerUpstream = REQUESTS_PER_UPSTREAM;
+    /** Time at which the responses arrive that don't name a limit, if it is later. */
+    private long heldUntilNanos;
 
     /** One host. */
     private final class Host {
@@ -108,7 +112,11 @@
             if (target.name().equals(LIMITED)) {
                 recordArrival();
             }
-            timer.after(RESPONSE_TIME, () -> respond(target));
+            timer.after(responseTime, () -> {
+                Optional<Double> named = target.name().equals(LIMITED) ? namedRate : Optional.empty();
+                long held = named.isPresent() || !target.name().equals(LIMITED) ? 0 : heldUntilNanos - timer.nowNanos();
+                timer.after(Duration.ofNanos(Math.max(0, held)), () -> receive(target, named));
+            });
         }
 
         private void recordArrival() {
@@ -121,14 +129,14 @@
             }
         }
 
-        private void respond(PlacementTarget target) {
-            if (target.name().equals(LIMITED) && namedRate.isPresent()) {
-                target.permit().noticed(new UpstreamNotice.RateLimit(namedRate.get()));
+        private void receive(PlacementTarget target, Optional<Double> named) {
+            if (named.isPresent()) {
+                target.permit().noticed(new UpstreamNotice.RateLimit(named.get()));
                 toldNanos = toldNanos.or(() -> Optional.of(timer.nowNanos()));
             } else {
                 target.permit().noticed(new UpstreamNotice.NoRateLimit());
             }
-            target.permit().release(AttemptOutcome.COMPLETED, RESPONSE_TIME.toNanos());
+            target.permit().release(AttemptOutcome.COMPLETED, responseTime.toNanos());
         }
     }
 
@@ -192,9 +200,9 @@
     /** Sends the load of all callers for some time and returns how many requests reached the limited upstream. */
     private long load(Duration time, Random random) {
         long before = arrivals;
-        double sendsPerStep = UPSTREAMS * REQUESTS_PER_UPSTREAM * STEP.toMillis() / 1000.0;
+        double sendsPerStep = UPSTREAMS * loadPerUpstream * STEP.toMillis() / 1000.0;
         for (long end = timer.nowNanos() + time.toNanos(); timer.nowNanos() < end; timer.advance(STEP)) {
-            if (random.nextDouble() < sendsPerStep) {
+            for (double left = sendsPerStep; random.nextDouble() < left; left--) {
                 hosts.get(random.nextInt(hosts.size())).send("object-" + random.nextInt(OBJECTS));
             }
         }
@@ -244,4 +252,70 @@
         long afterwards = load(Duration.ofSeconds(20), random);
         assertThat((double) afterwards).isGreaterThan(20 * REQUESTS_PER_UPSTREAM / 2);
     }
+
+    private static double tolerated(double perSecond) {
+        return perSecond * 1.5 * WINDOW.toSeconds() + 5;
+    }
+
+    /** Guards against hosts that know an earlier, higher limit and use up the new one for all. */
+    @ParameterizedTest
+    @CsvSource({"8, 1, 640", "4, 0.5, 640", "6, 1.5, 640", "6, 1.5, 300", "8, 1, 2500", "2, 0.3, 640"})
+    void sumOverAllHostsKeepsALimitThatFalls(double before, double after, int responseMillis) {
+        responseTime = Duration.ofMillis(responseMillis);
+        for (int seed = 0; seed < 5; seed++) {
+            Random random = new Random(seed);
+            hosts.clear();
+            boundArrivals.clear();
+            startHosts(20);
+            load(Duration.ofSeconds(5), random);
+            namedRate = Optional.of(before);
+            load(Duration.ofSeconds(12), random);
+            namedRate = Optional.of(after);
+            long fall = timer.nowNanos();
+            load(Duration.ofSeconds(30), random);
+            namedRate = Optional.empty();
+            assertThat((double) mostInOneWindow(fall + SETTLING.plus(WINDOW).toNanos()))
+                    .as("seed %s", seed)
+                    .isLessThanOrEqualTo(tolerated(after));
+        }
+    }
+
+    /**
+     * Guards against a response that was sent before the limit was named, arrives later, and ends it: the host then
+     * sends all its load until its next response.
+     */
+    @ParameterizedTest
+    @CsvSource({"2.28, 640", "2.28, 5000", "0.5, 2500"})
+    void lateResponseWithoutTheLimitDoesNotEndIt(double perSecond, int responseMillis) {
+        loadPerUpstream = 15;
+        responseTime = Duration.ofMillis(responseMillis);
+        Random random = new Random(1);
+        startHosts(20);
+        load(Duration.ofSeconds(15), random);
+        heldUntilNanos = timer.nowNanos() + Duration.ofSeconds(16).toNanos();
+        load(Duration.ofSeconds(6), random);
+        namedRate = Optional.of(perSecond);
+        long start = timer.nowNanos();
+        load(Duration.ofSeconds(25), random);
+        assertThat((double) mostInOneWindow(
+                        start + SETTLING.plus(WINDOW).plus(responseTime).toNanos()))
+                .isLessThanOrEqualTo(tolerated(perSecond));
+    }
+
+    /** Guards against a limit whose end each host learns by itself, which takes as long as all of them need a turn. */
+    @ParameterizedTest
+    @CsvSource({"20, 1.5, 640", "95, 1.5, 640", "20, 0.5, 640", "20, 2.28, 2500"})
+    void allHostsKnowTheEndOfALimitSoonAfterOneHasHeardIt(int hostCount, double perSecond, int responseMillis) {
+        responseTime = Duration.ofMillis(responseMillis);
+        Random random = new Random(1);
+        startHosts(hostCount);
+        load(Duration.ofSeconds(5), random);
+        namedRate = Optional.of(perSecond);
+        load(Duration.ofSeconds(20), random);
+        namedRate = Optional.empty();
+        // One request after the last response with the limit, and its response.
+        load(Duration.ofSeconds(1).plusMillis((long) (2000 / perSecond)).plus(responseTime.multipliedBy(2)), random);
+        long afterwards = load(Duration.ofSeconds(10), random);
+        assertThat((double) afterwards).isGreaterThan(10 * REQUESTS_PER_UPSTREAM / 2);
+    }
 }
