--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -34,9 +34,11 @@
 import org.arbutusfield.proxy.upstream.UpstreamProbe;
 import org.arbutusfield.quarantine.RequestQuarantine;
 import org.arbutusfield.quota.Leadership;
+import org.arbutusfield.quota.LimitBroadcast;
 import org.arbutusfield.quota.QuotaClient;
 import org.arbutusfield.quota.QuotaServer;
 import org.arbutusfield.quota.UpstreamQuota;
+import org.arbutusfield.reach.HostBroadcast;
 import org.arbutusfield.reach.PeerForwarding;
 import org.arbutusfield.reach.PortReports;
 import org.arbutusfield.reach.RestartedUpstreams;
@@ -207,10 +209,13 @@
                 HostRegistrar.LEASE_DURATION,
                 store,
                 timer);
-        QuotaServer server = QuotaServer.start(leadership, timer);
+        HostBroadcast broadcast = HostBroadcast.of(settings.name(), () -> state, client);
+        QuotaServer server = QuotaServer.start(leadership, LimitBroadcast.of(broadcast), timer, new SplittableRandom());
         server.register(handlers);
-        quota = QuotaClient.create(
+        QuotaClient quotaClient = QuotaClient.create(
                 settings.name(), () -> state, client, server, QuotaMetrics.of(registry)::count, timer);
+        quotaClient.register(handlers);
+        quota = quotaClient;
     }
 
     private void createRestartDetection(ControlClient client, ControlHandlers handlers) {
@@ -242,7 +247,6 @@
                 timer,
                 new SplittableRandom());
         placement = SteeringPlacement.create(
-                settings.name(),
                 settings.region(),
                 () -> state,
                 homeResolver,
--- a/src/main/java/org/arbutusfield/quota/QuotaClient.java
+++ b/src/main/java/org/arbutusfield/quota/QuotaClient.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -17,15 +18,18 @@
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.RegisteredHost;
 import org.arbutusfield.state.SteeringState;
+import org.arbutusfield.state.UpstreamStart;
 import org.arbutusfield.timer.TimerService;
+import org.arbutusfield.wire.ControlHandlers;
 import org.arbutusfield.wire.ControlTransport;
 import org.arbutusfield.wire.PeerAddress;
 import org.arbutusfield.wire.gen.ControlMessage;
-import org.arbutusfield.wire.gen.QuotaRequest;
-import org.arbutusfield.wire.gen.QuotaResponse;
+import org.arbutusfield.wire.gen.LimitAnnouncementReceived;
+import org.arbutusfield.wire.gen.LimitReport;
 
 /**
- * Asks the leader for permissions to send requests to limited upstreams.
+ * Asks the leader for permissions to send requests to limited upstreams, and tells it what their responses say of their
+ * limits.
  *
  * <p>Without a leader that answers there are no permissions. A limited upstream then gets nothing, which is safe, and
  * lasts for about as long as an upstream is cold.
@@ -46,7 +50,6 @@
     /** Without this, requests would wait for a leader that has gone until the store removes its entry. */
     private static final Duration LEADER_BACKOFF = Duration.ofMillis(500);
 
-    private static final long NANOS_PER_MICRO = 1_000;
     /** Bounds the memory; what is forgotten costs a question. */
     private static final int MAX_REFUSALS = 20_000;
 
@@ -56,6 +59,7 @@
     private final QuotaServer localServer;
     private final Consumer<QuotaOutcome> observer;
     private final TimerService timer;
+    private final LimitKnowledge knowledge = LimitKnowledge.create();
     private final Set<String> asking = new HashSet<>();
     private final Map<String, Long> refusedUntilNanos = new HashMap<>();
     private Optional<String> silentLeader = Optional.empty();
@@ -107,50 +111,122 @@
     }
 
     @Override
-    public CompletableFuture<Optional<QuotaGrant>> ask(String upstream, double perSecond) {
+    public CompletableFuture<Optional<QuotaGrant>> ask(UpstreamStart upstream, OptionalDouble coldPerSecond) {
         Optional<HostEntry> leader = leader();
         if (leader.isEmpty()) {
             observer.accept(QuotaOutcome.NO_LEADER);
             return CompletableFuture.completedFuture(Optional.empty());
         }
         long askedNanos = timer.nowNanos();
-        asking.add(upstream);
-        return decide(leader.get(), upstream, perSecond).thenApply(decision -> {
-            asking.remove(upstream);
+        long heardBefore = knowledge.heardCount(upstream);
+        asking.add(upstream.upstream());
+        QuotaQuestion question = QuotaQuestion.of(knowledge.limit(upstream), coldPerSecond);
+        return decide(leader.get(), question).thenApply(decision -> {
+            asking.remove(upstream.upstream());
+            decision.toJavaOptional()
+                    .flatMap(QuotaDecision::limit)
+                    .ifPresent(limit -> knowledge.told(upstream, limit, heardBefore));
             return decision.fold(
-                    failure -> leaderFailed(leader.get(), failure), known -> apply(upstream, askedNanos, known));
+                    failure -> leaderFailed(leader.get(), failure),
+                    known -> apply(upstream.upstream(), askedNanos, known));
         });
     }
 
+    @Override
+    public OptionalDouble namedRate(UpstreamStart upstream) {
+        return knowledge.limit(upstream).rate();
+    }
+
+    @Override
+    public void heard(UpstreamStart upstream, OptionalDouble perSecond, Optional<QuotaGrant> grant) {
+        Optional<LimitVersion> version = grant.flatMap(QuotaGrant::version);
+        if (perSecond.isPresent()) {
+            knowledge.heard(upstream, perSecond.getAsDouble(), timer.nowNanos());
+            report(new UpstreamLimit(upstream, perSecond, version));
+            return;
+        }
+        boolean limited = knowledge.limit(upstream).perSecond().isPresent();
+        if (!limited || grant.isEmpty()) {
+            return;
+        }
+        if (version.isPresent()) {
+            report(new UpstreamLimit(upstream, perSecond, version));
+        } else {
+            knowledge.notNamed(upstream, grant.get().askedNanos());
+        }
+    }
+
+    /** Registers the handler for what the leader announces. */
+    public void register(ControlHandlers handlers) {
+        handlers.register(ControlMessage._Fields.LIMIT_ANNOUNCEMENT, message -> {
+            knowledge.announced(
+                    UpstreamLimit.decode(message.getLimitAnnouncement().getLimit()));
+            return CompletableFuture.completedFuture(Either.<Failure, ControlMessage>right(
+                    ControlMessage.limitAnnouncementReceived(new LimitAnnouncementReceived())));
+        });
+    }
+
+    /** Tells the leader what a response said. If that fails, the next question tells what this host believes. */
+    private void report(UpstreamLimit report) {
+        Optional<HostEntry> leader = leader();
+        if (leader.isEmpty()) {
+            return;
+        }
+        long heardBefore = knowledge.heardCount(report.upstream());
+        send(leader.get(), report)
+                .thenAccept(told -> told.peek(limit -> knowledge.told(report.upstream(), limit, heardBefore))
+                        .peekLeft(failure -> LOG.info(
+                                "event=limit_not_reported id={} leader={} code={}",
+                                report.upstream().upstream(),
+                                leader.get().name(),
+                                failure.code())));
+    }
+
+    private CompletableFuture<Either<Failure, UpstreamLimit>> send(HostEntry leader, UpstreamLimit report) {
+        if (leader.name().equals(self)) {
+            return CompletableFuture.completedFuture(localServer.report(report));
+        }
+        ControlMessage message = ControlMessage.limitReport(new LimitReport(report.encode()));
+        return transport
+                .call(PeerAddress.parse(leader.controlAddress()), message, TIMEOUT)
+                .thenApply(response -> response.flatMap(QuotaClient::reported));
+    }
+
+    private static Either<Failure, UpstreamLimit> reported(ControlMessage message) {
+        return message.isSetLimitReportReceived()
+                ? Either.right(
+                        UpstreamLimit.decode(message.getLimitReportReceived().getLimit()))
+                : Either.left(Failure.of(ErrorCode.MESSAGE_UNKNOWN));
+    }
+
     private Optional<HostEntry> leader() {
         return state.get().leader().host().map(RegisteredHost::entry);
     }
 
-    private CompletableFuture<Either<Failure, QuotaDecision>> decide(
-            HostEntry leader, String upstream, double perSecond) {
+    private CompletableFuture<Either<Failure, QuotaDecision>> decide(HostEntry leader, QuotaQuestion question) {
         if (leader.name().equals(self)) {
-            return CompletableFuture.completedFuture(localServer.decide(upstream, perSecond));
+            return CompletableFuture.completedFuture(localServer.decide(question));
         }
-        ControlMessage message = ControlMessage.quotaRequest(new QuotaRequest(upstream, perSecond));
         return transport
-                .call(PeerAddress.parse(leader.controlAddress()), message, TIMEOUT)
+                .call(
+                        PeerAddress.parse(leader.controlAddress()),
+                        ControlMessage.quotaRequest(question.encode()),
+                        TIMEOUT)
                 .thenApply(response -> response.flatMap(QuotaClient::decision));
     }
 
     private static Either<Failure, QuotaDecision> decision(ControlMessage message) {
-        if (!message.isSetQuotaResponse()) {
-            return Either.left(Failure.of(ErrorCode.MESSAGE_UNKNOWN));
-        }
-        QuotaResponse response = message.getQuotaResponse();
-        Duration retryAfter = Duration.ofNanos(Math.max(0, response.getRetryMicros()) * NANOS_PER_MICRO);
-        return Either.right(response.isGranted() ? QuotaDecision.grant() : QuotaDecision.refuse(retryAfter));
+        return message.isSetQuotaResponse()
+                ? Either.right(QuotaDecision.decode(message.getQuotaResponse()))
+                : Either.left(Failure.of(ErrorCode.MESSAGE_UNKNOWN));
     }
 
     private Optional<QuotaGrant> apply(String upstream, long askedNanos, QuotaDecision decision) {
         silentLeader = Optional.empty();
         if (decision.granted()) {
             observer.accept(QuotaOutcome.GRANTED);
-            return Optional.of(new QuotaGrant(askedNanos + VALIDITY.toNanos()));
+            Optional<LimitVersion> version = decision.limit().flatMap(UpstreamLimit::version);
+            return Optional.of(new QuotaGrant(askedNanos, askedNanos + VALIDITY.toNanos(), version));
         }
         observer.accept(QuotaOutcome.REFUSED);
         discardExpired();
--- a/src/main/java/org/arbutusfield/quota/TokenBucket.java
+++ b/src/main/java/org/arbutusfield/quota/TokenBucket.java
@@ -4,7 +4,8 @@
 
 /**
  * Counts the requests that may be sent to one upstream. Tokens accrue at the upstream's rate up to a small number, and
- * each request takes one. In any time {@code t} at most {@code CAPACITY + t * rate} tokens are taken.
+ * each request takes one. In any time {@code t} at most {@code CAPACITY + t * rate} tokens are taken, with the integral
+ * of the rate in place of the product where it changes.
  *
  * <p>Not thread-safe.
  */
@@ -30,14 +31,16 @@
     }
 
     /**
-     * Takes a token.
+     * Takes a token. Since the rate may have changed at any time since the last call, tokens have accrued at the lower
+     * one of this rate and the last.
      *
-     * @param perSecond rate of the upstream since the last call; more than zero
+     * @param perSecond rate of the upstream now; more than zero
      * @param nowNanos current monotonic time
      * @return empty if a token was taken, else the time until there is one, in nanoseconds
      */
     OptionalLong tryTake(double perSecond, long nowNanos) {
-        tokens = Math.min(CAPACITY, tokens + (nowNanos - updatedNanos) * perSecond / NANOS_PER_SECOND);
+        double accrualPerSecond = lastPerSecond > 0 ? Math.min(lastPerSecond, perSecond) : perSecond;
+        tokens = Math.min(CAPACITY, tokens + (nowNanos - updatedNanos) * accrualPerSecond / NANOS_PER_SECOND);
         updatedNanos = nowNanos;
         lastPerSecond = perSecond;
         if (tokens < 1 - ROUNDING) {
--- a/src/main/java/org/arbutusfield/reach/PortReports.java
+++ b/src/main/java/org/arbutusfield/reach/PortReports.java
@@ -52,12 +52,11 @@
     private static final Duration TIMEOUT = Duration.ofMillis(300);
     /** One may be gone and one may be slow to answer. */
     private static final int RELAYS = 3;
-    /** Larger fleets learn from the store alone, because a host can't keep a connection to each of the others. */
-    private static final int MAX_HOSTS = 500;
 
     private final String self;
     private final Supplier<SteeringState> state;
     private final ControlTransport transport;
+    private final HostBroadcast broadcast;
     private final PortListener receiver;
     private final TimerService timer;
     private final RandomGenerator random;
@@ -74,6 +73,7 @@
         this.self = self;
         this.state = state;
         this.transport = transport;
+        this.broadcast = HostBroadcast.of(self, state, transport);
         this.receiver = receiver;
         this.timer = timer;
         this.random = random;
@@ -111,8 +111,9 @@
     @Override
     public void found(UpstreamStart start, boolean open) {
         Report report = new Report(start, open);
-        int hosts = state.get().hosts().size();
-        if (quiet(report) || hosts <= 1 || hosts > MAX_HOSTS) {
+        boolean alone = state.get().hosts().size() <= 1;
+        // Larger fleets learn from the store alone.
+        if (quiet(report) || alone || !broadcast.reachesAll()) {
             return;
         }
         timer.after(Duration.ofMillis(random.nextInt(MAX_DELAY_MILLIS)), () -> {
@@ -151,15 +152,11 @@
     }
 
     private void passOn(Report report) {
-        ControlMessage message = message(report, true);
-        for (HostEntry host : state.get().hosts()) {
-            if (!host.name().equals(self)) {
-                transport
-                        .call(PeerAddress.parse(host.controlAddress()), message, TIMEOUT)
-                        .thenAccept(response -> response.peekLeft(failure -> LOG.debug(
-                                "event=port_report_not_received host={} code={}", host.name(), failure.code())));
-            }
-        }
+        broadcast.send(
+                message(report, true),
+                TIMEOUT,
+                (host, response) -> response.peekLeft(failure ->
+                        LOG.debug("event=port_report_not_received host={} code={}", host.name(), failure.code())));
     }
 
     /** Returns the hosts that may pass a report on, in the order in which they are tried. */
--- a/src/main/java/org/arbutusfield/reach/RestartedUpstreams.java
+++ b/src/main/java/org/arbutusfield/reach/RestartedUpstreams.java
@@ -87,7 +87,7 @@
     public void stateChanged(SteeringState next) {
         stored = next;
         Set<UpstreamStart> starts = new HashSet<>();
-        next.upstreams().values().forEach(list -> list.forEach(upstream -> starts.add(startOf(upstream))));
+        next.upstreams().values().forEach(list -> list.forEach(upstream -> starts.add(upstream.start())));
         long now = timer.nowNanos();
         closed.retainAll(starts);
         coldUntilByStart.entrySet().removeIf(known -> !starts.contains(known.getKey()) || known.getValue() - now <= 0);
@@ -97,7 +97,7 @@
     /** Called when connections to an address were lost, can't be opened, or can be opened again. */
     public void mayHaveRestarted(InetSocketAddress address) {
         for (LiveUpstream upstream : upstreamsAt(address)) {
-            if (!coldPeriod(upstream).isZero() && probing.add(startOf(upstream))) {
+            if (!coldPeriod(upstream).isZero() && probing.add(upstream.start())) {
                 probe(upstream, FIRST_PROBE_DELAY);
             }
         }
@@ -108,7 +108,7 @@
     }
 
     private void onProbe(LiveUpstream upstream, UpstreamProbe.Result result, Duration nextDelay) {
-        UpstreamStart start = startOf(upstream);
+        UpstreamStart start = upstream.start();
         if (result == UpstreamProbe.Result.REFUSED) {
             foundClosed(upstream);
         } else if (result == UpstreamProbe.Result.ACCEPTED && closed.remove(start)) {
@@ -125,7 +125,7 @@
     }
 
     private void foundClosed(LiveUpstream upstream) {
-        UpstreamStart start = startOf(upstream);
+        UpstreamStart start = upstream.start();
         if (closed.add(start)) {
             LOG.info("event=upstream_ended id={} start={}", upstream.name(), upstream.startMillis());
             setColdFor(start, WHILE_CLOSED);
@@ -155,7 +155,7 @@
     private Optional<LiveUpstream> current(UpstreamStart start) {
         return stored.upstreams().values().stream()
                 .flatMap(List::stream)
-                .filter(upstream -> startOf(upstream).equals(start))
+                .filter(upstream -> upstream.start().equals(start))
                 .findFirst();
     }
 
@@ -164,8 +164,8 @@
                 .filter(live -> live.startMillis() == upstream.startMillis())
                 .isPresent();
         if (!current) {
-            probing.remove(startOf(upstream));
-            closed.remove(startOf(upstream));
+            probing.remove(upstream.start());
+            closed.remove(upstream.start());
             return;
         }
         Duration doubled = delay.multipliedBy(2);
@@ -182,7 +182,7 @@
     }
 
     private LiveUpstream withRestart(LiveUpstream upstream) {
-        Long coldUntil = coldUntilByStart.get(startOf(upstream));
+        Long coldUntil = coldUntilByStart.get(upstream.start());
         boolean longer = coldUntil != null && coldUntil - upstream.coldUntilNanos() > 0;
         return longer ? upstream.withColdUntil(coldUntil) : upstream;
     }
@@ -207,8 +207,4 @@
                 .map(ServicePolicy::coldPeriod)
                 .orElse(Duration.ZERO);
     }
-
-    private static UpstreamStart startOf(LiveUpstream upstream) {
-        return new UpstreamStart(upstream.name(), upstream.startMillis());
-    }
 }
--- a/src/main/java/org/arbutusfield/state/LiveUpstream.java
+++ b/src/main/java/org/arbutusfield/state/LiveUpstream.java
@@ -21,6 +21,11 @@
         return upstream.name();
     }
 
+    /** Returns the start of the upstream that this is. */
+    public UpstreamStart start() {
+        return new UpstreamStart(name(), startMillis);
+    }
+
     /** Returns true while the upstream is cold. */
     public boolean cold(long nowNanos) {
         return coldUntilNanos - nowNanos > 0;
--- a/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
@@ -54,7 +54,6 @@
     private final Map<String, Integer> inFlight = new HashMap<>();
 
     private SteeringPlacement(
-            String self,
             String region,
             Supplier<SteeringState> state,
             HomeResolver homeResolver,
@@ -71,13 +70,12 @@
         this.observer = observer;
         this.timer = timer;
         this.fleetSize = retryBudget.fleetSize();
-        this.sharedRates = SharedRates.of(self, availability, fleetSize);
+        this.sharedRates = SharedRates.of(quota);
     }
 
     /**
      * Creates the placement of one host.
      *
-     * @param self name of the host
      * @param region region of the host
      * @param state supplies the current state
      * @param homeResolver resolves objects to upstreams
@@ -87,7 +85,6 @@
      * @param timer monotonic clock
      */
     public static SteeringPlacement create(
-            String self,
             String region,
             Supplier<SteeringState> state,
             HomeResolver homeResolver,
@@ -95,7 +92,7 @@
             PeerForwarding forwarding,
             PlacementObserver observer,
             TimerService timer) {
-        return new SteeringPlacement(self, region, state, homeResolver, limits, forwarding, observer, timer);
+        return new SteeringPlacement(region, state, homeResolver, limits, forwarding, observer, timer);
     }
 
     @Override
@@ -158,7 +155,7 @@
             return CompletableFuture.completedFuture(
                     Either.right(target(request, object, selection, Optional.empty(), UNLIMITED)));
         }
-        return quota.ask(selection.upstream().name(), rate.getAsDouble())
+        return quota.ask(selection.upstream().start(), sharedRates.coldRate(selection.upstream(), current, nanos))
                 .thenCompose(grant -> grant.isPresent()
                         ? CompletableFuture.completedFuture(
                                 Either.right(target(request, object, selection, grant, rate.getAsDouble())))
@@ -282,7 +279,13 @@
 
         @Override
         public void noticed(UpstreamNotice notice) {
-            availability.record(upstream, notice, timer.nowNanos());
+            if (notice instanceof UpstreamNotice.RateLimit limit) {
+                quota.heard(upstream.start(), OptionalDouble.of(limit.perSecond()), grant);
+            } else if (notice instanceof UpstreamNotice.NoRateLimit) {
+                quota.heard(upstream.start(), OptionalDouble.empty(), grant);
+            } else {
+                availability.record(upstream, notice, timer.nowNanos());
+            }
         }
     }
 }
--- a/src/main/java/org/arbutusfield/steering/UpstreamAvailability.java
+++ b/src/main/java/org/arbutusfield/steering/UpstreamAvailability.java
@@ -11,8 +11,8 @@
 import org.arbutusfield.state.LiveUpstream;
 
 /**
- * What upstreams say about themselves in their responses: which want no requests from this host, and which accept a
- * limited rate from all hosts.
+ * What upstreams say about themselves in their responses: which want no requests from this host, for some time or for
+ * good. The limits that they name are in the quota package.
  *
  * <p>A notice counts for the start of the upstream that sent it, and replaces those of earlier starts. An upstream that
  * leaves stays excluded for good, whatever the store or other hosts say of it, until it has started again. A pause
@@ -36,10 +36,6 @@
 
     /** Records a notice of an upstream. */
     void record(LiveUpstream upstream, UpstreamNotice notice, long nowNanos) {
-        if (notice instanceof UpstreamNotice.NoRateLimit) {
-            endRateLimit(upstream);
-            return;
-        }
         Notices known = noticesByName.get(upstream.name());
         boolean startKnown = upstream.startMillis() != 0;
         if (known != null && startKnown && known.startMillis > upstream.startMillis()) {
@@ -49,8 +45,6 @@
         Notices notices = noticesOf(upstream);
         if (notice instanceof UpstreamNotice.Pause pause) {
             recordPause(upstream, notices, pause.duration(), nowNanos);
-        } else if (notice instanceof UpstreamNotice.RateLimit limit) {
-            recordRateLimit(upstream, notices, limit.perSecond(), nowNanos);
         } else if (notice instanceof UpstreamNotice.Leaving && !notices.leaving) {
             notices.leaving = true;
             LOG.info("event=upstream_leaving id={} start={}", upstream.name(), upstream.startMillis());
@@ -81,13 +75,6 @@
         return pausing ? Optional.of(Duration.ofNanos(notices.pauseEndNanos - nowNanos)) : Optional.empty();
     }
 
-    /** Returns the limit that the upstream named last, unless a later response named none. */
-    Optional<RateLimit> rateLimit(LiveUpstream upstream) {
-        Notices notices = noticesByName.get(upstream.name());
-        boolean sameStart = notices != null && notices.startMillis == upstream.startMillis();
-        return sameStart ? notices.rateLimit : Optional.empty();
-    }
-
     private static void recordPause(LiveUpstream upstream, Notices notices, Duration duration, long nowNanos) {
         long end = nowNanos + duration.toNanos();
         if (!notices.pausing(nowNanos) || end - notices.pauseEndNanos > 0) {
@@ -97,24 +84,6 @@
         }
     }
 
-    private static void recordRateLimit(LiveUpstream upstream, Notices notices, double perSecond, long nowNanos) {
-        boolean changed = notices.rateLimit
-                .filter(limit -> limit.perSecond() == perSecond)
-                .isEmpty();
-        notices.rateLimit = Optional.of(new RateLimit(perSecond, nowNanos));
-        if (changed) {
-            LOG.info("event=upstream_rate_limited id={} per_second={}", upstream.name(), perSecond);
-        }
-    }
-
-    private void endRateLimit(LiveUpstream upstream) {
-        Notices notices = noticesByName.get(upstream.name());
-        if (notices != null && notices.startMillis == upstream.startMillis() && notices.rateLimit.isPresent()) {
-            notices.rateLimit = Optional.empty();
-            LOG.info("event=upstream_rate_limit_ended id={}", upstream.name());
-        }
-    }
-
     private Notices noticesOf(LiveUpstream upstream) {
         Notices notices = noticesByName.get(upstream.name());
         if (notices != null && notices.startMillis == upstream.startMillis()) {
@@ -131,21 +100,12 @@
         return created;
     }
 
-    /**
-     * A limit that an upstream named.
-     *
-     * @param perSecond requests per second from all hosts together; zero or more
-     * @param heardNanos monotonic time of the last response that named it
-     */
-    record RateLimit(double perSecond, long heardNanos) {}
-
     /** Notices of one start of an upstream. */
     private static final class Notices {
         private final long startMillis;
         private boolean leaving;
         private boolean paused;
         private long pauseEndNanos;
-        private Optional<RateLimit> rateLimit = Optional.empty();
 
         private Notices(long startMillis) {
             this.startMillis = startMillis;
--- a/src/main/java/org/arbutusfield/wire/gen/ControlMessage.java
+++ b/src/main/java/org/arbutusfield/wire/gen/ControlMessage.java
@@ -30,6 +30,10 @@
   private static final org.apache.thrift.protocol.TField SUSPECT_LIST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectList", org.apache.thrift.protocol.TType.STRUCT, (short)51);
   private static final org.apache.thrift.protocol.TField QUOTA_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("quotaRequest", org.apache.thrift.protocol.TType.STRUCT, (short)60);
   private static final org.apache.thrift.protocol.TField QUOTA_RESPONSE_FIELD_DESC = new org.apache.thrift.protocol.TField("quotaResponse", org.apache.thrift.protocol.TType.STRUCT, (short)61);
+  private static final org.apache.thrift.protocol.TField LIMIT_REPORT_FIELD_DESC = new org.apache.thrift.protocol.TField("limitReport", org.apache.thrift.protocol.TType.STRUCT, (short)62);
+  private static final org.apache.thrift.protocol.TField LIMIT_REPORT_RECEIVED_FIELD_DESC = new org.apache.thrift.protocol.TField("limitReportReceived", org.apache.thrift.protocol.TType.STRUCT, (short)63);
+  private static final org.apache.thrift.protocol.TField LIMIT_ANNOUNCEMENT_FIELD_DESC = new org.apache.thrift.protocol.TField("limitAnnouncement", org.apache.thrift.protocol.TType.STRUCT, (short)64);
+  private static final org.apache.thrift.protocol.TField LIMIT_ANNOUNCEMENT_RECEIVED_FIELD_DESC = new org.apache.thrift.protocol.TField("limitAnnouncementReceived", org.apache.thrift.protocol.TType.STRUCT, (short)65);
   private static final org.apache.thrift.protocol.TField PORT_REPORT_FIELD_DESC = new org.apache.thrift.protocol.TField("portReport", org.apache.thrift.protocol.TType.STRUCT, (short)70);
   private static final org.apache.thrift.protocol.TField PORT_REPORT_RECEIVED_FIELD_DESC = new org.apache.thrift.protocol.TField("portReportReceived", org.apache.thrift.protocol.TType.STRUCT, (short)71);
 
@@ -56,6 +60,10 @@
     SUSPECT_LIST((short)51, "suspectList"),
     QUOTA_REQUEST((short)60, "quotaRequest"),
     QUOTA_RESPONSE((short)61, "quotaResponse"),
+    LIMIT_REPORT((short)62, "limitReport"),
+    LIMIT_REPORT_RECEIVED((short)63, "limitReportReceived"),
+    LIMIT_ANNOUNCEMENT((short)64, "limitAnnouncement"),
+    LIMIT_ANNOUNCEMENT_RECEIVED((short)65, "limitAnnouncementReceived"),
     PORT_REPORT((short)70, "portReport"),
     PORT_REPORT_RECEIVED((short)71, "portReportReceived");
 
@@ -115,6 +123,14 @@
           return QUOTA_REQUEST;
         case 61: // QUOTA_RESPONSE
           return QUOTA_RESPONSE;
+        case 62: // LIMIT_REPORT
+          return LIMIT_REPORT;
+        case 63: // LIMIT_REPORT_RECEIVED
+          return LIMIT_REPORT_RECEIVED;
+        case 64: // LIMIT_ANNOUNCEMENT
+          return LIMIT_ANNOUNCEMENT;
+        case 65: // LIMIT_ANNOUNCEMENT_RECEIVED
+          return LIMIT_ANNOUNCEMENT_RECEIVED;
         case 70: // PORT_REPORT
           return PORT_REPORT;
         case 71: // PORT_REPORT_RECEIVED
@@ -206,6 +222,14 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, QuotaRequest.class)));
     tmpMap.put(_Fields.QUOTA_RESPONSE, new org.apache.thrift.meta_data.FieldMetaData("quotaResponse", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, QuotaResponse.class)));
+    tmpMap.put(_Fields.LIMIT_REPORT, new org.apache.thrift.meta_data.FieldMetaData("limitReport", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LimitReport.class)));
+    tmpMap.put(_Fields.LIMIT_REPORT_RECEIVED, new org.apache.thrift.meta_data.FieldMetaData("limitReportReceived", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LimitReportReceived.class)));
+    tmpMap.put(_Fields.LIMIT_ANNOUNCEMENT, new org.apache.thrift.meta_data.FieldMetaData("limitAnnouncement", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LimitAnnouncement.class)));
+    tmpMap.put(_Fields.LIMIT_ANNOUNCEMENT_RECEIVED, new org.apache.thrift.meta_data.FieldMetaData("limitAnnouncementReceived", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LimitAnnouncementReceived.class)));
     tmpMap.put(_Fields.PORT_REPORT, new org.apache.thrift.meta_data.FieldMetaData("portReport", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PortReport.class)));
     tmpMap.put(_Fields.PORT_REPORT_RECEIVED, new org.apache.thrift.meta_data.FieldMetaData("portReportReceived", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
@@ -356,6 +380,30 @@
     return x;
   }
 
+  public static ControlMessage limitReport(LimitReport value) {
+    ControlMessage x = new ControlMessage();
+    x.setLimitReport(value);
+    return x;
+  }
+
+  public static ControlMessage limitReportReceived(LimitReportReceived value) {
+    ControlMessage x = new ControlMessage();
+    x.setLimitReportReceived(value);
+    return x;
+  }
+
+  public static ControlMessage limitAnnouncement(LimitAnnouncement value) {
+    ControlMessage x = new ControlMessage();
+    x.setLimitAnnouncement(value);
+    return x;
+  }
+
+  public static ControlMessage limitAnnouncementReceived(LimitAnnouncementReceived value) {
+    ControlMessage x = new ControlMessage();
+    x.setLimitAnnouncementReceived(value);
+    return x;
+  }
+
   public static ControlMessage portReport(PortReport value) {
     ControlMessage x = new ControlMessage();
     x.setPortReport(value);
@@ -477,6 +525,26 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type QuotaResponse for field 'quotaResponse', but got " + value.getClass().getSimpleName());
+      case LIMIT_REPORT:
+        if (value instanceof LimitReport) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type LimitReport for field 'limitReport', but got " + value.getClass().getSimpleName());
+      case LIMIT_REPORT_RECEIVED:
+        if (value instanceof LimitReportReceived) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type LimitReportReceived for field 'limitReportReceived', but got " + value.getClass().getSimpleName());
+      case LIMIT_ANNOUNCEMENT:
+        if (value instanceof LimitAnnouncement) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type LimitAnnouncement for field 'limitAnnouncement', but got " + value.getClass().getSimpleName());
+      case LIMIT_ANNOUNCEMENT_RECEIVED:
+        if (value instanceof LimitAnnouncementReceived) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type LimitAnnouncementReceived for field 'limitAnnouncementReceived', but got " + value.getClass().getSimpleName());
       case PORT_REPORT:
         if (value instanceof PortReport) {
           break;
@@ -707,6 +775,46 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case LIMIT_REPORT:
+          if (field.type == LIMIT_REPORT_FIELD_DESC.type) {
+            LimitReport limitReport;
+            limitReport = new LimitReport();
+            limitReport.read(iprot);
+            return limitReport;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case LIMIT_REPORT_RECEIVED:
+          if (field.type == LIMIT_REPORT_RECEIVED_FIELD_DESC.type) {
+            LimitReportReceived limitReportReceived;
+            limitReportReceived = new LimitReportReceived();
+            limitReportReceived.read(iprot);
+            return limitReportReceived;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case LIMIT_ANNOUNCEMENT:
+          if (field.type == LIMIT_ANNOUNCEMENT_FIELD_DESC.type) {
+            LimitAnnouncement limitAnnouncement;
+            limitAnnouncement = new LimitAnnouncement();
+            limitAnnouncement.read(iprot);
+            return limitAnnouncement;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case LIMIT_ANNOUNCEMENT_RECEIVED:
+          if (field.type == LIMIT_ANNOUNCEMENT_RECEIVED_FIELD_DESC.type) {
+            LimitAnnouncementReceived limitAnnouncementReceived;
+            limitAnnouncementReceived = new LimitAnnouncementReceived();
+            limitAnnouncementReceived.read(iprot);
+            return limitAnnouncementReceived;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         case PORT_REPORT:
           if (field.type == PORT_REPORT_FIELD_DESC.type) {
             PortReport portReport;
@@ -823,6 +931,22 @@
         QuotaResponse quotaResponse = (QuotaResponse)value_;
         quotaResponse.write(oprot);
         return;
+      case LIMIT_REPORT:
+        LimitReport limitReport = (LimitReport)value_;
+        limitReport.write(oprot);
+        return;
+      case LIMIT_REPORT_RECEIVED:
+        LimitReportReceived limitReportReceived = (LimitReportReceived)value_;
+        limitReportReceived.write(oprot);
+        return;
+      case LIMIT_ANNOUNCEMENT:
+        LimitAnnouncement limitAnnouncement = (LimitAnnouncement)value_;
+        limitAnnouncement.write(oprot);
+        return;
+      case LIMIT_ANNOUNCEMENT_RECEIVED:
+        LimitAnnouncementReceived limitAnnouncementReceived = (LimitAnnouncementReceived)value_;
+        limitAnnouncementReceived.write(oprot);
+        return;
       case PORT_REPORT:
         PortReport portReport = (PortReport)value_;
         portReport.write(oprot);
@@ -946,6 +1070,26 @@
           quotaResponse = new QuotaResponse();
           quotaResponse.read(iprot);
           return quotaResponse;
+        case LIMIT_REPORT:
+          LimitReport limitReport;
+          limitReport = new LimitReport();
+          limitReport.read(iprot);
+          return limitReport;
+        case LIMIT_REPORT_RECEIVED:
+          LimitReportReceived limitReportReceived;
+          limitReportReceived = new LimitReportReceived();
+          limitReportReceived.read(iprot);
+          return limitReportReceived;
+        case LIMIT_ANNOUNCEMENT:
+          LimitAnnouncement limitAnnouncement;
+          limitAnnouncement = new LimitAnnouncement();
+          limitAnnouncement.read(iprot);
+          return limitAnnouncement;
+        case LIMIT_ANNOUNCEMENT_RECEIVED:
+          LimitAnnouncementReceived limitAnnouncementReceived;
+          limitAnnouncementReceived = new LimitAnnouncementReceived();
+          limitAnnouncementReceived.read(iprot);
+          return limitAnnouncementReceived;
         case PORT_REPORT:
           PortReport portReport;
           portReport = new PortReport();
@@ -1051,6 +1195,22 @@
         QuotaResponse quotaResponse = (QuotaResponse)value_;
         quotaResponse.write(oprot);
         return;
+      case LIMIT_REPORT:
+        LimitReport limitReport = (LimitReport)value_;
+        limitReport.write(oprot);
+        return;
+      case LIMIT_REPORT_RECEIVED:
+        LimitReportReceived limitReportReceived = (LimitReportReceived)value_;
+        limitReportReceived.write(oprot);
+        return;
+      case LIMIT_ANNOUNCEMENT:
+        LimitAnnouncement limitAnnouncement = (LimitAnnouncement)value_;
+        limitAnnouncement.write(oprot);
+        return;
+      case LIMIT_ANNOUNCEMENT_RECEIVED:
+        LimitAnnouncementReceived limitAnnouncementReceived = (LimitAnnouncementReceived)value_;
+        limitAnnouncementReceived.write(oprot);
+        return;
       case PORT_REPORT:
         PortReport portReport = (PortReport)value_;
         portReport.write(oprot);
@@ -1109,6 +1269,14 @@
         return QUOTA_REQUEST_FIELD_DESC;
       case QUOTA_RESPONSE:
         return QUOTA_RESPONSE_FIELD_DESC;
+      case LIMIT_REPORT:
+        return LIMIT_REPORT_FIELD_DESC;
+      case LIMIT_REPORT_RECEIVED:
+        return LIMIT_REPORT_RECEIVED_FIELD_DESC;
+      case LIMIT_ANNOUNCEMENT:
+        return LIMIT_ANNOUNCEMENT_FIELD_DESC;
+      case LIMIT_ANNOUNCEMENT_RECEIVED:
+        return LIMIT_ANNOUNCEMENT_RECEIVED_FIELD_DESC;
       case PORT_REPORT:
         return PORT_REPORT_FIELD_DESC;
       case PORT_REPORT_RECEIVED:
@@ -1408,6 +1576,58 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.QUOTA_RESPONSE");
   }
 
+  public LimitReport getLimitReport() {
+    if (getSetField() == _Fields.LIMIT_REPORT) {
+      return (LimitReport)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'limitReport' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setLimitReport(LimitReport value) {
+    setField_ = _Fields.LIMIT_REPORT;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.LIMIT_REPORT");
+  }
+
+  public LimitReportReceived getLimitReportReceived() {
+    if (getSetField() == _Fields.LIMIT_REPORT_RECEIVED) {
+      return (LimitReportReceived)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'limitReportReceived' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setLimitReportReceived(LimitReportReceived value) {
+    setField_ = _Fields.LIMIT_REPORT_RECEIVED;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.LIMIT_REPORT_RECEIVED");
+  }
+
+  public LimitAnnouncement getLimitAnnouncement() {
+    if (getSetField() == _Fields.LIMIT_ANNOUNCEMENT) {
+      return (LimitAnnouncement)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'limitAnnouncement' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setLimitAnnouncement(LimitAnnouncement value) {
+    setField_ = _Fields.LIMIT_ANNOUNCEMENT;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.LIMIT_ANNOUNCEMENT");
+  }
+
+  public LimitAnnouncementReceived getLimitAnnouncementReceived() {
+    if (getSetField() == _Fields.LIMIT_ANNOUNCEMENT_RECEIVED) {
+      return (LimitAnnouncementReceived)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'limitAnnouncementReceived' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setLimitAnnouncementReceived(LimitAnnouncementReceived value) {
+    setField_ = _Fields.LIMIT_ANNOUNCEMENT_RECEIVED;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.LIMIT_ANNOUNCEMENT_RECEIVED");
+  }
+
   public PortReport getPortReport() {
     if (getSetField() == _Fields.PORT_REPORT) {
       return (PortReport)getFieldValue();
@@ -1539,6 +1759,26 @@
   }
 
 
+  public boolean isSetLimitReport() {
+    return setField_ == _Fields.LIMIT_REPORT;
+  }
+
+
+  public boolean isSetLimitReportReceived() {
+    return setField_ == _Fields.LIMIT_REPORT_RECEIVED;
+  }
+
+
+  public boolean isSetLimitAnnouncement() {
+    return setField_ == _Fields.LIMIT_ANNOUNCEMENT;
+  }
+
+
+  public boolean isSetLimitAnnouncementReceived() {
+    return setField_ == _Fields.LIMIT_ANNOUNCEMENT_RECEIVED;
+  }
+
+
   public boolean isSetPortReport() {
     return setField_ == _Fields.PORT_REPORT;
   }
--- a/src/main/java/org/arbutusfield/wire/gen/QuotaRequest.java
+++ b/src/main/java/org/arbutusfield/wire/gen/QuotaRequest.java
@@ -12,17 +12,23 @@
 
   private static final org.apache.thrift.protocol.TField UPSTREAM_FIELD_DESC = new org.apache.thrift.protocol.TField("upstream", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField PER_SECOND_FIELD_DESC = new org.apache.thrift.protocol.TField("perSecond", org.apache.thrift.protocol.TType.DOUBLE, (short)2);
+  private static final org.apache.thrift.protocol.TField LIMIT_FIELD_DESC = new org.apache.thrift.protocol.TField("limit", org.apache.thrift.protocol.TType.STRUCT, (short)3);
+  private static final org.apache.thrift.protocol.TField COLD_PER_SECOND_FIELD_DESC = new org.apache.thrift.protocol.TField("coldPerSecond", org.apache.thrift.protocol.TType.DOUBLE, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new QuotaRequestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new QuotaRequestTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable java.lang.String upstream; // required
   private double perSecond; // required
+  private @org.apache.thrift.annotation.Nullable KnownLimit limit; // optional
+  private double coldPerSecond; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     UPSTREAM((short)1, "upstream"),
-    PER_SECOND((short)2, "perSecond");
+    PER_SECOND((short)2, "perSecond"),
+    LIMIT((short)3, "limit"),
+    COLD_PER_SECOND((short)4, "coldPerSecond");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -42,6 +48,10 @@
           return UPSTREAM;
         case 2: // PER_SECOND
           return PER_SECOND;
+        case 3: // LIMIT
+          return LIMIT;
+        case 4: // COLD_PER_SECOND
+          return COLD_PER_SECOND;
         default:
           return null;
       }
@@ -86,7 +96,9 @@
 
   // isset id assignments
   private static final int __PERSECOND_ISSET_ID = 0;
+  private static final int __COLDPERSECOND_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.LIMIT,_Fields.COLD_PER_SECOND};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -94,6 +106,10 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.PER_SECOND, new org.apache.thrift.meta_data.FieldMetaData("perSecond", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
+    tmpMap.put(_Fields.LIMIT, new org.apache.thrift.meta_data.FieldMetaData("limit", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, KnownLimit.class)));
+    tmpMap.put(_Fields.COLD_PER_SECOND, new org.apache.thrift.meta_data.FieldMetaData("coldPerSecond", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(QuotaRequest.class, metaDataMap);
   }
@@ -120,6 +136,10 @@
       this.upstream = other.upstream;
     }
     this.perSecond = other.perSecond;
+    if (other.isSetLimit()) {
+      this.limit = new KnownLimit(other.limit);
+    }
+    this.coldPerSecond = other.coldPerSecond;
   }
 
   @Override
@@ -132,6 +152,9 @@
     this.upstream = null;
     setPerSecondIsSet(false);
     this.perSecond = 0.0;
+    this.limit = null;
+    setColdPerSecondIsSet(false);
+    this.coldPerSecond = 0.0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -182,6 +205,54 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PERSECOND_ISSET_ID, value);
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public KnownLimit getLimit() {
+    return this.limit;
+  }
+
+  public QuotaRequest setLimit(@org.apache.thrift.annotation.Nullable KnownLimit limit) {
+    this.limit = limit;
+    return this;
+  }
+
+  public void unsetLimit() {
+    this.limit = null;
+  }
+
+  /** Returns true if field limit is set (has been assigned a value) and false otherwise */
+  public boolean isSetLimit() {
+    return this.limit != null;
+  }
+
+  public void setLimitIsSet(boolean value) {
+    if (!value) {
+      this.limit = null;
+    }
+  }
+
+  public double getColdPerSecond() {
+    return this.coldPerSecond;
+  }
+
+  public QuotaRequest setColdPerSecond(double coldPerSecond) {
+    this.coldPerSecond = coldPerSecond;
+    setColdPerSecondIsSet(true);
+    return this;
+  }
+
+  public void unsetColdPerSecond() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __COLDPERSECOND_ISSET_ID);
+  }
+
+  /** Returns true if field coldPerSecond is set (has been assigned a value) and false otherwise */
+  public boolean isSetColdPerSecond() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __COLDPERSECOND_ISSET_ID);
+  }
+
+  public void setColdPerSecondIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __COLDPERSECOND_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -201,6 +272,22 @@
       }
       break;
 
+    case LIMIT:
+      if (value == null) {
+        unsetLimit();
+      } else {
+        setLimit((KnownLimit)value);
+      }
+      break;
+
+    case COLD_PER_SECOND:
+      if (value == null) {
+        unsetColdPerSecond();
+      } else {
+        setColdPerSecond((java.lang.Double)value);
+      }
+      break;
+
     }
   }
 
@@ -214,6 +301,12 @@
     case PER_SECOND:
       return getPerSecond();
 
+    case LIMIT:
+      return getLimit();
+
+    case COLD_PER_SECOND:
+      return getColdPerSecond();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -230,6 +323,10 @@
       return isSetUpstream();
     case PER_SECOND:
       return isSetPerSecond();
+    case LIMIT:
+      return isSetLimit();
+    case COLD_PER_SECOND:
+      return isSetColdPerSecond();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -265,6 +362,24 @@
         return false;
     }
 
+    boolean this_present_limit = true && this.isSetLimit();
+    boolean that_present_limit = true && that.isSetLimit();
+    if (this_present_limit || that_present_limit) {
+      if (!(this_present_limit && that_present_limit))
+        return false;
+      if (!this.limit.equals(that.limit))
+        return false;
+    }
+
+    boolean this_present_coldPerSecond = true && this.isSetColdPerSecond();
+    boolean that_present_coldPerSecond = true && that.isSetColdPerSecond();
+    if (this_present_coldPerSecond || that_present_coldPerSecond) {
+      if (!(this_present_coldPerSecond && that_present_coldPerSecond))
+        return false;
+      if (this.coldPerSecond != that.coldPerSecond)
+        return false;
+    }
+
     return true;
   }
 
@@ -278,6 +393,14 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(perSecond);
 
+    hashCode = hashCode * 8191 + ((isSetLimit()) ? 131071 : 524287);
+    if (isSetLimit())
+      hashCode = hashCode * 8191 + limit.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetColdPerSecond()) ? 131071 : 524287);
+    if (isSetColdPerSecond())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(coldPerSecond);
+
     return hashCode;
   }
 
@@ -309,6 +432,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLimit(), other.isSetLimit());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLimit()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.limit, other.limit);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetColdPerSecond(), other.isSetColdPerSecond());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetColdPerSecond()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.coldPerSecond, other.coldPerSecond);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -344,6 +487,22 @@
     sb.append("perSecond:");
     sb.append(this.perSecond);
     first = false;
+    if (isSetLimit()) {
+      if (!first) sb.append(", ");
+      sb.append("limit:");
+      if (this.limit == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.limit);
+      }
+      first = false;
+    }
+    if (isSetColdPerSecond()) {
+      if (!first) sb.append(", ");
+      sb.append("coldPerSecond:");
+      sb.append(this.coldPerSecond);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -351,6 +510,9 @@
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
     // check for sub-struct validity
+    if (limit != null) {
+      limit.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -407,6 +569,23 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // LIMIT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.limit = new KnownLimit();
+              struct.limit.read(iprot);
+              struct.setLimitIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 4: // COLD_PER_SECOND
+            if (schemeField.type == org.apache.thrift.protocol.TType.DOUBLE) {
+              struct.coldPerSecond = iprot.readDouble();
+              struct.setColdPerSecondIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -431,6 +610,18 @@
       oprot.writeFieldBegin(PER_SECOND_FIELD_DESC);
       oprot.writeDouble(struct.perSecond);
       oprot.writeFieldEnd();
+      if (struct.limit != null) {
+        if (struct.isSetLimit()) {
+          oprot.writeFieldBegin(LIMIT_FIELD_DESC);
+          struct.limit.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.isSetColdPerSecond()) {
+        oprot.writeFieldBegin(COLD_PER_SECOND_FIELD_DESC);
+        oprot.writeDouble(struct.coldPerSecond);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -456,19 +647,31 @@
       if (struct.isSetPerSecond()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetLimit()) {
+        optionals.set(2);
+      }
+      if (struct.isSetColdPerSecond()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetUpstream()) {
         oprot.writeString(struct.upstream);
       }
       if (struct.isSetPerSecond()) {
         oprot.writeDouble(struct.perSecond);
       }
+      if (struct.isSetLimit()) {
+        struct.limit.write(oprot);
+      }
+      if (struct.isSetColdPerSecond()) {
+        oprot.writeDouble(struct.coldPerSecond);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, QuotaRequest struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.upstream = iprot.readString();
         struct.setUpstreamIsSet(true);
@@ -477,6 +680,15 @@
         struct.perSecond = iprot.readDouble();
         struct.setPerSecondIsSet(true);
       }
+      if (incoming.get(2)) {
+        struct.limit = new KnownLimit();
+        struct.limit.read(iprot);
+        struct.setLimitIsSet(true);
+      }
+      if (incoming.get(3)) {
+        struct.coldPerSecond = iprot.readDouble();
+        struct.setColdPerSecondIsSet(true);
+      }
     }
   }
 
--- a/src/main/java/org/arbutusfield/wire/gen/QuotaResponse.java
+++ b/src/main/java/org/arbutusfield/wire/gen/QuotaResponse.java
@@ -12,17 +12,20 @@
 
   private static final org.apache.thrift.protocol.TField GRANTED_FIELD_DESC = new org.apache.thrift.protocol.TField("granted", org.apache.thrift.protocol.TType.BOOL, (short)1);
   private static final org.apache.thrift.protocol.TField RETRY_MICROS_FIELD_DESC = new org.apache.thrift.protocol.TField("retryMicros", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField LIMIT_FIELD_DESC = new org.apache.thrift.protocol.TField("limit", org.apache.thrift.protocol.TType.STRUCT, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new QuotaResponseStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new QuotaResponseTupleSchemeFactory();
 
   private boolean granted; // required
   private long retryMicros; // required
+  private @org.apache.thrift.annotation.Nullable KnownLimit limit; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     GRANTED((short)1, "granted"),
-    RETRY_MICROS((short)2, "retryMicros");
+    RETRY_MICROS((short)2, "retryMicros"),
+    LIMIT((short)3, "limit");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -42,6 +45,8 @@
           return GRANTED;
         case 2: // RETRY_MICROS
           return RETRY_MICROS;
+        case 3: // LIMIT
+          return LIMIT;
         default:
           return null;
       }
@@ -88,6 +93,7 @@
   private static final int __GRANTED_ISSET_ID = 0;
   private static final int __RETRYMICROS_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.LIMIT};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -95,6 +101,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.RETRY_MICROS, new org.apache.thrift.meta_data.FieldMetaData("retryMicros", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LIMIT, new org.apache.thrift.meta_data.FieldMetaData("limit", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, KnownLimit.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(QuotaResponse.class, metaDataMap);
   }
@@ -120,6 +128,9 @@
     __isset_bitfield = other.__isset_bitfield;
     this.granted = other.granted;
     this.retryMicros = other.retryMicros;
+    if (other.isSetLimit()) {
+      this.limit = new KnownLimit(other.limit);
+    }
   }
 
   @Override
@@ -133,6 +144,7 @@
     this.granted = false;
     setRetryMicrosIsSet(false);
     this.retryMicros = 0;
+    this.limit = null;
   }
 
   public boolean isGranted() {
@@ -181,6 +193,31 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RETRYMICROS_ISSET_ID, value);
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public KnownLimit getLimit() {
+    return this.limit;
+  }
+
+  public QuotaResponse setLimit(@org.apache.thrift.annotation.Nullable KnownLimit limit) {
+    this.limit = limit;
+    return this;
+  }
+
+  public void unsetLimit() {
+    this.limit = null;
+  }
+
+  /** Returns true if field limit is set (has been assigned a value) and false otherwise */
+  public boolean isSetLimit() {
+    return this.limit != null;
+  }
+
+  public void setLimitIsSet(boolean value) {
+    if (!value) {
+      this.limit = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -200,6 +237,14 @@
       }
       break;
 
+    case LIMIT:
+      if (value == null) {
+        unsetLimit();
+      } else {
+        setLimit((KnownLimit)value);
+      }
+      break;
+
     }
   }
 
@@ -213,6 +258,9 @@
     case RETRY_MICROS:
       return getRetryMicros();
 
+    case LIMIT:
+      return getLimit();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -229,6 +277,8 @@
       return isSetGranted();
     case RETRY_MICROS:
       return isSetRetryMicros();
+    case LIMIT:
+      return isSetLimit();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -264,6 +314,15 @@
         return false;
     }
 
+    boolean this_present_limit = true && this.isSetLimit();
+    boolean that_present_limit = true && that.isSetLimit();
+    if (this_present_limit || that_present_limit) {
+      if (!(this_present_limit && that_present_limit))
+        return false;
+      if (!this.limit.equals(that.limit))
+        return false;
+    }
+
     return true;
   }
 
@@ -275,6 +334,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(retryMicros);
 
+    hashCode = hashCode * 8191 + ((isSetLimit()) ? 131071 : 524287);
+    if (isSetLimit())
+      hashCode = hashCode * 8191 + limit.hashCode();
+
     return hashCode;
   }
 
@@ -306,6 +369,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLimit(), other.isSetLimit());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLimit()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.limit, other.limit);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -337,6 +410,16 @@
     sb.append("retryMicros:");
     sb.append(this.retryMicros);
     first = false;
+    if (isSetLimit()) {
+      if (!first) sb.append(", ");
+      sb.append("limit:");
+      if (this.limit == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.limit);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -344,6 +427,9 @@
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
     // check for sub-struct validity
+    if (limit != null) {
+      limit.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -400,6 +486,15 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // LIMIT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.limit = new KnownLimit();
+              struct.limit.read(iprot);
+              struct.setLimitIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -422,6 +517,13 @@
       oprot.writeFieldBegin(RETRY_MICROS_FIELD_DESC);
       oprot.writeI64(struct.retryMicros);
       oprot.writeFieldEnd();
+      if (struct.limit != null) {
+        if (struct.isSetLimit()) {
+          oprot.writeFieldBegin(LIMIT_FIELD_DESC);
+          struct.limit.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -447,19 +549,25 @@
       if (struct.isSetRetryMicros()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetLimit()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetGranted()) {
         oprot.writeBool(struct.granted);
       }
       if (struct.isSetRetryMicros()) {
         oprot.writeI64(struct.retryMicros);
       }
+      if (struct.isSetLimit()) {
+        struct.limit.write(oprot);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, QuotaResponse struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         struct.granted = iprot.readBool();
         struct.setGrantedIsSet(true);
@@ -468,6 +576,11 @@
         struct.retryMicros = iprot.readI64();
         struct.setRetryMicrosIsSet(true);
       }
+      if (incoming.get(2)) {
+        struct.limit = new KnownLimit();
+        struct.limit.read(iprot);
+        struct.setLimitIsSet(true);
+      }
     }
   }
 
--- a/src/main/thrift/control.thrift
+++ b/src/main/thrift/control.thrift
@@ -225,17 +225,58 @@
   1: list<SuspectRecord> suspects
 }
 
+// The count of what a leader has heard of limits, in one of its terms. `term` is a random number.
+struct LimitSequence {
+  1: i64 term
+  2: i64 sequence
+}
+
+// The requests per second that one start of an upstream says it accepts from all hosts together. Without `perSecond` it
+// says nothing of the kind.
+struct KnownLimit {
+  1: string upstream
+  2: i64 startMillis
+  3: optional double perSecond
+  4: optional LimitSequence sequence
+}
+
 // Asks the host that leads for the permission to send one request to an upstream that accepts `perSecond` requests per
-// second from all hosts together.
+// second from all hosts together. `limit`: what the host knows of the limit that the upstream has named, with the sequence
+// at which a leader told it, if one did; hosts of older builds leave it out. `coldPerSecond`: the rate of the upstream if
+// it is cold.
 struct QuotaRequest {
   1: string upstream
   2: double perSecond
+  3: optional KnownLimit limit
+  4: optional double coldPerSecond
 }
 
-// `granted`: the request may be sent; otherwise `retryMicros` is the time after which to ask again.
+// `granted`: the request may be sent; otherwise `retryMicros` is the time after which to ask again. `limit`: what the leader
+// knows, and its present sequence; leaders of older builds leave it out.
 struct QuotaResponse {
   1: bool granted
   2: i64 retryMicros
+  3: optional KnownLimit limit
+}
+
+// Tells the host that leads what a response of an upstream said of its limit. The sequence is that of the permission under
+// which the request was sent, if it was sent under one.
+struct LimitReport {
+  1: KnownLimit limit
+}
+
+// The response to a report: what the leader knows now.
+struct LimitReportReceived {
+  1: KnownLimit limit
+}
+
+// The leader tells all hosts that an upstream has begun to name a limit.
+struct LimitAnnouncement {
+  1: KnownLimit limit
+}
+
+// The response to an announcement.
+struct LimitAnnouncementReceived {
 }
 
 // Tells that the port of an upstream was found closed, or open again after that. `relayed`: the receiver need not pass it on.
@@ -271,6 +312,10 @@
   51: SuspectList suspectList
   60: QuotaRequest quotaRequest
   61: QuotaResponse quotaResponse
+  62: LimitReport limitReport
+  63: LimitReportReceived limitReportReceived
+  64: LimitAnnouncement limitAnnouncement
+  65: LimitAnnouncementReceived limitAnnouncementReceived
   70: PortReport portReport
   71: PortReportReceived portReportReceived
 }
--- a/src/test/java/org/arbutusfield/edge/SteeringHost.java
+++ b/src/test/java/org/arbutusfield/edge/SteeringHost.java
@@ -19,10 +19,11 @@
 import org.arbutusfield.proxy.PlacementTarget;
 import org.arbutusfield.proxy.upstream.UpstreamProbe;
 import org.arbutusfield.quota.Leadership;
+import org.arbutusfield.quota.LimitBroadcast;
 import org.arbutusfield.quota.QuotaClient;
 import org.arbutusfield.quota.QuotaServer;
-import org.arbutusfield.quota.UpstreamQuota;
 import org.arbutusfield.reach.Forwardings;
+import org.arbutusfield.reach.HostBroadcast;
 import org.arbutusfield.reach.PortReports;
 import org.arbutusfield.reach.RestartedUpstreams;
 import org.arbutusfield.state.ContentStore;
@@ -40,6 +41,7 @@
 import org.arbutusfield.steering.SteeringPlacement;
 import org.arbutusfield.timer.PausableTimer;
 import org.arbutusfield.wire.ControlHandlers;
+import org.arbutusfield.wire.ControlTransport;
 import org.arbutusfield.wire.gen.ControlMessage;
 
 /** One host of a {@link SteeringFleet}; its process can be started, paused, killed and cut off. */
@@ -100,19 +102,15 @@
                 HostRegistrar.LEASE_DURATION,
                 client,
                 process);
-        QuotaServer quotaServer = QuotaServer.start(leadership, process);
+        ControlTransport transport = (peer, message, timeout) -> fleet.call(this, peer, message, timeout);
+        LimitBroadcast announcer = LimitBroadcast.of(HostBroadcast.of(name, () -> state, transport));
+        QuotaServer quotaServer = QuotaServer.start(leadership, announcer, process, fleet.random);
         quotaServer.register(handlers);
-        UpstreamQuota quota = QuotaClient.create(
-                name,
-                () -> state,
-                (peer, message, timeout) -> fleet.call(this, peer, message, timeout),
-                quotaServer,
-                outcome -> {},
-                process);
+        QuotaClient quota = QuotaClient.create(name, () -> state, transport, quotaServer, outcome -> {}, process);
+        quota.register(handlers);
         StoreHealth health = StoreHealth.create();
         registrar = HostRegistrar.start(client, process, entry, health);
         placement = SteeringPlacement.create(
-                name,
                 "g",
                 () -> state,
                 resolver,
--- a/src/test/java/org/arbutusfield/quota/QuotaFleet.java
+++ b/src/test/java/org/arbutusfield/quota/QuotaFleet.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
@@ -18,6 +19,7 @@
 import org.arbutusfield.state.LeaderView;
 import org.arbutusfield.state.RegisteredHost;
 import org.arbutusfield.state.SteeringState;
+import org.arbutusfield.state.UpstreamStart;
 import org.arbutusfield.store.StoreRevision;
 import org.arbutusfield.timer.VirtualTimer;
 import org.arbutusfield.wire.ControlHandlers;
@@ -55,7 +57,7 @@
      */
     static QuotaFleet create(int hostCount, Duration maxSendDelay, Random random) {
         QuotaFleet fleet = new QuotaFleet(random, maxSendDelay);
-        QuotaServer server = QuotaServer.start(() -> OptionalLong.of(0), fleet.timer);
+        QuotaServer server = QuotaServer.start(() -> OptionalLong.of(0), limit -> {}, fleet.timer, random);
         server.register(fleet.handlers);
         HostEntry leader = new HostEntry("host-0", "g", "d", "127.0.0.1:1", "127.0.0.1:2", 1);
         SteeringState state = new SteeringState(
@@ -106,7 +108,8 @@
     void request(int host, String upstream, double perSecond) {
         QuotaClient client = clients.get(host);
         if (client.mayAsk(upstream)) {
-            client.ask(upstream, perSecond).thenAccept(grant -> grant.ifPresent(this::sendSoon));
+            client.ask(new UpstreamStart(upstream, 1), OptionalDouble.of(perSecond))
+                    .thenAccept(grant -> grant.ifPresent(this::sendSoon));
         }
     }
 
--- a/src/test/java/org/arbutusfield/steering/GrantedQuota.java
+++ b/src/test/java/org/arbutusfield/steering/GrantedQuota.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
 import org.arbutusfield.quota.QuotaGrant;
 import org.arbutusfield.quota.UpstreamQuota;
+import org.arbutusfield.state.UpstreamStart;
 import org.arbutusfield.timer.TimerService;
 
 /** Quotas of a host that gets every permission, or none, for tests of other things. */
@@ -33,8 +35,21 @@
     }
 
     @Override
-    public CompletableFuture<Optional<QuotaGrant>> ask(String upstream, double perSecond) {
+    public OptionalDouble namedRate(UpstreamStart upstream) {
+        return OptionalDouble.empty();
+    }
+
+    @Override
+    public CompletableFuture<Optional<QuotaGrant>> ask(UpstreamStart upstream, OptionalDouble coldPerSecond) {
+        long now = timer.nowNanos();
         return CompletableFuture.completedFuture(
-                granted ? Optional.of(new QuotaGrant(timer.nowNanos() + VALIDITY.toNanos())) : Optional.empty());
+                granted
+                        ? Optional.of(new QuotaGrant(now, now + VALIDITY.toNanos(), Optional.empty()))
+                        : Optional.empty());
+    }
+
+    @Override
+    public void heard(UpstreamStart upstream, OptionalDouble perSecond, Optional<QuotaGrant> grant) {
+        // Nothing depends on limits here.
     }
 }
--- a/src/test/java/org/arbutusfield/steering/SteeringPlacementTest.java
+++ b/src/test/java/org/arbutusfield/steering/SteeringPlacementTest.java
@@ -98,7 +98,6 @@
         HostRetryBudget retryBudget =
                 HostRetryBudget.create(new SharedRetryBudget(0.2, COLD_PERIOD, 10, 2), () -> 1, timer);
         return SteeringPlacement.create(
-                "h",
                 "near",
                 state,
                 resolver,
--- a/src/test/java/org/arbutusfield/steering/UpstreamRateLimitTest.java
+++ b/src/test/java/org/arbutusfield/steering/UpstreamRateLimitTest.java
@@ -23,9 +23,11 @@
 import org.arbutusfield.proxy.PlacementRequest;
 import org.arbutusfield.proxy.PlacementTarget;
 import org.arbutusfield.proxy.UpstreamNotice;
+import org.arbutusfield.quota.LimitBroadcast;
 import org.arbutusfield.quota.QuotaClient;
 import org.arbutusfield.quota.QuotaServer;
 import org.arbutusfield.reach.Forwardings;
+import org.arbutusfield.reach.HostBroadcast;
 import org.arbutusfield.route.Route;
 import org.arbutusfield.route.WeightedService;
 import org.arbutusfield.state.HostEntry;
@@ -57,13 +59,13 @@
     private static final Duration SETTLING = Duration.ofSeconds(3);
 
     private static final Duration WINDOW = Duration.ofSeconds(4);
+    private static final int FIRST_PORT = 1_000;
     private static final String LIMITED = "u-3";
     private static final SharedRetryBudget RETRY_BUDGET = new SharedRetryBudget(0.2, Duration.ofSeconds(10), 120, 12);
 
     private static final Duration ONE_WAY = Duration.ofMillis(12);
 
     private final VirtualTimer timer = VirtualTimer.create();
-    private final ControlHandlers leaderHandlers = ControlHandlers.create();
     private final List<Host> hosts = new ArrayList<>();
     /** Times at which requests reached the limited upstream from hosts that were bound by its limit. */
     private final List<Long> boundArrivals = new ArrayList<>();
@@ -77,6 +79,7 @@
 
     /** One host. */
     private final class Host {
+        private final ControlHandlers handlers = ControlHandlers.create();
         private final SteeringPlacement placement;
         private Optional<Long> toldNanos = Optional.empty();
 
@@ -90,15 +93,14 @@
                     timer);
             HostRetryBudget retryBudget =
                     HostRetryBudget.create(RETRY_BUDGET, () -> state.hosts().size(), timer);
+            QuotaClient quota = QuotaClient.create(
+                    name, () -> state, UpstreamRateLimitTest.this::call, server, outcome -> {}, timer);
+            quota.register(handlers);
             placement = SteeringPlacement.create(
-                    name,
                     "gulf",
                     () -> state,
                     resolver,
-                    new SharedLimits(
-                            retryBudget,
-                            QuotaClient.create(
-                                    name, () -> state, UpstreamRateLimitTest.this::callLeader, server, o -> {}, timer)),
+                    new SharedLimits(retryBudget, quota),
                     Forwardings.unused(name, () -> state, timer),
                     (request, choice) -> {},
                     timer);
@@ -163,7 +165,8 @@
                 .map(model -> new LiveUpstream(model, "gulf", 0, 0, 1, WeightedRendezvous.hash(model.name())))
                 .toList();
         List<HostEntry> entries = IntStream.range(0, hostCount)
-                .mapToObj(i -> new HostEntry("host-" + i, "gulf", "gulf-a", "127.0.0.1:1", "127.0.0.1:2", 420))
+                .mapToObj(i -> new HostEntry(
+                        "host-" + i, "gulf", "gulf-a", "127.0.0.1:1", "127.0.0.1:" + (FIRST_PORT + i), 420))
                 .toList();
         return new SteeringState(
                 Optional.empty(),
@@ -178,20 +181,21 @@
 
     private void startHosts(int count) {
         SteeringState state = state(count);
-        QuotaServer leader = QuotaServer.start(() -> OptionalLong.of(0), timer);
-        leader.register(leaderHandlers);
+        LimitBroadcast announcer = LimitBroadcast.of(HostBroadcast.of("host-0", () -> state, this::call));
+        QuotaServer leader = QuotaServer.start(() -> OptionalLong.of(0), announcer, timer, new Random(7));
         for (int i = 0; i < count; i++) {
             hosts.add(new Host("host-" + i, state, leader));
         }
+        leader.register(hosts.get(0).handlers);
     }
 
-    /** Asks the first host, which leads. */
-    private CompletableFuture<Either<Failure, ControlMessage>> callLeader(
+    private CompletableFuture<Either<Failure, ControlMessage>> call(
             PeerAddress peer, ControlMessage message, Duration timeout) {
         CompletableFuture<Either<Failure, ControlMessage>> result = new CompletableFuture<>();
         timer.after(
                 ONE_WAY,
-                () -> leaderHandlers
+                () -> hosts.get(peer.port() - FIRST_PORT)
+                        .handlers
                         .handle(message)
                         .thenAccept(response -> timer.after(ONE_WAY, () -> result.complete(response))));
         return result;
