--- a/src/main/java/org/arbutusfield/proxy/Attempt.java
+++ b/src/main/java/org/arbutusfield/proxy/Attempt.java
@@ -205,8 +205,17 @@
         pool.checkEnded(exchange.loop(), callback);
     }
 
-    /** Ends the attempt, because the target stated that it did not run the request. */
-    void refused(Failure failure) {
+    /**
+     * Ends the attempt, because the target stated that it did not run the request. A faulty target may write the
+     * statement once more on the connection; only a request id tells it from that of a later request.
+     *
+     * @param failure what the target stated
+     * @param namesRequest whether the statement has the id of the request
+     */
+    void refused(Failure failure, boolean namesRequest) {
+        if (!namesRequest) {
+            connection.closeAfterResponse();
+        }
         target.permit().refused(failure);
         discardRest(AttemptOutcome.SHED);
     }
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -266,7 +266,7 @@
         }
         if (NotRunStatement.isIn(response, from.target(), context.components().headerNames())) {
             Failure refusal = NotRunStatement.failure(response, from.target());
-            from.refused(refusal);
+            from.refused(refusal, response.headers().contains(ProxyHeaders.REQUEST_ID));
             attemptFailed(from, refusal, true);
             return;
         }
