--- a/src/main/java/org/arbutusfield/misc/Addresses.java
+++ b/src/main/java/org/arbutusfield/misc/Addresses.java
@@ -1,5 +1,6 @@
 package org.arbutusfield.misc;
 
+import io.netty.util.NetUtil;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.regex.Pattern;
@@ -20,8 +21,11 @@
             return Optional.empty();
         }
         int colon = text.indexOf(':');
+        String host = text.substring(0, colon);
         int port = Integer.parseInt(text.substring(colon + 1));
-        return port > MAX_PORT ? Optional.empty() : Optional.of(new InetSocketAddress(text.substring(0, colon), port));
+        // What is no address would be resolved as a name.
+        boolean valid = port <= MAX_PORT && NetUtil.isValidIpV4Address(host);
+        return valid ? Optional.of(new InetSocketAddress(host, port)) : Optional.empty();
     }
 
     /** Formats an address in the form that {@link #parse} accepts. */
--- a/src/main/java/org/arbutusfield/platform/PlatformItemDecoder.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformItemDecoder.java
@@ -33,6 +33,7 @@
     private static final String CONFIGURATION_KEY = "op/config";
     private static final String EVACUATION_PREFIX = "op/evacuate/";
     private static final String UPSTREAM_PREFIX = "servers/";
+    private static final int ASCII_DELETE = 0x7f;
 
     private PlatformItemDecoder() {}
 
@@ -78,7 +79,7 @@
         JsonFields details = root.object("details");
         JsonFields status = root.object("status");
         return new UpstreamEntry(
-                id,
+                visible(id),
                 details.string("service"),
                 details.string("zone"),
                 address(root.string("address")),
@@ -90,6 +91,15 @@
                 root.longOrZero("born"));
     }
 
+    /** Returns the id, which becomes the value of a header field. */
+    private static String visible(String id) {
+        boolean visible = !id.isEmpty() && id.chars().allMatch(c -> c > ' ' && c < ASCII_DELETE);
+        if (!visible) {
+            throw new InvalidFieldException("id");
+        }
+        return id;
+    }
+
     private static boolean draining(String state) {
         return switch (state) {
             case "ready" -> false;
--- a/src/main/java/org/arbutusfield/state/StateCache.java
+++ b/src/main/java/org/arbutusfield/state/StateCache.java
@@ -1,5 +1,6 @@
 package org.arbutusfield.state;
 
+import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -14,7 +15,10 @@
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.arbutusfield.error.ErrorCode;
+import org.arbutusfield.error.Failure;
 import org.arbutusfield.lookup.WeightedRendezvous;
+import org.arbutusfield.misc.LogValue;
 import org.arbutusfield.model.Upstream;
 import org.arbutusfield.route.RouteTable;
 import org.arbutusfield.route.ServicePolicy;
@@ -186,12 +190,19 @@
     }
 
     private void putItem(StoreItem item, long nowNanos) {
-        decoder.decode(item.key(), item.value().bytes())
-                .peek(decoded -> apply(item, decoded, nowNanos))
-                .peekLeft(failure -> {
-                    LOG.warn("event=item_unreadable key={} detail={}", item.key(), failure.detail());
-                    removeUpstream(item.key(), false, nowNanos);
-                });
+        decode(item).peek(decoded -> apply(item, decoded, nowNanos)).peekLeft(failure -> {
+            LOG.warn("event=item_unreadable key={} detail={}", LogValue.of(item.key()), LogValue.of(failure.detail()));
+            removeUpstream(item.key(), false, nowNanos);
+        });
+    }
+
+    /** Decodes an item. One that the decoder fails at must not keep the others from being read. */
+    private Either<Failure, StateItem> decode(StoreItem item) {
+        try {
+            return decoder.decode(item.key(), item.value().bytes());
+        } catch (RuntimeException e) {
+            return Either.left(Failure.of(ErrorCode.ITEM_UNREADABLE, item.key(), e.toString()));
+        }
     }
 
     private void apply(StoreItem item, StateItem decoded, long nowNanos) {
--- a/src/test/java/org/arbutusfield/platform/PlatformItemDecoderTest.java
+++ b/src/test/java/org/arbutusfield/platform/PlatformItemDecoderTest.java
@@ -55,7 +55,31 @@
                 Arguments.of("no slots", SERVER.replace("\"slots\":3", "\"slots\":0")),
                 Arguments.of("a name as address", SERVER.replace("10.128.0.9", "host")),
                 Arguments.of("start with a fraction", SERVER.replace("1790000000000", "1.5")),
-                Arguments.of("cold time without unit", SERVER.replace("1500ms", "1500")));
+                Arguments.of("cold time without unit", SERVER.replace("1500ms", "1500")),
+                Arguments.of("deeply nested", "[".repeat(100_000)),
+                Arguments.of("deeply nested field", SERVER.replace("\"v1\"", "{\"a\":".repeat(50_000))),
+                Arguments.of("deeply nested and closed", SERVER.replace("\"v1\"", nested(5_000))),
+                Arguments.of("slots beyond an int", SERVER.replace("\"slots\":3", "\"slots\":99999999999")),
+                Arguments.of("slots beyond a double", SERVER.replace("\"slots\":3", "\"slots\":1e999")),
+                Arguments.of("slots that expand", SERVER.replace("\"slots\":3", "\"slots\":1e999999999")),
+                Arguments.of("slots of many digits", SERVER.replace("\"slots\":3", "\"slots\":3" + "0".repeat(50_000))),
+                Arguments.of("start beyond a long", SERVER.replace("1790000000000", "9".repeat(20))),
+                Arguments.of("port out of range", SERVER.replace(":8080", ":65536")),
+                Arguments.of("port of many digits", SERVER.replace(":8080", ":" + "8".repeat(5_000))),
+                Arguments.of("port zero", SERVER.replace(":8080", ":0")),
+                Arguments.of("negative port", SERVER.replace(":8080", ":-1")),
+                Arguments.of("address out of range", SERVER.replace("10.128.0.9", "999.128.0.9")));
+    }
+
+    private static String nested(int depth) {
+        return "[".repeat(depth) + "]".repeat(depth);
+    }
+
+    /** Guards against an entry whose id would change the requests and log lines that name it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"servers/", "servers/a b", "servers/a\r\nx: y", "servers/\u00e4", "servers/a\u0000"})
+    void entryWithAnIdThatIsNoTokenIsRejected(String key) {
+        assertThat(decode(key, SERVER).getLeft().code()).isEqualTo(ErrorCode.ITEM_UNREADABLE);
     }
 
     @ParameterizedTest(name = "{0}")
--- a/src/test/java/org/arbutusfield/state/StateCacheTest.java
+++ b/src/test/java/org/arbutusfield/state/StateCacheTest.java
@@ -30,6 +30,9 @@
     private final StateCache cache = StateCache.create(this::decode, Map.of("gulf-a", "gulf", "delta-a", "delta"));
 
     private Either<Failure, StateItem> decode(String key, byte[] value) {
+        if (key.equals("u/odd")) {
+            throw new IllegalStateException("odd entry");
+        }
         return decoded.containsKey(key)
                 ? Either.right(decoded.get(key))
                 : Either.left(Failure.of(ErrorCode.ITEM_UNREADABLE, key));
@@ -68,6 +71,17 @@
         return List.of(new ItemChange(key, 9, Optional.empty()));
     }
 
+    /** Guards against hosts that stop following the store because of one entry that the decoder fails at. */
+    @Test
+    void entryThatTheDecoderFailsAtDoesNotKeepOthersFromBeingRead() {
+        StoreItem odd = new StoreItem("u/odd", Body.empty(), 2);
+        cache.applyListing(List.of(ready("a", 1), odd, ready("b", 3)), ERA, false, 0);
+        assertThat(names()).containsExactly("a", "b");
+        cache.applyChanges(written(odd), false, 0);
+        cache.applyChanges(written(ready("c", 4)), false, 0);
+        assertThat(names()).containsExactly("a", "b", "c");
+    }
+
     /** After an outage a missing entry stays in use for 2 s, unless its upstream was draining. */
     @ParameterizedTest
     @CsvSource({
