--- a/src/main/java/org/arbutusfield/proxy/Attempt.java
+++ b/src/main/java/org/arbutusfield/proxy/Attempt.java
@@ -132,7 +132,7 @@
 
     void setReading(boolean wanted) {
         if (!ended && connection != null) {
-            connection.setReading(wanted);
+            connection.setReading(this, wanted);
         }
     }
 
@@ -162,7 +162,7 @@
         ended = true;
         release(outcome);
         if (connection != null) {
-            connection.abandon();
+            connection.abandon(this);
         }
     }
 
@@ -174,8 +174,9 @@
         discarding = true;
         ended = true;
         release(outcome);
-        connection.setReading(true);
-        discardTimeout = exchange.loop().schedule(connection::abandon, DISCARD_TIMEOUT.toNanos(), TimeUnit.NANOSECONDS);
+        connection.setReading(this, true);
+        discardTimeout = exchange.loop()
+                .schedule(() -> connection.abandon(this), DISCARD_TIMEOUT.toNanos(), TimeUnit.NANOSECONDS);
     }
 
     private void discard(HttpContent content) {
@@ -186,7 +187,7 @@
             discardTimeout.cancel(false);
         } else if (discardedBytes > MAX_DISCARDED_BYTES) {
             discardTimeout.cancel(false);
-            connection.abandon();
+            connection.abandon(this);
         }
     }
 
--- a/src/main/java/org/arbutusfield/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/UpstreamConnection.java
@@ -30,7 +30,8 @@
  * <p>Invariants: the connection becomes idle only if the request was sent completely, the response is complete, the
  * upstream keeps the connection open, and the decoder holds no bytes. A byte that arrives while the connection is idle
  * closes it. If the response ends before the request was sent completely, the connection is closed after the response.
- * After {@link #abandon()} or a loss the listener is not called again.
+ * After {@link #abandon} or a loss the listener is not called again. Only the request that the connection carries can
+ * abandon it.
  *
  * <p>Example: the upstream sends the same response twice. The first copy goes to the listener. If the second copy is in
  * the same read, the decoder still holds its bytes when the first copy ends, and the connection is closed. If it
@@ -112,8 +113,19 @@
         channel.writeAndFlush(last, channel.voidPromise());
     }
 
-    /** Resumes reading, or stops it so that the upstream has to wait. */
-    public void setReading(boolean wanted) {
+    /**
+     * Resumes reading, or stops it so that the upstream has to wait. Has no effect once the response is complete.
+     *
+     * @param owner listener of the request
+     * @param wanted whether to read
+     */
+    public void setReading(UpstreamResponseListener owner, boolean wanted) {
+        if (responseListener == owner) {
+            setReading(wanted);
+        }
+    }
+
+    private void setReading(boolean wanted) {
         if (channel.config().isAutoRead() != wanted) {
             channel.config().setAutoRead(wanted);
             lastReadNanos = System.nanoTime();
@@ -125,8 +137,16 @@
         keepAlive = false;
     }
 
-    /** Closes the connection, which cancels a request that the upstream is still processing. */
-    public void abandon() {
+    /**
+     * Closes the connection, which cancels a request that the upstream is still processing. Has no effect once the
+     * response of that request is complete: the connection belongs to nobody then, or to another request.
+     *
+     * @param owner listener of the request
+     */
+    public void abandon(UpstreamResponseListener owner) {
+        if (responseListener != owner) {
+            return;
+        }
         responseListener = null;
         close();
     }
