--- a/src/main/java/org/arbutusfield/edge/RequestLog.java
+++ b/src/main/java/org/arbutusfield/edge/RequestLog.java
@@ -6,6 +6,7 @@
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.LogValue;
 import org.arbutusfield.proxy.InterruptedRun;
 import org.arbutusfield.proxy.PlacementRequest;
 import org.arbutusfield.proxy.RequestObserver;
@@ -54,7 +55,7 @@
         LOG.info(
                 "event=request id={} service={} route={} result={} status={} code={} not_run={} retries={} upstream={}"
                         + " total_ms={} wait_ms={} bytes_out={} version={}",
-                request.requestId(),
+                LogValue.of(request.requestId()),
                 request.service(),
                 request.requestClass(),
                 request.outcome(),
@@ -74,7 +75,7 @@
         if (!overLineLimit()) {
             LOG.info(
                     "event=refused id={} code={} subject={} detail={} version={}",
-                    requestId,
+                    LogValue.of(requestId),
                     failure.code(),
                     failure.subject(),
                     failure.detail(),
@@ -87,7 +88,7 @@
         if (!overLineLimit()) {
             LOG.info(
                     "event=try_failed id={} upstream={} code={} detail={} not_run={}",
-                    requestId,
+                    LogValue.of(requestId),
                     target,
                     failure.code(),
                     failure.detail(),
@@ -100,7 +101,7 @@
         if (!overLineLimit()) {
             LOG.info(
                     "event=run_interrupted id={} request={} upstream={} since_sent_ms={} upstream_ended={}",
-                    run.requestId(),
+                    LogValue.of(run.requestId()),
                     String.join(",", run.fingerprints()),
                     run.upstream().name(),
                     run.sinceSent().toMillis(),
@@ -114,7 +115,7 @@
             LOG.info(
                     "event=placed id={} upstream={} reason={} home={} in_flight={} candidates={} shared_rate={} hosts={}"
                             + " version={} revision={}",
-                    request.requestId(),
+                    LogValue.of(request.requestId()),
                     choice.upstream(),
                     choice.reason(),
                     choice.home(),
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -10,6 +10,7 @@
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.LogValue;
 
 /**
  * Handles one request for a service, from its head to the end of its response. Confined to the event loop of the
@@ -162,7 +163,7 @@
             case SENT -> sentTimerExpired();
             case RESPONSE -> progressTimerExpired();
             case FLUSH -> callerStalled();
-            default -> LOG.debug("event=late_expiry id={}", head.requestId());
+            default -> LOG.debug("event=late_expiry id={}", LogValue.of(head.requestId()));
         }
     }
 
@@ -339,7 +340,7 @@
     }
 
     private void abortResponse() {
-        LOG.warn("event=answer_cut id={} passed={}", head.requestId(), relay.relayedBytes());
+        LOG.warn("event=answer_cut id={} passed={}", LogValue.of(head.requestId()), relay.relayedBytes());
         cancelAttempt();
         caller.reset();
         finish(RequestRecord.Result.CUT, Optional.of(ErrorCode.UPSTREAM_LOST));
@@ -427,7 +428,7 @@
         if (!callerProgress.stalled()) {
             return;
         }
-        LOG.info("event=caller_stalled id={}", head.requestId());
+        LOG.info("event=caller_stalled id={}", LogValue.of(head.requestId()));
         caller.reset();
         callerGone();
     }
--- a/src/main/java/org/arbutusfield/proxy/LocalExchange.java
+++ b/src/main/java/org/arbutusfield/proxy/LocalExchange.java
@@ -16,6 +16,7 @@
 import org.arbutusfield.http.Header;
 import org.arbutusfield.http.SimpleHttpRequest;
 import org.arbutusfield.http.SimpleHttpResponse;
+import org.arbutusfield.misc.LogValue;
 
 /**
  * A request that this host answers itself, without an upstream. Confined to the event loop of the caller's connection.
@@ -134,7 +135,7 @@
             return;
         }
         if (error != null) {
-            LOG.error("event=local_handler_failed id={}", requestId, error);
+            LOG.error("event=local_handler_failed id={}", LogValue.of(requestId), error);
             caller.writeProblem(Failure.of(ErrorCode.INTERNAL), requestId, true);
         } else {
             result.peek(response -> caller.writeResponse(response, requestId))
--- a/src/main/java/org/arbutusfield/proxy/ProxyHeaders.java
+++ b/src/main/java/org/arbutusfield/proxy/ProxyHeaders.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import java.util.HashSet;
 import java.util.HexFormat;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -21,7 +22,7 @@
 
     private static final HttpHeadersFactory UNCHECKED =
             DefaultHttpHeadersFactory.headersFactory().withValidation(false);
-    private static final Pattern VALID_ID = Pattern.compile("[A-Za-z0-9._:-]{1,128}");
+    private static final Pattern VALID_ID = Pattern.compile("[!-~]{1,128}");
     private static final Set<String> HOP_BY_HOP = Set.of(
             "connection",
             "keep-alive",
@@ -36,13 +37,17 @@
 
     private ProxyHeaders() {}
 
-    /** The caller's request id if it is valid, otherwise a new one. */
+    /** True if the caller gave no request id, or one that can be passed on: visible ASCII characters, up to 128. */
+    static boolean requestIdIsValid(HttpHeaders headers) {
+        List<String> given = headers.getAll(REQUEST_ID);
+        return given.isEmpty()
+                || (given.size() == 1 && VALID_ID.matcher(given.get(0)).matches());
+    }
+
+    /** The caller's request id, as it came. A request without one, or with one that is refused, gets a new one. */
     static String requestId(HttpHeaders headers) {
-        String given = headers.get(REQUEST_ID);
-        if (given != null && VALID_ID.matcher(given).matches()) {
-            return given;
-        }
-        return newRequestId();
+        boolean given = headers.contains(REQUEST_ID) && requestIdIsValid(headers);
+        return given ? headers.get(REQUEST_ID) : newRequestId();
     }
 
     /** A new request id. */
--- a/src/main/java/org/arbutusfield/proxy/RequestAdmission.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestAdmission.java
@@ -12,6 +12,7 @@
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.LogValue;
 
 /**
  * Claims the idempotency key and obtains the placements of one request. Delivers the results on the request's event
@@ -62,7 +63,7 @@
             }
             waitingFor = null;
             if (error != null) {
-                LOG.error("event=key_guard_failed id={}", head.requestId(), error);
+                LOG.error("event=key_guard_failed id={}", LogValue.of(head.requestId()), error);
                 callback.accept(Optional.of(
                         Failure.of(ErrorCode.CLAIM_UNAVAILABLE, head.service().name())));
                 return;
@@ -124,7 +125,7 @@
     }
 
     private Either<Failure, PlacementTarget> placementFailed(Throwable error) {
-        LOG.error("event=placement_failed id={}", head.requestId(), error);
+        LOG.error("event=placement_failed id={}", LogValue.of(head.requestId()), error);
         return Either.left(Failure.of(ErrorCode.NO_UPSTREAM, head.service().name(), "placement failed"));
     }
 
--- a/src/main/java/org/arbutusfield/proxy/RequestHead.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestHead.java
@@ -13,6 +13,7 @@
 import java.util.regex.Pattern;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.DecimalText;
 import org.arbutusfield.model.RequestClass;
 import org.arbutusfield.model.Service;
 import org.arbutusfield.route.Route;
@@ -73,6 +74,9 @@
         if (!request.uri().startsWith("/") || !isPrintableAscii(request.uri())) {
             return malformed("target");
         }
+        if (!ProxyHeaders.requestIdIsValid(headers)) {
+            return malformed(ProxyHeaders.REQUEST_ID);
+        }
         String expected = headers.get(HttpHeaderNames.EXPECT);
         if (expected != null && !expected.equalsIgnoreCase("100-continue")) {
             return malformed("expect");
@@ -140,7 +144,7 @@
 
     private static Optional<Failure> validateFields(HttpHeaders headers, HeaderNames headerNames) {
         String deadline = headers.get(headerNames.deadlineMillis());
-        if (deadline != null && !UP_TO_9_DIGITS.matcher(deadline).matches()) {
+        if (deadline != null && DecimalText.parse(deadline).isEmpty()) {
             return malformed(headerNames.deadlineMillis());
         }
         String hop = headers.get(ProxyHeaders.HOP);
@@ -161,7 +165,9 @@
     private static Duration deadline(HttpHeaders headers, RequestClass requestClass, HeaderNames headerNames) {
         String requested = headers.get(headerNames.deadlineMillis());
         long allowed = requestClass.deadlineMillis();
-        return Duration.ofMillis(requested == null ? allowed : Math.min(allowed, Long.parseLong(requested)));
+        double millis =
+                requested == null ? allowed : DecimalText.parse(requested).orElseThrow();
+        return Duration.ofMillis(Math.min(allowed, (long) millis));
     }
 
     private static int hops(HttpHeaders headers) {
--- a/src/main/java/org/arbutusfield/quarantine/RequestQuarantine.java
+++ b/src/main/java/org/arbutusfield/quarantine/RequestQuarantine.java
@@ -14,6 +14,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.LogValue;
 import org.arbutusfield.proxy.CrashGuard;
 import org.arbutusfield.proxy.InterruptedRun;
 import org.arbutusfield.proxy.upstream.UpstreamProbe;
@@ -182,7 +183,7 @@
         if (upstream.isEmpty()) {
             LOG.info(
                     "event=crash_not_counted id={} upstream={} reason=was_to_end",
-                    run.requestId(),
+                    LogValue.of(run.requestId()),
                     run.upstream().name());
             return;
         }
