--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -52,7 +52,7 @@
     private final CrashCheck crashCheck;
     private final CallerProgress callerProgress;
     private final ResponseWait responseWait;
-    private long deadlineNanos;
+    private final ExchangeDeadline deadline;
     private Stage stage = Stage.BODY;
     private Attempt attempt;
     private Optional<Resumption> resumption = Optional.empty();
@@ -66,11 +66,11 @@
         body = RequestBody.of(context.limits().replayBytes(), context.requestBuffers());
         history = AttemptHistory.of(head, context);
         crashCheck = CrashCheck.of(context, caller, head, body);
-        callerProgress = CallerProgress.of(caller, context);
-        responseWait = ResponseWait.of(caller, context, head, body);
+        deadline = ExchangeDeadline.of(caller.timer(), startNanos, head.deadline());
+        callerProgress = CallerProgress.of(caller, context, deadline);
+        responseWait = ResponseWait.of(deadline, context, head, body);
         recordBuilder = RequestRecordBuilder.of(head, startNanos);
         admission = RequestAdmission.of(context.components(), head, caller.loop(), caller.remoteAddress());
-        deadlineNanos = startNanos + head.deadline().toNanos();
     }
 
     static Exchange of(CallerRequest caller, ProxyContext context, RequestHead head, long startNanos) {
@@ -83,7 +83,7 @@
             fail(Failure.of(ErrorCode.OVERLOADED, "buffers"));
             return;
         }
-        startDeadlineTimer();
+        deadline.awaitEnd();
         if (head.length().orElse(0) > context.limits().replayBytes()) {
             claim();
             return;
@@ -95,9 +95,9 @@
         return caller.loop();
     }
 
-    /** Time left until the response must begin. */
+    /** Time left until the exchange ends. */
     Duration remaining() {
-        return Duration.ofNanos(Math.max(0, deadlineNanos - System.nanoTime()));
+        return deadline.remaining();
     }
 
     /** The range that the current attempt requests, if it resumes a download. */
@@ -231,7 +231,7 @@
     void requestSending(Attempt from) {
         if (relay == null) {
             stage = Stage.SENT;
-            responseWait.start(from, deadlineNanos);
+            responseWait.start(from);
         }
     }
 
@@ -334,8 +334,7 @@
             abortResponse();
             return;
         }
-        deadlineNanos = System.nanoTime() + head.deadline().toNanos();
-        caller.timer().set(deadlineNanos);
+        deadline.awaitEnd();
         place();
     }
 
@@ -348,7 +347,7 @@
 
     private void retry() {
         body.rewind();
-        startDeadlineTimer();
+        deadline.awaitEnd();
         place();
     }
 
@@ -356,22 +355,15 @@
         return !remaining().isZero() && (notRun || crashCheck.mayRepeat()) && history.acquireRetry(notRun, body);
     }
 
-    private void startDeadlineTimer() {
-        caller.timer().set(deadlineNanos);
-    }
-
     private void streamedBodyEnded() {
         if (stage == Stage.SENT) {
-            deadlineNanos = System.nanoTime() + head.deadline().toNanos();
-            responseWait.start(attempt, deadlineNanos);
+            responseWait.start(attempt);
         }
     }
 
     private void sentTimerExpired() {
         Attempt from = attempt;
-        if (!body.ended()) {
-            bodyTimerExpired(from);
-        } else if (remaining().isZero()) {
+        if (deadline.passed()) {
             history.addPossibleRun();
             if (from.onReusedConnection()) {
                 from.closeSilentConnections();
@@ -379,6 +371,8 @@
                 from.cancel(AttemptOutcome.FAILED);
             }
             fail(Failure.of(ErrorCode.UPSTREAM_TIMEOUT, from.target().name()));
+        } else if (!body.ended()) {
+            bodyTimerExpired(from);
         } else {
             from.closeSilentConnections();
             attemptFailed(
@@ -388,7 +382,7 @@
 
     private void bodyTimerExpired(Attempt from) {
         if (responseWait.bodyProgresses()) {
-            responseWait.start(from, deadlineNanos);
+            responseWait.start(from);
         } else if (body.hasUnsent()) {
             from.closeSilentConnections();
             attemptFailed(
@@ -401,18 +395,19 @@
     private void startProgressTimer() {
         callerProgress.start();
         if (caller.acceptsMore()) {
-            caller.timer()
-                    .set(System.nanoTime() + context.limits().progressTimeout().toNanos());
+            deadline.await(context.limits().progressTimeout());
         }
     }
 
     private void progressTimerExpired() {
-        if (attempt == null || !attempt.sent()) {
+        if (deadline.passed()) {
+            abortResponse();
+        } else if (attempt == null || !attempt.sent()) {
             abortResponse();
         } else if (!caller.acceptsMore()) {
             callerStalled();
         } else if (silenceDeadlineNanos() - System.nanoTime() > 0) {
-            caller.timer().set(silenceDeadlineNanos());
+            deadline.awaitUntil(silenceDeadlineNanos());
         } else {
             attempt.closeSilentConnections();
             history.requireNewConnection();
@@ -457,6 +452,7 @@
 
     private void awaitFlush(RequestRecord.Result result, Optional<ErrorCode> code) {
         stage = Stage.FLUSH;
+        deadline.lift();
         callerProgress.start();
         caller.afterWrites(written -> {
             if (stage != Stage.FLUSH) {
@@ -477,7 +473,7 @@
 
     private void finish(RequestRecord.Result result, Optional<ErrorCode> code) {
         stage = Stage.DONE;
-        caller.timer().clear();
+        deadline.clear();
         admission.finish(keyOutcome());
         long relayedBytes = relay == null ? 0 : relay.relayedBytes();
         RequestRecord record =
--- /dev/null
+++ b/src/main/java/org/arbutusfield/proxy/ExchangeDeadline.java
@@ -0,0 +1,72 @@
+package org.arbutusfield.proxy;
+
+import java.time.Duration;
+
+/**
+ * The time at which an exchange ends, whatever it waits for: the timeout of its route, or the caller's deadline if that
+ * is earlier, counted from the head of the request.
+ *
+ * <p>It holds over all stages up to the end of the upstream's response: while the body of the request arrives, while a
+ * placement or a connection is awaited, for all retries and resumptions together, and after the response has begun.
+ * Shorter waits within it are set here too, so that none of them can last longer. Once the response is complete, only
+ * the caller's reading limits the exchange: a response that is ready is delivered, also when late.
+ *
+ * <p>Uses the timer of the request, on its event loop.
+ */
+final class ExchangeDeadline {
+    private final DeadlineTimer timer;
+    private final long endNanos;
+    private boolean lifted;
+
+    private ExchangeDeadline(DeadlineTimer timer, long endNanos) {
+        this.timer = timer;
+        this.endNanos = endNanos;
+    }
+
+    /**
+     * Creates a deadline; the timer isn't set yet.
+     *
+     * @param timer timer of the request
+     * @param startNanos monotonic time at which the head of the request was read
+     * @param timeout time until the end of the exchange
+     */
+    static ExchangeDeadline of(DeadlineTimer timer, long startNanos, Duration timeout) {
+        return new ExchangeDeadline(timer, startNanos + timeout.toNanos());
+    }
+
+    /** Returns the time left. */
+    Duration remaining() {
+        return Duration.ofNanos(Math.max(0, endNanos - System.nanoTime()));
+    }
+
+    /** Returns true once the exchange must end. */
+    boolean passed() {
+        return !lifted && endNanos - System.nanoTime() <= 0;
+    }
+
+    /** Sets the timer to the deadline. */
+    void awaitEnd() {
+        timer.set(endNanos);
+    }
+
+    /** Sets the timer to expire after some time, or at the deadline if that is earlier. */
+    void await(Duration time) {
+        awaitUntil(System.nanoTime() + time.toNanos());
+    }
+
+    /** Sets the timer to expire at a monotonic time, or at the deadline if that is earlier. */
+    void awaitUntil(long nanos) {
+        boolean earlier = lifted || nanos - endNanos < 0;
+        timer.set(earlier ? nanos : endNanos);
+    }
+
+    /** Called when the upstream's response is complete; from now on the deadline doesn't hold. */
+    void lift() {
+        lifted = true;
+    }
+
+    /** Disables the timer. */
+    void clear() {
+        timer.clear();
+    }
+}
--- a/src/test/java/org/arbutusfield/proxy/ScriptedUpstream.java
+++ b/src/test/java/org/arbutusfield/proxy/ScriptedUpstream.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
@@ -24,6 +25,7 @@
     private final Script script;
     private final AtomicInteger requests = new AtomicInteger();
     private volatile String lastId = "";
+    private volatile boolean readsBodies = true;
 
     private ScriptedUpstream(ServerSocket socket, Script script) {
         this.socket = socket;
@@ -68,6 +70,24 @@
         }
     }
 
+    /** Starts an upstream that reads the head of each request and nothing more, until it is told that all is done. */
+    static ScriptedUpstream neverReadingBodies(CountDownLatch done) {
+        ScriptedUpstream upstream = start((number, id) -> {
+            awaitQuietly(done);
+            return Reply.thenClose("");
+        });
+        upstream.readsBodies = false;
+        return upstream;
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Starts a host that has this upstream alone, and sends it each request once. */
     ProxyFixture fixture() {
         return ProxyFixture.of(0, 0, components -> components.withPlacement(this::place));
@@ -114,7 +134,9 @@
                 if (head.isEmpty()) {
                     return;
                 }
-                in.readNBytes(Integer.parseInt(field(head, "content-length", "0")));
+                if (readsBodies) {
+                    in.readNBytes(Integer.parseInt(field(head, "content-length", "0")));
+                }
                 lastId = field(head, "x-request-id", "");
                 requests.incrementAndGet();
                 Reply reply = script.reply(number, lastId);
