--- a/src/main/java/org/arbutusfield/edge/EdgeProxyLimits.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeProxyLimits.java
@@ -11,7 +11,9 @@
     private static final double CALLER_DESCRIPTOR_FRACTION = 0.6;
     private static final int REPLAY_BYTES_PER_REQUEST = 64 << 10;
     private static final long TOTAL_REPLAY_BYTES = 16L << 20;
-    private static final long TOTAL_PENDING_BYTES = 32L << 20;
+    /** Together with the request bodies well below the direct memory of a host, which also holds what is being read. */
+    private static final long TOTAL_PENDING_BYTES = 24L << 20;
+
     private static final Duration BODY_TIMEOUT = Duration.ofSeconds(10);
     private static final Duration LINGER_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
--- a/src/main/java/org/arbutusfield/proxy/CallerRequest.java
+++ b/src/main/java/org/arbutusfield/proxy/CallerRequest.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
@@ -195,11 +196,17 @@
     }
 
     void writeBody(DefaultHttpContent part, int bytes) {
-        write(part, bytes);
+        write(compactIfWaiting(part), bytes);
     }
 
     void writeEnd(LastHttpContent last, int bytes) {
-        write(last, bytes);
+        write(bytes > 0 ? compactIfWaiting(last) : last, bytes);
+    }
+
+    /** Returns a part that holds little more memory than its bytes, if it can't be written to the socket at once. */
+    private HttpContent compactIfWaiting(HttpContent part) {
+        boolean waits = !inTurn || pendingBytes > 0;
+        return waits ? part.replace(BufferCompaction.compact(part.content())) : part;
     }
 
     /**
