--- a/src/main/java/org/arbutusfield/quarantine/LedgerHosts.java
+++ b/src/main/java/org/arbutusfield/quarantine/LedgerHosts.java
@@ -1,8 +1,7 @@
 package org.arbutusfield.quarantine;
 
-import java.util.Comparator;
 import java.util.List;
-import org.arbutusfield.lookup.WeightedRendezvous;
+import org.arbutusfield.reach.RendezvousHosts;
 import org.arbutusfield.state.HostEntry;
 
 /** Selects the hosts that count the ends of upstreams under a request, equally on all hosts with the same list. */
@@ -14,12 +13,6 @@
 
     /** Returns up to {@link #COPIES} of the hosts, in the order in which they publish what they find. */
     static List<HostEntry> of(String fingerprint, List<HostEntry> hosts) {
-        long key = WeightedRendezvous.hash(fingerprint);
-        return hosts.stream()
-                .sorted(Comparator.comparingDouble((HostEntry host) ->
-                                WeightedRendezvous.score(WeightedRendezvous.hash(host.name()), key, 1))
-                        .reversed())
-                .limit(COPIES)
-                .toList();
+        return RendezvousHosts.first(fingerprint, hosts, COPIES);
     }
 }
--- a/src/main/java/org/arbutusfield/quarantine/SuspectPublisher.java
+++ b/src/main/java/org/arbutusfield/quarantine/SuspectPublisher.java
@@ -9,6 +9,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.reach.HostBroadcast;
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.SteeringState;
 import org.arbutusfield.state.SuspectCodec;
@@ -16,7 +17,6 @@
 import org.arbutusfield.store.WatchableStore;
 import org.arbutusfield.timer.TimerService;
 import org.arbutusfield.wire.ControlTransport;
-import org.arbutusfield.wire.PeerAddress;
 import org.arbutusfield.wire.gen.ControlMessage;
 
 /**
@@ -31,16 +31,13 @@
     private static final Duration TURN = Duration.ofMillis(600);
     private static final Duration STORE_RETRY_DELAY = Duration.ofMillis(500);
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
-    /** Larger fleets learn from the store alone, because a host can't keep a connection to each of the others. */
-    private static final int MAX_DIRECT_HOSTS = 500;
-
     private static final Duration SPREAD_DIRECTLY = Duration.ofMillis(50);
     private static final Duration SPREAD_THROUGH_STORE = Duration.ofSeconds(2);
     private static final long NO_LEASE = 0;
 
     private final String self;
     private final Supplier<SteeringState> state;
-    private final ControlTransport transport;
+    private final HostBroadcast broadcast;
     private final WatchableStore store;
     private final KnownSuspects known;
     private final TimerService timer;
@@ -49,14 +46,14 @@
     private SuspectPublisher(
             String self,
             Supplier<SteeringState> state,
-            ControlTransport transport,
+            HostBroadcast broadcast,
             WatchableStore store,
             KnownSuspects known,
             TimerService timer,
             Consumer<String> answered) {
         this.self = self;
         this.state = state;
-        this.transport = transport;
+        this.broadcast = broadcast;
         this.store = store;
         this.known = known;
         this.timer = timer;
@@ -83,7 +80,8 @@
             KnownSuspects known,
             TimerService timer,
             Consumer<String> answered) {
-        return new SuspectPublisher(self, state, transport, store, known, timer, answered);
+        HostBroadcast broadcast = HostBroadcast.of(self, state, transport);
+        return new SuspectPublisher(self, state, broadcast, store, known, timer, answered);
     }
 
     /**
@@ -106,7 +104,7 @@
 
     /** Returns the time that it takes until all hosts know what is published. */
     Duration spreadTime() {
-        return state.get().hosts().size() > MAX_DIRECT_HOSTS ? SPREAD_THROUGH_STORE : SPREAD_DIRECTLY;
+        return broadcast.reachesAll() ? SPREAD_DIRECTLY : SPREAD_THROUGH_STORE;
     }
 
     private void publishNow(SuspectRequest suspect, long firstEndNanos) {
@@ -162,20 +160,10 @@
     }
 
     private void tellHosts(SuspectRequest suspect, Duration sinceFirstEnd) {
-        List<HostEntry> hosts = state.get().hosts();
-        if (hosts.size() > MAX_DIRECT_HOSTS) {
-            return;
-        }
-        for (HostEntry host : hosts) {
-            if (!host.name().equals(self)) {
-                transport
-                        .call(
-                                PeerAddress.parse(host.controlAddress()),
-                                CrashMessages.suspect(suspect, sinceFirstEnd),
-                                CALL_TIMEOUT)
-                        .thenAccept(response -> onTold(suspect.fingerprint(), host.name(), response));
-            }
-        }
+        broadcast.send(
+                CrashMessages.suspect(suspect, sinceFirstEnd),
+                CALL_TIMEOUT,
+                (host, response) -> onTold(suspect.fingerprint(), host.name(), response));
     }
 
     private void onTold(String fingerprint, String host, Either<Failure, ControlMessage> response) {
--- a/src/main/java/org/arbutusfield/reach/PortReports.java
+++ b/src/main/java/org/arbutusfield/reach/PortReports.java
@@ -2,7 +2,6 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,7 +11,6 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.Failure;
-import org.arbutusfield.lookup.WeightedRendezvous;
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.SteeringState;
 import org.arbutusfield.state.UpstreamStart;
@@ -161,13 +159,7 @@
 
     /** Returns the hosts that may pass a report on, in the order in which they are tried. */
     private List<HostEntry> relays(Report report) {
-        long key = WeightedRendezvous.hash(report.start().upstream());
-        return state.get().hosts().stream()
-                .sorted(Comparator.comparingDouble((HostEntry host) ->
-                                WeightedRendezvous.score(WeightedRendezvous.hash(host.name()), key, 1))
-                        .reversed())
-                .limit(RELAYS)
-                .toList();
+        return RendezvousHosts.first(report.start().upstream(), state.get().hosts(), RELAYS);
     }
 
     private boolean quiet(Report report) {
--- a/src/test/java/org/arbutusfield/proxy/ScriptedUpstream.java
+++ b/src/test/java/org/arbutusfield/proxy/ScriptedUpstream.java
@@ -102,6 +102,10 @@
                 Either.right(new PlacementTarget.UpstreamTarget(upstream, Permit.NONE)));
     }
 
+    int port() {
+        return socket.getLocalPort();
+    }
+
     /** Returns the id of the last request. */
     String lastId() {
         return lastId;
