--- a/src/main/java/org/arbutusfield/quota/LimitKnowledge.java
+++ b/src/main/java/org/arbutusfield/quota/LimitKnowledge.java
@@ -36,6 +36,12 @@
         return belief(upstream).map(Belief::limit).orElseGet(() -> UpstreamLimit.none(upstream));
     }
 
+    /** Returns the requests per second that may be sent; empty if this host believes in no limit. */
+    OptionalDouble rate(UpstreamStart upstream) {
+        // Asked for each candidate of each request, and hardly ever is there a limit.
+        return beliefs.isEmpty() ? OptionalDouble.empty() : limit(upstream).rate();
+    }
+
     /** Returns how many responses have named a limit up to now. */
     long heardCount(UpstreamStart upstream) {
         return belief(upstream).map(Belief::heardCount).orElse(0L);
--- a/src/main/java/org/arbutusfield/quota/QuotaClient.java
+++ b/src/main/java/org/arbutusfield/quota/QuotaClient.java
@@ -134,7 +134,7 @@
 
     @Override
     public OptionalDouble namedRate(UpstreamStart upstream) {
-        return knowledge.limit(upstream).rate();
+        return knowledge.rate(upstream);
     }
 
     @Override
