--- a/src/main/java/org/arbutusfield/proxy/CallerConnection.java
+++ b/src/main/java/org/arbutusfield/proxy/CallerConnection.java
@@ -154,8 +154,9 @@
         }
     }
 
-    /** Closes the connection immediately. */
+    /** Closes the connection immediately, because the host ends. */
     void close() {
+        requests.forEach(request -> request.handler().hostEnds());
         channel.close();
     }
 
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -167,6 +167,12 @@
         }
     }
 
+    @Override
+    public void hostEnds() {
+        boolean sent = history.mayHaveRun() || (attempt != null && attempt.sent());
+        LOG.warn("event=cut_by_stop id={} stage={} sent={}", LogValue.of(head.requestId()), stage, sent);
+    }
+
     private void claim() {
         if (!admission.needsClaim()) {
             place();
--- a/src/main/java/org/arbutusfield/proxy/ProxyServer.java
+++ b/src/main/java/org/arbutusfield/proxy/ProxyServer.java
@@ -140,7 +140,7 @@
     public void close() {
         draining = true;
         listener.close().awaitUninterruptibly();
-        connections.forEach(CallerConnection::close);
+        connections.forEach(connection -> connection.loop().execute(connection::close));
         context.pools().close();
     }
 
--- a/src/main/java/org/arbutusfield/proxy/RequestHandler.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestHandler.java
@@ -32,4 +32,7 @@
 
     /** Called when the connection's timer expires. */
     void expired();
+
+    /** Called before the connection is closed because the host ends. */
+    default void hostEnds() {}
 }
