--- a/src/test/java/org/arbutusfield/proxy/ScriptedUpstream.java
+++ b/src/test/java/org/arbutusfield/proxy/ScriptedUpstream.java
@@ -106,7 +106,7 @@
         return socket.getLocalPort();
     }
 
-    /** Returns the id of the last request. */
+    /** Returns the id of the request that was read last on any connection. */
     String lastId() {
         return lastId;
     }
@@ -141,9 +141,10 @@
                 if (readsBodies) {
                     in.readNBytes(Integer.parseInt(field(head, "content-length", "0")));
                 }
-                lastId = field(head, "x-request-id", "");
+                String id = field(head, "x-request-id", "");
+                lastId = id;
                 requests.incrementAndGet();
-                Reply reply = script.reply(number, lastId);
+                Reply reply = script.reply(number, id);
                 connection.getOutputStream().write(reply.text().getBytes(StandardCharsets.ISO_8859_1));
                 connection.getOutputStream().flush();
                 if (reply.close()) {
