--- a/src/main/java/org/arbutusfield/daemon/Daemon.java
+++ b/src/main/java/org/arbutusfield/daemon/Daemon.java
@@ -99,7 +99,7 @@
         leaving = true;
         LOG.info("event=host_leaving host={}", settings.name());
         control.leave();
-        proxyServer.leave();
+        proxyServer.leave(lookupCacheLifetime().plus(settings.drainLimit()));
         pause(lookupCacheLifetime());
         int unfinished = proxyServer.drain(settings.drainLimit()).join();
         LOG.info("event=host_stopped host={} unfinished={}", settings.name(), unfinished);
--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -70,6 +70,7 @@
     private static final int CONTROL_BODY_BYTES = 4 << 10;
     private static final int MIN_CONNECTIONS = 8;
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(400);
+    /** Time from the end of all exchanges to the end of the stop limit: for their last bytes, and the process's end. */
     private static final Duration STOP_MARGIN = Duration.ofMillis(500);
     /**
      * Fraction of the stop limit during which the host still accepts requests of callers that use cached look-up
@@ -154,19 +155,21 @@
 
     /**
      * Stops without cutting off requests: deregisters from look-ups, serves callers that still use cached look-up
-     * responses, stops accepting connections, waits for running requests, and closes.
+     * responses, stops accepting connections, waits for running requests, and closes. Each request that was received as
+     * a whole is answered before the process ends; see {@link ProxyServer#leave}.
      */
     public void stopGracefully() {
         Duration limit = settings.stopLimit();
+        Duration exchangesEnd = atLeastZero(limit.minus(STOP_MARGIN));
         long start = System.nanoTime();
         LOG.info("event=host_leaving host={} limit_ms={}", settings.name(), limit.toMillis());
         leaving = true;
         loop.execute(registrar::leave);
-        proxyServer.leave();
+        proxyServer.leave(exchangesEnd);
         sleep(Duration.ofMillis((long) (limit.toMillis() * SERVE_WHILE_LEAVING_FRACTION)));
-        long remainingNanos = limit.minus(STOP_MARGIN).toNanos() - (System.nanoTime() - start);
+        Duration sinceStart = Duration.ofNanos(System.nanoTime() - start);
         int unfinished =
-                proxyServer.drain(Duration.ofNanos(Math.max(0, remainingNanos))).join();
+                proxyServer.drain(atLeastZero(exchangesEnd.minus(sinceStart))).join();
         LOG.info("event=host_stopped host={} unfinished={}", settings.name(), unfinished);
         close();
     }
@@ -345,6 +348,10 @@
         return Math.max(MIN_CONNECTIONS, upstream.connections() / hosts);
     }
 
+    private static Duration atLeastZero(Duration time) {
+        return time.isNegative() ? Duration.ZERO : time;
+    }
+
     private static void sleep(Duration time) {
         try {
             TimeUnit.NANOSECONDS.sleep(time.toNanos());
--- a/src/main/java/org/arbutusfield/proxy/Attempt.java
+++ b/src/main/java/org/arbutusfield/proxy/Attempt.java
@@ -201,6 +201,31 @@
         cancel(onReusedConnection() ? AttemptOutcome.CANCELLED : AttemptOutcome.FAILED);
     }
 
+    /**
+     * Returns how many turns it takes until this request is served, if its target serves those first that this host has
+     * there already, as many at a time as the target has slots; at least 1.
+     */
+    int turnsAtTarget() {
+        if (!(target instanceof PlacementTarget.UpstreamTarget upstreamTarget)) {
+            return 1;
+        }
+        int slots = Math.max(1, upstreamTarget.upstream().slots());
+        return Math.max(1, (pool.inUse() + slots - 1) / slots);
+    }
+
+    /**
+     * Ends the attempt because the time of the request is over; that says nothing of the upstream if the host stops.
+     */
+    void timedOut(boolean hostStops) {
+        if (hostStops) {
+            cancel(AttemptOutcome.CANCELLED);
+        } else if (onReusedConnection()) {
+            closeSilentConnections();
+        } else {
+            cancel(AttemptOutcome.FAILED);
+        }
+    }
+
     /** Finds out whether the upstream, to which the connection was lost, has ended; see {@link ConnectionPool}. */
     void checkUpstreamEnded(Consumer<Boolean> callback) {
         pool.checkEnded(exchange.loop(), callback);
@@ -309,7 +334,7 @@
             connectFailed(result.getLeft().code());
             return;
         }
-        Optional<Failure> refusal = exchange.refusalToSend();
+        Optional<Failure> refusal = exchange.refusalToSend(this);
         if (refusal.isPresent()) {
             ended = true;
             release(AttemptOutcome.CANCELLED);
--- a/src/main/java/org/arbutusfield/proxy/AttemptHistory.java
+++ b/src/main/java/org/arbutusfield/proxy/AttemptHistory.java
@@ -21,7 +21,11 @@
     private static final int MAX_LOST_RUNS = 2;
 
     private static final Set<ErrorCode> WITHOUT_ARRIVAL = EnumSet.of(
-            ErrorCode.UPSTREAM_CONNECT, ErrorCode.PERMIT_EXPIRED, ErrorCode.HOST_CUT_OFF, ErrorCode.HOST_BUSY);
+            ErrorCode.UPSTREAM_CONNECT,
+            ErrorCode.PERMIT_EXPIRED,
+            ErrorCode.HOST_CUT_OFF,
+            ErrorCode.HOST_BUSY,
+            ErrorCode.HOST_LEAVING);
 
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
 
--- a/src/main/java/org/arbutusfield/proxy/CallerConnection.java
+++ b/src/main/java/org/arbutusfield/proxy/CallerConnection.java
@@ -36,7 +36,7 @@
  * <p>A request that arrives while earlier ones are in progress is started at once if running it twice is harmless and
  * it has no body, up to a limit. Any other waits until those before it are answered. Once a response has announced that
  * the connection closes, no further request is started; the caller knows that the ones behind it were not read. While
- * the host drains, the last request that was started announces it.
+ * the host stops, the response to the last request that was received announces it.
  *
  * <p>Connections are closed with a lingering close: the output is shut down first, and input is read and discarded
  * until the caller closes as well or a timeout passes. A plain close with unread input would reset the connection and
@@ -63,6 +63,9 @@
     /** The head of a request that can't be started yet. */
     private Optional<HttpRequest> waiting = Optional.empty();
 
+    /** Number of request heads that were read from the decoder. */
+    private int headsRead;
+
     private boolean closeAfterResponse;
     private boolean draining;
     private boolean lingering;
@@ -160,6 +163,11 @@
         channel.close();
     }
 
+    /** Called when the host starts to stop. */
+    void hostStops() {
+        List.copyOf(requests).forEach(request -> request.handler().hostStops());
+    }
+
     /** Closes the connection once no request is in progress; a request in progress is answered first. */
     void drain() {
         draining = true;
@@ -180,7 +188,7 @@
     /** Completes the head of a response just before it is written. */
     void prepareHead(CallerRequest from, HttpResponse head) {
         boolean last = requests.isEmpty() || requests.peekLast() == from;
-        closeAfterResponse |= from.closes() || (last && closing());
+        closeAfterResponse |= from.closes() || (last && closing() && !requestsFollow());
         encoder.setHeadRequest(from.isHeadRequest());
         if (closeAfterResponse && last) {
             head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -213,7 +221,7 @@
         } else if (!requests.isEmpty()) {
             requests.peek().takeTurn();
             startWaiting();
-        } else if (closeAfterResponse || draining) {
+        } else if (closeAfterResponse || (draining && !requestsFollow())) {
             linger();
         } else {
             awaitRequest();
@@ -229,7 +237,14 @@
 
     // ---- internal
 
+    /** True if a further request, or a part of one, has been received. */
+    private boolean requestsFollow() {
+        boolean received = decoder.heads() > headsRead || decoder.holdsBytes();
+        return waiting.isPresent() || (receiving.isEmpty() && received);
+    }
+
     private void dispatch(Object message) {
+        headsRead += message instanceof HttpRequest ? 1 : 0;
         if (message instanceof HttpRequest head && !lingering) {
             if (requests.isEmpty()) {
                 begin(head);
@@ -367,7 +382,7 @@
     }
 
     private boolean closing() {
-        return draining || context.leaving();
+        return draining || context.stop().isPresent();
     }
 
     private void headStarted() {
--- a/src/main/java/org/arbutusfield/proxy/DeadlineTimer.java
+++ b/src/main/java/org/arbutusfield/proxy/DeadlineTimer.java
@@ -42,6 +42,13 @@
         }
     }
 
+    /** Moves the timer to an earlier time, if it is set to a later one. */
+    void bringForward(long nanos) {
+        if (armed && deadlineNanos - nanos > 0) {
+            set(nanos);
+        }
+    }
+
     /** Disables the timer until it is set again. */
     void clear() {
         armed = false;
--- a/src/main/java/org/arbutusfield/proxy/ProxyContext.java
+++ b/src/main/java/org/arbutusfield/proxy/ProxyContext.java
@@ -1,6 +1,8 @@
 package org.arbutusfield.proxy;
 
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.arbutusfield.model.Upstream;
 import org.arbutusfield.proxy.upstream.ConnectionPools;
 
@@ -13,7 +15,9 @@
     private final AtomicInteger inFlight = new AtomicInteger();
     private final AtomicInteger callerConnections = new AtomicInteger();
     private final ResponseTimes responseTimes = ResponseTimes.create();
-    private volatile boolean leaving;
+    private final ResponseTimes completionTimes = ResponseTimes.create();
+    private final AtomicReference<Optional<HostStop>> stop = new AtomicReference<>(Optional.empty());
+    private final AtomicInteger cutByStop = new AtomicInteger();
 
     private ProxyContext(ProxyComponents components, ConnectionPools pools) {
         this.components = components;
@@ -53,6 +57,11 @@
         return responseTimes;
     }
 
+    /** How long responses recently took to their last byte. */
+    ResponseTimes completionTimes() {
+        return completionTimes;
+    }
+
     /** Requests accepted and not yet finished. */
     AtomicInteger inFlight() {
         return inFlight;
@@ -63,12 +72,19 @@
         return callerConnections;
     }
 
-    boolean leaving() {
-        return leaving;
+    /** The planned stop of the host, if it has begun. */
+    Optional<HostStop> stop() {
+        return stop.get();
+    }
+
+    /** Begins a stop; of several, the one that ends first holds. */
+    void stop(HostStop begun) {
+        stop.updateAndGet(known -> Optional.of(known.map(begun::earlier).orElse(begun)));
     }
 
-    void leave() {
-        leaving = true;
+    /** Requests that the stop has ended although they had been sent to an upstream. */
+    AtomicInteger cutByStop() {
+        return cutByStop;
     }
 
     /** Maximum number of connections from this host to the upstream; at least 1. */
--- a/src/main/java/org/arbutusfield/proxy/ProxyServer.java
+++ b/src/main/java/org/arbutusfield/proxy/ProxyServer.java
@@ -27,11 +27,14 @@
  * Listens on a host's caller port: answers paths under {@code /-/} itself and forwards requests for services to
  * upstreams or to hosts of other regions. Thread-safe.
  *
- * <p>For a graceful shutdown, call {@link #leave()}, wait until callers' cached look-ups have expired, then call
- * {@link #drain(Duration)} and {@link #close()}.
+ * <p>For a graceful shutdown, call {@link #leave(Duration)}, wait until callers' cached look-ups have expired, then
+ * call {@link #drain(Duration)} and {@link #close()}.
  */
 public final class ProxyServer implements AutoCloseable {
     private static final int BACKLOG = 1024;
+    /** Time for the last responses to leave the host, after all exchanges have ended. */
+    private static final Duration FLUSH_TIME = Duration.ofMillis(250);
+
     private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 << 10, 64 << 10);
 
     private final EventLoopGroup group;
@@ -112,26 +115,38 @@
         return context.requestBuffers().peak() + context.responseBuffers().peak();
     }
 
-    /** Marks the host as leaving: it continues to serve, but closes each connection after its next response. */
-    public void leave() {
-        context.leave();
+    /**
+     * Starts to stop: the host continues to serve, but closes each connection after its next response. Each request
+     * that was received as a whole is answered within the limit: a request that can't be expected to be answered by an
+     * upstream until then is refused, not run, as soon as that is known, and at the limit the others get a response
+     * that doesn't state their outcome.
+     *
+     * @param limit time until all exchanges end; if called more than once, the earliest end holds
+     */
+    public void leave(Duration limit) {
+        context.stop(HostStop.after(limit));
+        connections.forEach(connection -> connection.loop().execute(connection::hostStops));
     }
 
     /**
      * Stops accepting connections, closes those without a request, and lets requests in progress finish.
      *
-     * @param limit time after which the future completes even if requests are left
-     * @return future number of unfinished requests; 0 unless the limit passed
+     * @param limit time until all exchanges end, as for {@link #leave}; the future completes shortly after it
+     * @return future number of requests that the limit cut off from their upstream's response; 0 unless it passed
      */
     public CompletableFuture<Integer> drain(Duration limit) {
-        leave();
+        leave(limit);
         draining = true;
         listener.close();
         connections.forEach(this::drain);
         completeIfDrained();
         CompletableFuture<Integer> drained = new CompletableFuture<>();
-        connectionsClosed.thenRun(() -> drained.complete(0));
-        group.next().schedule(() -> drained.complete(inFlight()), limit.toNanos(), TimeUnit.NANOSECONDS);
+        connectionsClosed.thenRun(() -> drained.complete(unfinished()));
+        group.next()
+                .schedule(
+                        () -> drained.complete(unfinished()),
+                        limit.plus(FLUSH_TIME).toNanos(),
+                        TimeUnit.NANOSECONDS);
         return drained;
     }
 
@@ -144,6 +159,10 @@
         context.pools().close();
     }
 
+    private int unfinished() {
+        return context.cutByStop().get() + inFlight();
+    }
+
     private ServerBootstrap bootstrap() {
         return new ServerBootstrap()
                 .group(group)
--- a/src/main/java/org/arbutusfield/proxy/RequestHandler.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestHandler.java
@@ -33,6 +33,9 @@
     /** Called when the connection's timer expires. */
     void expired();
 
+    /** Called when the host starts to stop, after which the request may have less time. */
+    default void hostStops() {}
+
     /** Called before the connection is closed because the host ends. */
     default void hostEnds() {}
 }
--- a/src/main/java/org/arbutusfield/proxy/ResponseTimes.java
+++ b/src/main/java/org/arbutusfield/proxy/ResponseTimes.java
@@ -2,10 +2,11 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * How long the responses to each class of requests recently took to begin.
+ * How long the responses to each class of requests recently took, to their beginning or to their end.
  *
  * <p>Problem: a reused connection may have gone silent without notice. Giving it up early leaves time for a retry, but
  * an upstream that is only slow with the request then loses its work, and the retry has too little time for the same.
@@ -32,7 +33,7 @@
         return new ResponseTimes();
     }
 
-    /** Records a response that took this long to begin. */
+    /** Records a response that took this long. */
     void record(RequestHead request, Duration took, long nowNanos) {
         slowestByClass
                 .computeIfAbsent(key(request), key -> new Slowest(nowNanos))
@@ -56,6 +57,20 @@
         return Duration.ofNanos(Math.min(left.toNanos(), Math.max(left.toNanos() / 2, plausible)));
     }
 
+    /**
+     * Returns how long the slowest recent response took.
+     *
+     * @param request a request of the class
+     * @param nowNanos current monotonic time
+     * @return empty if no recent response of the class is known
+     */
+    Optional<Duration> slowest(RequestHead request, long nowNanos) {
+        return Optional.ofNullable(slowestByClass.get(key(request)))
+                .map(slowest -> slowest.nanos(nowNanos))
+                .filter(nanos -> nanos > 0)
+                .map(Duration::ofNanos);
+    }
+
     private static String key(RequestHead request) {
         return request.service().name() + '/' + request.requestClass().name();
     }
--- a/src/main/java/org/arbutusfield/proxy/ResponseWait.java
+++ b/src/main/java/org/arbutusfield/proxy/ResponseWait.java
@@ -20,6 +20,20 @@
         this.body = body;
     }
 
+    /** What holds when the timer expires. */
+    enum State {
+        /** The body is on its way; the timer is set again. */
+        CONTINUES,
+        /** The exchange must end. */
+        ENDS,
+        /** The upstream has the whole request and has sent nothing; another one may be asked. */
+        UPSTREAM_SILENT,
+        /** The upstream doesn't read the body. */
+        UPSTREAM_NOT_READING,
+        /** The caller doesn't send the rest of the body. */
+        CALLER_SILENT
+    }
+
     static ResponseWait of(ExchangeDeadline deadline, ProxyContext context, RequestHead head, RequestBody body) {
         return new ResponseWait(deadline, context, head, body);
     }
@@ -44,8 +58,23 @@
         deadline.await(context.responseTimes().patience(head, deadline.remaining(), System.nanoTime()));
     }
 
+    /** Called when the timer expired; it is set again if the body goes on arriving. */
+    State state(Attempt attempt) {
+        if (deadline.passed()) {
+            return State.ENDS;
+        }
+        if (body.ended()) {
+            return State.UPSTREAM_SILENT;
+        }
+        if (bodyProgresses()) {
+            start(attempt);
+            return State.CONTINUES;
+        }
+        return body.hasUnsent() ? State.UPSTREAM_NOT_READING : State.CALLER_SILENT;
+    }
+
     /** True if the caller has sent enough of the body since the start to be given more time. */
-    boolean bodyProgresses() {
+    private boolean bodyProgresses() {
         return body.received() - receivedAtStart >= MIN_BODY_BYTES_PER_TIMEOUT;
     }
 }
--- a/src/main/java/org/arbutusfield/proxy/StrictRequestDecoder.java
+++ b/src/main/java/org/arbutusfield/proxy/StrictRequestDecoder.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -21,6 +22,7 @@
     private final Runnable headStarted;
     private boolean inHead = true;
     private boolean receivingHead;
+    private int heads;
 
     private StrictRequestDecoder(HttpDecoderConfig config, Runnable headStarted) {
         super(config);
@@ -47,6 +49,16 @@
         return receivingHead;
     }
 
+    /** Number of request heads decoded. */
+    int heads() {
+        return heads;
+    }
+
+    /** True if bytes were received after the last message that was decoded. */
+    boolean holdsBytes() {
+        return actualReadableBytes() > 0;
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
         if (inHead) {
@@ -60,6 +72,7 @@
         super.decode(ctx, buffer, out);
         if (out.size() > before) {
             receivingHead = false;
+            heads += out.get(before) instanceof HttpRequest ? 1 : 0;
             inHead = out.get(out.size() - 1) instanceof LastHttpContent;
         }
     }
--- a/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
@@ -108,6 +108,13 @@
         }
     }
 
+    /** Connections that are being opened or carry a request. */
+    public int inUse() {
+        synchronized (lock) {
+            return open() - idle();
+        }
+    }
+
     /**
      * Closes the matching idle connections, for example after another connection to the address became unresponsive.
      */
--- a/src/main/java/org/arbutusfield/reach/PeerForwarding.java
+++ b/src/main/java/org/arbutusfield/reach/PeerForwarding.java
@@ -3,8 +3,10 @@
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -33,6 +35,10 @@
  */
 public final class PeerForwarding {
     private static final Logger LOG = LogManager.getLogger(PeerForwarding.class);
+    /** Refusals of a helper that hold for its next requests as well. */
+    private static final Set<ErrorCode> REASONS_TO_REST =
+            EnumSet.of(ErrorCode.HOST_CUT_OFF, ErrorCode.HOST_BUSY, ErrorCode.HOST_LEAVING);
+
     private static final Duration RETRY_AFTER = Duration.ofMillis(400);
     private static final Duration SECOND = Duration.ofSeconds(1);
     /** Requests per second that a whole core takes from other hosts, beside those of its own callers. */
@@ -175,7 +181,7 @@
 
         @Override
         public void refused(Failure failure) {
-            if (failure.code() == ErrorCode.HOST_CUT_OFF || failure.code() == ErrorCode.HOST_BUSY) {
+            if (REASONS_TO_REST.contains(failure.code())) {
                 helpers.rest(host, timer.nowNanos());
             }
         }
