--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -175,7 +175,8 @@
     public void hostStops() {
         switch (stage) {
             case BODY, CLAIM, PLACE, CONNECT -> stopCheck.awaitLatestStart();
-            case SENT, RESPONSE -> deadline.bringForward();
+            case SENT -> responseWait.hostStops(attempt);
+            case RESPONSE -> deadline.bringForward();
             default -> {} // The response is complete; the caller may read it until the host ends.
         }
     }
--- a/src/main/java/org/arbutusfield/proxy/ResponseProgress.java
+++ b/src/main/java/org/arbutusfield/proxy/ResponseProgress.java
@@ -56,6 +56,11 @@
         if (!caller.acceptsMore()) {
             return callerState();
         }
+        if (deadline.endsWithHost()) {
+            // Nothing is left to gain from another upstream.
+            deadline.awaitEnd();
+            return State.CONTINUES;
+        }
         long silenceEndNanos = attempt.lastProgressNanos() + silenceLimit().toNanos();
         if (silenceEndNanos - System.nanoTime() <= 0) {
             return State.UPSTREAM_SILENT;
--- a/src/test/java/org/arbutusfield/proxy/StopAnswersTest.java
+++ b/src/test/java/org/arbutusfield/proxy/StopAnswersTest.java
@@ -15,6 +15,8 @@
 import org.arbutusfield.proxy.RawCaller.Response;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against requests that are cut without an answer at the end of a planned stop: each request that a host has
@@ -120,6 +122,32 @@
         }
     }
 
+    /**
+     * Guards against giving up a response early, to leave time for a retry that a host which stops doesn't make: its
+     * upstream is still at work, on a connection that was used before.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void responseOnAReusedConnectionIsAwaitedUntilTheHostEnds(boolean sentBeforeTheStop) {
+        try (ProxyFixture fixture = ProxyFixture.of(1);
+                RawCaller caller = fixture.caller()) {
+            assertThat(caller.call(get("/desk/x", "before")).status()).isEqualTo(200);
+            fixture.upstream().holdResponses(request -> true);
+            if (!sentBeforeTheStop) {
+                fixture.server.leave(LONG_STOP);
+            }
+            caller.send(get("/desk/x", "g"));
+            awaitRun(fixture, "g");
+            if (sentBeforeTheStop) {
+                fixture.server.leave(LONG_STOP);
+            }
+            Response response = caller.read(false);
+            assertThat(response.code()).isEqualTo("UPSTREAM_TIMEOUT");
+            assertThat(response.statesUnknown()).isTrue();
+            assertThat(fixture.runs("g")).isEqualTo(1);
+        }
+    }
+
     /** Guards against a body that arrives so slowly that its request is sent too late. */
     @Test
     void requestWhoseBodyArrivesTooLateIsRefusedNotRun() {
