--- /dev/null
+++ b/src/main/java/org/arbutusfield/team/package-info.java
@@ -0,0 +1,2 @@
+/** Teams of callers, and the keys that identify them. */
+package org.arbutusfield.team;
