--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -46,6 +46,7 @@
 import org.arbutusfield.route.RouteTable;
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.LiveUpstream;
+import org.arbutusfield.state.PeerConfiguration;
 import org.arbutusfield.state.StateCache;
 import org.arbutusfield.state.SteeringState;
 import org.arbutusfield.state.StoreHealth;
@@ -85,6 +86,8 @@
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final EdgeProtocol protocol;
+    private final ControlHandlers controlHandlers = ControlHandlers.create();
+    private ControlClient controlClient;
     private volatile EdgeSettings settings;
     private volatile SteeringState state = SteeringState.empty();
     private volatile ProxyLimits limits;
@@ -190,9 +193,10 @@
 
     private Either<Failure, EdgeHost> startControlChannel() {
         planner = HomePlanner.create(() -> state, timer);
-        ControlHandlers handlers = ControlHandlers.create();
+        ControlHandlers handlers = controlHandlers;
         planner.register(handlers);
         ControlClient client = ControlClient.start(group, timer, ControlLimits.defaults());
+        controlClient = client;
         quarantine = RequestQuarantine.start(settings.name(), () -> state, client, store, probe, this::leaves, timer);
         quarantine.register(handlers);
         homeResolver = HomeResolver.start(settings.name(), () -> state, client, planner, timer);
@@ -311,6 +315,8 @@
         reach.onChange(() -> registrar.setReachesUpstreams(reach.reachesAny()));
         watcher =
                 StoreWatcher.start(store, timer, cache, settings.maxPropagationDelay(), health, restarts::stateChanged);
+        PeerConfiguration.start(settings.name(), () -> state, controlClient, watcher, timer, new SplittableRandom())
+                .register(controlHandlers);
     }
 
     /** Finds out whether an upstream has restarted, from the store soon and from its port at once. */
--- a/src/main/java/org/arbutusfield/state/StateCache.java
+++ b/src/main/java/org/arbutusfield/state/StateCache.java
@@ -17,6 +17,7 @@
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.http.Body;
 import org.arbutusfield.lookup.WeightedRendezvous;
 import org.arbutusfield.misc.LogValue;
 import org.arbutusfield.model.Upstream;
@@ -69,6 +70,7 @@
     private long era = StoreRevision.UNKNOWN_ERA;
     private long settledEra = StoreRevision.UNKNOWN_ERA;
     private Optional<RouteTable> routes = Optional.empty();
+    private Optional<ConfigurationItem> configuration = Optional.empty();
 
     private StateCache(ItemDecoder decoder, Map<String, String> regions) {
         this.decoder = decoder;
@@ -190,24 +192,29 @@
     }
 
     private void putItem(StoreItem item, long nowNanos) {
-        decode(item).peek(decoded -> apply(item, decoded, nowNanos)).peekLeft(failure -> {
-            LOG.warn("event=item_unreadable key={} detail={}", LogValue.of(item.key()), LogValue.of(failure.detail()));
-            removeUpstream(item.key(), false, nowNanos);
-        });
+        decode(item.key(), item.value())
+                .peek(decoded -> apply(item, decoded, nowNanos))
+                .peekLeft(failure -> {
+                    LOG.warn(
+                            "event=item_unreadable key={} detail={}",
+                            LogValue.of(item.key()),
+                            LogValue.of(failure.detail()));
+                    removeUpstream(item.key(), false, nowNanos);
+                });
     }
 
     /** Decodes an item. One that the decoder fails at must not keep the others from being read. */
-    private Either<Failure, StateItem> decode(StoreItem item) {
+    private Either<Failure, StateItem> decode(String key, Body value) {
         try {
-            return decoder.decode(item.key(), item.value().bytes());
+            return decoder.decode(key, value.bytes());
         } catch (RuntimeException e) {
-            return Either.left(Failure.of(ErrorCode.ITEM_UNREADABLE, item.key(), e.toString()));
+            return Either.left(Failure.of(ErrorCode.ITEM_UNREADABLE, key, e.toString()));
         }
     }
 
     private void apply(StoreItem item, StateItem decoded, long nowNanos) {
         if (decoded instanceof StateItem.Routes table) {
-            installRoutes(table.routes());
+            installRoutes(table.routes(), item.key(), item.value());
         } else if (decoded instanceof StateItem.DomainDrain) {
             missingDrains.remove(item.key());
             if (drains.add(item.key())) {
@@ -226,7 +233,24 @@
         }
     }
 
-    private void installRoutes(RouteTable table) {
+    /** Returns the operator's configuration in force as it was read, if there is one. */
+    Optional<ConfigurationItem> configuration() {
+        return configuration;
+    }
+
+    /** Installs a configuration that another host has read; returns true if it is later than the one in force. */
+    boolean installRoutesFromPeer(String key, Body value) {
+        Either<Failure, StateItem> decoded = decode(key, value);
+        boolean later = decoded.isRight()
+                && decoded.get() instanceof StateItem.Routes table
+                && table.routes().version() > routes.map(RouteTable::version).orElse(0L);
+        if (later) {
+            installRoutes(((StateItem.Routes) decoded.get()).routes(), key, value);
+        }
+        return later;
+    }
+
+    private void installRoutes(RouteTable table, String key, Body value) {
         long current = routes.map(RouteTable::version).orElse(0L);
         if (table.version() < current) {
             LOG.warn("event=routes_older version={} in_force={}", table.version(), current);
@@ -236,6 +260,7 @@
             LOG.info("event=routes_in_force version={} replaces={} routes={}", table.version(), current, table.size());
         }
         routes = Optional.of(table);
+        configuration = Optional.of(new ConfigurationItem(table.version(), key, value));
     }
 
     private void putUpstream(StoreItem item, UpstreamEntry entry, long nowNanos) {
--- a/src/main/java/org/arbutusfield/state/StoreHealth.java
+++ b/src/main/java/org/arbutusfield/state/StoreHealth.java
@@ -10,6 +10,7 @@
  */
 public final class StoreHealth {
     private volatile Runnable recoveryListener = () -> {};
+    private volatile Runnable outageListener = () -> {};
     private volatile boolean unavailable;
     private long era = StoreRevision.UNKNOWN_ERA;
 
@@ -25,9 +26,17 @@
         recoveryListener = listener;
     }
 
+    /** Sets the listener that is called each time the store stops to answer. */
+    void onOutage(Runnable listener) {
+        outageListener = listener;
+    }
+
     /** Records that a call got no usable response. */
     public void recordFailure() {
-        unavailable = true;
+        if (!unavailable) {
+            unavailable = true;
+            outageListener.run();
+        }
     }
 
     /** Records that a call was answered. */
--- a/src/main/java/org/arbutusfield/state/StoreWatcher.java
+++ b/src/main/java/org/arbutusfield/state/StoreWatcher.java
@@ -11,6 +11,7 @@
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.http.Body;
 import org.arbutusfield.store.ItemChanges;
 import org.arbutusfield.store.ItemPage;
 import org.arbutusfield.store.StoreItem;
@@ -30,7 +31,7 @@
  *
  * <p>Runs on the timer's thread, on which the store's futures must also complete.
  */
-public final class StoreWatcher {
+public final class StoreWatcher implements ConfigurationHolder {
     private static final Logger LOG = LogManager.getLogger(StoreWatcher.class);
     private static final String ALL_KEYS = "";
     private static final Duration WATCH_WAIT = Duration.ofSeconds(2);
@@ -63,6 +64,7 @@
     /** Until then the change that a sign has announced is expected. */
     private long urgentUntilNanos;
 
+    private Runnable outageListener = () -> {};
     private int failures;
     private long outageGraceEndNanos;
     private long watchCount;
@@ -227,6 +229,29 @@
         watchAfter(Duration.ofNanos(Math.max(0, left)));
     }
 
+    @Override
+    public void onOutage(Runnable listener) {
+        outageListener = listener;
+        health.onOutage(listener);
+    }
+
+    @Override
+    public boolean storeUnavailable() {
+        return failures > 0 || health.unavailable();
+    }
+
+    @Override
+    public Optional<ConfigurationItem> configuration() {
+        return cache.configuration();
+    }
+
+    @Override
+    public void installFromPeer(String key, byte[] value) {
+        if (cache.installRoutesFromPeer(key, Body.of(value))) {
+            publish();
+        }
+    }
+
     private void onFailure(String call, Failure failure, Runnable retry) {
         failures++;
         if (failures == 1) {
@@ -236,6 +261,7 @@
                     failure.code(),
                     failure.detail(),
                     revision.number());
+            outageListener.run();
         }
         long backoff = INITIAL_RETRY_DELAY.toMillis() << Math.min(failures - 1, 4);
         long limit = Math.min(backoff, MAX_RETRY_DELAY.toMillis());
@@ -273,7 +299,7 @@
      * {@code REMOVAL_GRACE_AFTER_OUTAGE} after its end.
      */
     private boolean duringOrAfterOutage() {
-        return failures > 0 || health.unavailable() || outageGraceEndNanos - timer.nowNanos() > 0;
+        return storeUnavailable() || outageGraceEndNanos - timer.nowNanos() > 0;
     }
 
     private void checkExpiry() {
--- a/src/main/java/org/arbutusfield/wire/gen/ControlMessage.java
+++ b/src/main/java/org/arbutusfield/wire/gen/ControlMessage.java
@@ -36,6 +36,8 @@
   private static final org.apache.thrift.protocol.TField LIMIT_ANNOUNCEMENT_RECEIVED_FIELD_DESC = new org.apache.thrift.protocol.TField("limitAnnouncementReceived", org.apache.thrift.protocol.TType.STRUCT, (short)65);
   private static final org.apache.thrift.protocol.TField PORT_REPORT_FIELD_DESC = new org.apache.thrift.protocol.TField("portReport", org.apache.thrift.protocol.TType.STRUCT, (short)70);
   private static final org.apache.thrift.protocol.TField PORT_REPORT_RECEIVED_FIELD_DESC = new org.apache.thrift.protocol.TField("portReportReceived", org.apache.thrift.protocol.TType.STRUCT, (short)71);
+  private static final org.apache.thrift.protocol.TField CONFIGURATION_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("configurationRequest", org.apache.thrift.protocol.TType.STRUCT, (short)90);
+  private static final org.apache.thrift.protocol.TField CONFIGURATION_RESPONSE_FIELD_DESC = new org.apache.thrift.protocol.TField("configurationResponse", org.apache.thrift.protocol.TType.STRUCT, (short)91);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -65,7 +67,9 @@
     LIMIT_ANNOUNCEMENT((short)64, "limitAnnouncement"),
     LIMIT_ANNOUNCEMENT_RECEIVED((short)65, "limitAnnouncementReceived"),
     PORT_REPORT((short)70, "portReport"),
-    PORT_REPORT_RECEIVED((short)71, "portReportReceived");
+    PORT_REPORT_RECEIVED((short)71, "portReportReceived"),
+    CONFIGURATION_REQUEST((short)90, "configurationRequest"),
+    CONFIGURATION_RESPONSE((short)91, "configurationResponse");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -135,6 +139,10 @@
           return PORT_REPORT;
         case 71: // PORT_REPORT_RECEIVED
           return PORT_REPORT_RECEIVED;
+        case 90: // CONFIGURATION_REQUEST
+          return CONFIGURATION_REQUEST;
+        case 91: // CONFIGURATION_RESPONSE
+          return CONFIGURATION_RESPONSE;
         default:
           return null;
       }
@@ -234,6 +242,10 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PortReport.class)));
     tmpMap.put(_Fields.PORT_REPORT_RECEIVED, new org.apache.thrift.meta_data.FieldMetaData("portReportReceived", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PortReportReceived.class)));
+    tmpMap.put(_Fields.CONFIGURATION_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("configurationRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ConfigurationRequest.class)));
+    tmpMap.put(_Fields.CONFIGURATION_RESPONSE, new org.apache.thrift.meta_data.FieldMetaData("configurationResponse", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ConfigurationResponse.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ControlMessage.class, metaDataMap);
   }
@@ -416,6 +428,18 @@
     return x;
   }
 
+  public static ControlMessage configurationRequest(ConfigurationRequest value) {
+    ControlMessage x = new ControlMessage();
+    x.setConfigurationRequest(value);
+    return x;
+  }
+
+  public static ControlMessage configurationResponse(ConfigurationResponse value) {
+    ControlMessage x = new ControlMessage();
+    x.setConfigurationResponse(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -555,6 +579,16 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type PortReportReceived for field 'portReportReceived', but got " + value.getClass().getSimpleName());
+      case CONFIGURATION_REQUEST:
+        if (value instanceof ConfigurationRequest) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type ConfigurationRequest for field 'configurationRequest', but got " + value.getClass().getSimpleName());
+      case CONFIGURATION_RESPONSE:
+        if (value instanceof ConfigurationResponse) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type ConfigurationResponse for field 'configurationResponse', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -835,6 +869,26 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case CONFIGURATION_REQUEST:
+          if (field.type == CONFIGURATION_REQUEST_FIELD_DESC.type) {
+            ConfigurationRequest configurationRequest;
+            configurationRequest = new ConfigurationRequest();
+            configurationRequest.read(iprot);
+            return configurationRequest;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case CONFIGURATION_RESPONSE:
+          if (field.type == CONFIGURATION_RESPONSE_FIELD_DESC.type) {
+            ConfigurationResponse configurationResponse;
+            configurationResponse = new ConfigurationResponse();
+            configurationResponse.read(iprot);
+            return configurationResponse;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -955,6 +1009,14 @@
         PortReportReceived portReportReceived = (PortReportReceived)value_;
         portReportReceived.write(oprot);
         return;
+      case CONFIGURATION_REQUEST:
+        ConfigurationRequest configurationRequest = (ConfigurationRequest)value_;
+        configurationRequest.write(oprot);
+        return;
+      case CONFIGURATION_RESPONSE:
+        ConfigurationResponse configurationResponse = (ConfigurationResponse)value_;
+        configurationResponse.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -1100,6 +1162,16 @@
           portReportReceived = new PortReportReceived();
           portReportReceived.read(iprot);
           return portReportReceived;
+        case CONFIGURATION_REQUEST:
+          ConfigurationRequest configurationRequest;
+          configurationRequest = new ConfigurationRequest();
+          configurationRequest.read(iprot);
+          return configurationRequest;
+        case CONFIGURATION_RESPONSE:
+          ConfigurationResponse configurationResponse;
+          configurationResponse = new ConfigurationResponse();
+          configurationResponse.read(iprot);
+          return configurationResponse;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -1219,6 +1291,14 @@
         PortReportReceived portReportReceived = (PortReportReceived)value_;
         portReportReceived.write(oprot);
         return;
+      case CONFIGURATION_REQUEST:
+        ConfigurationRequest configurationRequest = (ConfigurationRequest)value_;
+        configurationRequest.write(oprot);
+        return;
+      case CONFIGURATION_RESPONSE:
+        ConfigurationResponse configurationResponse = (ConfigurationResponse)value_;
+        configurationResponse.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -1281,6 +1361,10 @@
         return PORT_REPORT_FIELD_DESC;
       case PORT_REPORT_RECEIVED:
         return PORT_REPORT_RECEIVED_FIELD_DESC;
+      case CONFIGURATION_REQUEST:
+        return CONFIGURATION_REQUEST_FIELD_DESC;
+      case CONFIGURATION_RESPONSE:
+        return CONFIGURATION_RESPONSE_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -1654,6 +1738,32 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.PORT_REPORT_RECEIVED");
   }
 
+  public ConfigurationRequest getConfigurationRequest() {
+    if (getSetField() == _Fields.CONFIGURATION_REQUEST) {
+      return (ConfigurationRequest)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'configurationRequest' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setConfigurationRequest(ConfigurationRequest value) {
+    setField_ = _Fields.CONFIGURATION_REQUEST;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.CONFIGURATION_REQUEST");
+  }
+
+  public ConfigurationResponse getConfigurationResponse() {
+    if (getSetField() == _Fields.CONFIGURATION_RESPONSE) {
+      return (ConfigurationResponse)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'configurationResponse' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setConfigurationResponse(ConfigurationResponse value) {
+    setField_ = _Fields.CONFIGURATION_RESPONSE;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.CONFIGURATION_RESPONSE");
+  }
+
   public boolean isSetRefusal() {
     return setField_ == _Fields.REFUSAL;
   }
@@ -1789,6 +1899,16 @@
   }
 
 
+  public boolean isSetConfigurationRequest() {
+    return setField_ == _Fields.CONFIGURATION_REQUEST;
+  }
+
+
+  public boolean isSetConfigurationResponse() {
+    return setField_ == _Fields.CONFIGURATION_RESPONSE;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof ControlMessage) {
       return equals((ControlMessage)other);
--- a/src/main/thrift/control.thrift
+++ b/src/main/thrift/control.thrift
@@ -290,6 +290,19 @@
 struct PortReportReceived {
 }
 
+// Asks another host for the operator's configuration, if it has a later one than `version`. Sent while the store rejects or doesn't
+// reach the sender.
+struct ConfigurationRequest {
+  1: i64 version
+}
+
+// The version that the receiver has and, if it is later than the one asked for, the store's item as it was read.
+struct ConfigurationResponse {
+  1: i64 version
+  2: optional string key
+  3: optional binary value
+}
+
 union ControlMessage {
   1: Refusal refusal
   2: Heartbeat heartbeat
@@ -318,6 +331,8 @@
   65: LimitAnnouncementReceived limitAnnouncementReceived
   70: PortReport portReport
   71: PortReportReceived portReportReceived
+  90: ConfigurationRequest configurationRequest
+  91: ConfigurationResponse configurationResponse
 }
 
 // The content of one frame. `kind`: 0 one-way, 1 request, 2 response.
--- a/src/test/java/org/arbutusfield/state/StateCacheTest.java
+++ b/src/test/java/org/arbutusfield/state/StateCacheTest.java
@@ -240,6 +240,22 @@
         assertThat(names()).isEmpty();
     }
 
+    /** Guards against another host's configuration that takes this one back, or that is no configuration. */
+    @Test
+    void configurationOfAnotherHostIsInstalledOnlyIfItIsLater() {
+        decoded.put("config", new StateItem.Routes(table(5)));
+        cache.applyListing(List.of(new StoreItem("config", Body.of("five"), 1)), ERA, false, 0);
+        assertThat(cache.configuration()).contains(new ConfigurationItem(5, "config", Body.of("five")));
+        assertThat(cache.installRoutesFromPeer("config", Body.of("five"))).isFalse();
+        assertThat(cache.installRoutesFromPeer("unreadable", Body.of("x"))).isFalse();
+        decoded.put("config", new StateItem.Routes(table(7)));
+        assertThat(cache.installRoutesFromPeer("config", Body.of("seven"))).isTrue();
+        decoded.put("config", new StateItem.Routes(table(6)));
+        cache.applyListing(List.of(new StoreItem("config", Body.of("six"), 2)), ERA, false, 0);
+        assertThat(cache.snapshot(StoreRevision.of(ERA, 2)).routesVersion()).isEqualTo(7);
+        assertThat(cache.configuration()).contains(new ConfigurationItem(7, "config", Body.of("seven")));
+    }
+
     private static RouteTable table(long version) {
         CallerLimits limits = new CallerLimits(1, 1, Duration.ZERO, Duration.ZERO);
         return RouteTable.of(version, limits, List.of(), List.of());
