Teams of the operator's configuration, with their keys as keyed digests, and open routes

Requests of teams have to be identified by a key that no host keeps or logs. A parser's message can quote a key, so an unreadable configuration names only the place of the fault. A limit or rank of the wrong type makes the configuration unreadable: read as none it would lift the limit. Of a key or name listed twice the first counts, logged once a version.

Nothing identifies requests yet.

--- a/src/main/java/org/arbutusfield/platform/JsonFields.java
+++ b/src/main/java/org/arbutusfield/platform/JsonFields.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.arbutusfield.misc.DurationText;
 
 /**
@@ -49,6 +50,52 @@
         return Optional.of(node.path(name)).filter(JsonNode::isTextual).map(JsonNode::asText);
     }
 
+    /** Returns the elements of a list of texts; empty if the field is missing. */
+    List<String> texts(String name) {
+        List<String> texts = new ArrayList<>();
+        if (!absent(name)) {
+            required(name, node.path(name).isArray()).forEach(element -> {
+                required(name, element.isTextual());
+                texts.add(element.textValue());
+            });
+        }
+        return texts;
+    }
+
+    /** Returns the objects of a list; empty if the field is missing. */
+    List<JsonFields> optionalObjects(String name) {
+        return absent(name) ? List.of() : objects(name);
+    }
+
+    /** Returns a number that isn't negative; 0 if the field is missing. */
+    double amountOrZero(String name) {
+        if (absent(name)) {
+            return 0;
+        }
+        double amount = required(name, node.path(name).isNumber()).asDouble();
+        required(name, Double.isFinite(amount) && amount >= 0);
+        return amount;
+    }
+
+    /** Returns a whole number that isn't negative, if the field is there. */
+    OptionalInt optionalRank(String name) {
+        if (absent(name)) {
+            return OptionalInt.empty();
+        }
+        JsonNode rank = node.path(name);
+        boolean valid = rank.isIntegralNumber() && rank.canConvertToInt() && rank.asInt() >= 0;
+        return OptionalInt.of(required(name, valid).asInt());
+    }
+
+    /** Returns true only for the literal {@code true}. */
+    boolean isTrue(String name) {
+        return node.path(name).isBoolean() && node.path(name).booleanValue();
+    }
+
+    private boolean absent(String name) {
+        return !node.hasNonNull(name);
+    }
+
     boolean flag(String name) {
         return node.path(name).asBoolean(false);
     }
--- a/src/main/java/org/arbutusfield/platform/PlatformItemDecoder.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformItemDecoder.java
@@ -1,10 +1,13 @@
 package org.arbutusfield.platform;
 
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -27,6 +30,10 @@
 import org.arbutusfield.state.StateItem;
 import org.arbutusfield.state.SuspectCodec;
 import org.arbutusfield.state.UpstreamEntry;
+import org.arbutusfield.team.KeyDigest;
+import org.arbutusfield.team.KeyDigester;
+import org.arbutusfield.team.Team;
+import org.arbutusfield.team.TeamDirectory;
 
 /** Decodes the items that the operator and the upstreams write to the platform's store. */
 public final class PlatformItemDecoder implements ItemDecoder {
@@ -69,11 +76,21 @@
                     ? new StateItem.UpstreamRegistration(entry(key.substring(UPSTREAM_PREFIX.length()), node))
                     : new StateItem.Routes(routes(node));
             return Either.right(item);
+        } catch (JsonProcessingException e) {
+            return Either.left(Failure.of(ErrorCode.ITEM_UNREADABLE, key, invalidJson(e)));
         } catch (IOException | InvalidFieldException e) {
             return Either.left(Failure.of(ErrorCode.ITEM_UNREADABLE, key, String.valueOf(e.getMessage())));
         }
     }
 
+    /** Tells where the text is invalid, without quoting it: the message of the parser may contain a team's key. */
+    private static String invalidJson(JsonProcessingException e) {
+        JsonLocation location = e.getLocation();
+        return location == null
+                ? "invalid JSON"
+                : "invalid JSON at line " + location.getLineNr() + " column " + location.getColumnNr();
+    }
+
     private static UpstreamEntry entry(String id, JsonNode node) {
         JsonFields root = JsonFields.of(node);
         JsonFields details = root.object("details");
@@ -128,7 +145,36 @@
         List<ServicePolicy> services = root.objects("upstreams").stream()
                 .map(PlatformItemDecoder::service)
                 .toList();
-        return RouteTable.of(version(root.string("version")), callers, routes, services);
+        return RouteTable.of(version(root.string("version")), callers, routes, services, teams(root));
+    }
+
+    private static TeamDirectory teams(JsonFields root) {
+        return TeamDirectory.of(root.optionalObjects("tenants").stream()
+                .map(PlatformItemDecoder::team)
+                .toList());
+    }
+
+    private static TeamDirectory.Entry team(JsonFields fields) {
+        Team team = new Team(
+                teamName(fields.string("name")),
+                fields.optionalRank("priority"),
+                fields.amountOrZero("rate_per_s"),
+                fields.amountOrZero("burst"),
+                new TreeSet<>(fields.texts("allowed_regions")));
+        // An empty key would be the key of a caller that sends none.
+        List<KeyDigest> keys = fields.texts("api_keys").stream()
+                .filter(key -> !key.isEmpty())
+                .map(key -> KeyDigester.ofProcess().digest(key.getBytes(StandardCharsets.UTF_8)))
+                .toList();
+        return new TeamDirectory.Entry(team, keys);
+    }
+
+    /** Returns the name, which becomes the value of a header field; spaces are allowed inside it. */
+    private static String teamName(String name) {
+        if (!name.equals(name.strip()) || !VisibleAscii.only(name.replace(' ', '-')) || name.isEmpty()) {
+            throw new InvalidFieldException("name");
+        }
+        return name;
     }
 
     private static long version(String text) {
@@ -154,7 +200,8 @@
                 action.positiveInt("attempts"),
                 regions(action),
                 rule.flag("session_affinity"),
-                weightedServices(action));
+                weightedServices(action),
+                rule.isTrue("public"));
     }
 
     private static boolean isIdempotent(String routeType) {
--- a/src/main/java/org/arbutusfield/route/Route.java
+++ b/src/main/java/org/arbutusfield/route/Route.java
@@ -19,6 +19,7 @@
  * @param allowedRegions regions that may serve it; empty for all
  * @param affinity whether requests for an object go to the same upstream, because one that served it recently is faster
  * @param weightedServices services that share its requests, with their weights; at least one
+ * @param open whether requests need no key although the configuration has teams
  */
 public record Route(
         String name,
@@ -32,7 +33,38 @@
         int attempts,
         Set<String> allowedRegions,
         boolean affinity,
-        List<WeightedService> weightedServices) {
+        List<WeightedService> weightedServices,
+        boolean open) {
+
+    /** Creates a route whose requests need a key if the configuration has teams. */
+    public Route(
+            String name,
+            String host,
+            String prefix,
+            boolean idempotent,
+            boolean largeResponses,
+            Duration timeout,
+            Duration latencyObjective,
+            int priority,
+            int attempts,
+            Set<String> allowedRegions,
+            boolean affinity,
+            List<WeightedService> weightedServices) {
+        this(
+                name,
+                host,
+                prefix,
+                idempotent,
+                largeResponses,
+                timeout,
+                latencyObjective,
+                priority,
+                attempts,
+                allowedRegions,
+                affinity,
+                weightedServices,
+                false);
+    }
 
     /** Makes the record immutable by copying the collections. */
     public Route {
--- a/src/main/java/org/arbutusfield/route/RouteTable.java
+++ b/src/main/java/org/arbutusfield/route/RouteTable.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.arbutusfield.team.TeamDirectory;
 
 /** All routes and services of one version of the operator's configuration. Immutable. */
 public final class RouteTable {
@@ -16,18 +17,27 @@
     private final Map<String, List<Route>> routesByHost;
     private final Map<String, Route> routesByName;
     private final Map<String, ServicePolicy> services;
+    private final TeamDirectory teams;
 
     private RouteTable(
             long version,
             CallerLimits limits,
             Map<String, List<Route>> routesByHost,
             Map<String, Route> routesByName,
-            Map<String, ServicePolicy> services) {
+            Map<String, ServicePolicy> services,
+            TeamDirectory teams) {
         this.version = version;
         this.limits = limits;
         this.routesByHost = routesByHost;
         this.routesByName = routesByName;
         this.services = services;
+        this.teams = teams;
+    }
+
+    /** Creates the table of a configuration without teams. */
+    public static RouteTable of(
+            long version, CallerLimits limits, Collection<Route> routes, Collection<ServicePolicy> services) {
+        return of(version, limits, routes, services, TeamDirectory.empty());
     }
 
     /**
@@ -37,9 +47,14 @@
      * @param limits limits on callers
      * @param routes all routes
      * @param services all services
+     * @param teams all teams
      */
     public static RouteTable of(
-            long version, CallerLimits limits, Collection<Route> routes, Collection<ServicePolicy> services) {
+            long version,
+            CallerLimits limits,
+            Collection<Route> routes,
+            Collection<ServicePolicy> services,
+            TeamDirectory teams) {
         Map<String, List<Route>> byHost = new HashMap<>();
         Map<String, Route> routesByName = new HashMap<>();
         for (Route route : routes) {
@@ -53,7 +68,7 @@
         byHost.replaceAll((host, list) -> list.stream().sorted(longestFirst).toList());
         Map<String, ServicePolicy> byName = new HashMap<>();
         services.forEach(service -> byName.put(service.name(), service));
-        return new RouteTable(version, limits, Map.copyOf(byHost), Map.copyOf(routesByName), Map.copyOf(byName));
+        return new RouteTable(version, limits, Map.copyOf(byHost), Map.copyOf(routesByName), Map.copyOf(byName), teams);
     }
 
     /** Returns the version of the configuration. */
@@ -66,6 +81,11 @@
         return limits;
     }
 
+    /** Returns the teams. */
+    public TeamDirectory teams() {
+        return teams;
+    }
+
     /** Returns the number of routes. */
     public int size() {
         return routesByHost.values().stream().mapToInt(List::size).sum();
--- a/src/main/java/org/arbutusfield/state/StateCache.java
+++ b/src/main/java/org/arbutusfield/state/StateCache.java
@@ -25,6 +25,7 @@
 import org.arbutusfield.store.ItemChange;
 import org.arbutusfield.store.StoreItem;
 import org.arbutusfield.store.StoreRevision;
+import org.arbutusfield.team.TeamDirectory;
 
 /**
  * A host's copy of the items in the store, kept current by listings and changes.
@@ -234,10 +235,21 @@
         }
         if (table.version() > current) {
             LOG.info("event=routes_in_force version={} replaces={} routes={}", table.version(), current, table.size());
+            logDuplicateTeams(table);
         }
         routes = Optional.of(table);
     }
 
+    private static void logDuplicateTeams(RouteTable table) {
+        for (TeamDirectory.Duplicate duplicate : table.teams().duplicates()) {
+            LOG.warn(
+                    "event=team_duplicate version={} team={} ignored={}",
+                    table.version(),
+                    LogValue.of(duplicate.used()),
+                    LogValue.of(duplicate.ignored()));
+        }
+    }
+
     private void putUpstream(StoreItem item, UpstreamEntry entry, long nowNanos) {
         TrackedUpstream previous = upstreams.get(item.key());
         if (previous != null && isKnown(previous, item, entry)) {
