Requests are identified by the key of their team, and counted once against its limit

With teams in the configuration a request on a route that isn't open needs a known key; its team decides rank and regions, and its name goes to the upstream in place of the key. The check is a pure function of what the head states and the teams in force, repeated whenever the request is placed or sent, so that a removed key ends waiting requests too. The hop and team fields are believed from registered hosts only; connections to other hosts come from the address that this host registers, because the system would choose another one on a machine with several. The digest that tells repeated requests apart contains the team's name in place of the key, because it is stored and sent between hosts. Ruled out: removing the key from the received fields, since a pipelined head may be read more than once.

--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -30,6 +30,7 @@
 import org.arbutusfield.proxy.ProxyLimits;
 import org.arbutusfield.proxy.ProxyServer;
 import org.arbutusfield.proxy.RequestObserver;
+import org.arbutusfield.proxy.TeamLimiter;
 import org.arbutusfield.proxy.upstream.PortProbe;
 import org.arbutusfield.proxy.upstream.UpstreamProbe;
 import org.arbutusfield.quarantine.RequestQuarantine;
@@ -55,6 +56,7 @@
 import org.arbutusfield.steering.SharedLimits;
 import org.arbutusfield.steering.SteeringPlacement;
 import org.arbutusfield.store.WatchableStore;
+import org.arbutusfield.team.TeamDirectory;
 import org.arbutusfield.timer.PauseMonitor;
 import org.arbutusfield.timer.SystemTimer;
 import org.arbutusfield.timer.TimerService;
@@ -269,16 +271,23 @@
                 quarantine,
                 observer(),
                 LocalHandler.NONE,
-                address -> false,
+                KnownHosts.of(() -> state.hosts()),
                 () -> limits,
                 this::connectionShare,
-                protocol.headerNames());
+                protocol.headerNames(),
+                () -> state.routes().map(RouteTable::teams).orElseGet(TeamDirectory::empty),
+                teamLimiter());
         return ProxyServer.bind(group, settings.callerAddress(), components).map(server -> {
             proxyServer = server;
             return this;
         });
     }
 
+    /** Limits of teams over all hosts; not limited yet. */
+    private TeamLimiter teamLimiter() {
+        return TeamLimiter.UNLIMITED;
+    }
+
     private RequestObserver observer() {
         return new CompositeRequestObserver(log, RequestMetrics.of(registry), this::upstreamMayHaveRestarted);
     }
--- a/src/main/java/org/arbutusfield/proxy/Attempt.java
+++ b/src/main/java/org/arbutusfield/proxy/Attempt.java
@@ -84,15 +84,13 @@
 
     void start(ProxyContext context) {
         int limit = MAX_CONNECTIONS_PER_HOST;
-        InetSocketAddress address;
         if (target instanceof PlacementTarget.UpstreamTarget upstreamTarget) {
             Upstream upstream = upstreamTarget.upstream();
             limit = context.connectionShare(upstream);
-            address = new InetSocketAddress(upstream.host(), upstream.port());
+            pool = context.pools().pool(new InetSocketAddress(upstream.host(), upstream.port()));
         } else {
-            address = ((PlacementTarget.HostTarget) target).address();
+            pool = context.poolToHost(((PlacementTarget.HostTarget) target).address());
         }
-        pool = context.pools().pool(address);
         pool.acquire(exchange.loop(), limit, this::reusable, this::connected);
     }
 
@@ -339,7 +337,7 @@
             ended = true;
             release(AttemptOutcome.CANCELLED);
             result.get().release();
-            exchange.sendingRefused(refusal.get());
+            exchange.refused(refusal.get());
             return;
         }
         Optional<Failure> expired = target.permit().refusalToSend();
@@ -394,7 +392,9 @@
     }
 
     private HttpHeaders forwardedHeaders() {
-        HttpHeaders headers = ProxyHeaders.forwardedFields(head.headers());
+        RequestTeam team = exchange.team();
+        HttpHeaders headers = ProxyHeaders.forwardedFields(head.headers(), team.withheldFields(target));
+        team.addTo(headers, target);
         headers.set(ProxyHeaders.REQUEST_ID, head.requestId());
         headers.set(
                 headerNames.deadlineMillis(), Long.toString(exchange.remaining().toMillis()));
--- a/src/main/java/org/arbutusfield/proxy/CallerConnection.java
+++ b/src/main/java/org/arbutusfield/proxy/CallerConnection.java
@@ -49,8 +49,8 @@
 
     private final ProxyContext context;
     private final StrictRequestDecoder decoder;
-    private final CallerResponseEncoder encoder;
     private final RequestParser parser;
+    private final CallerResponseEncoder encoder;
     /** Requests in progress, in the order in which they arrived. The first one has its turn to respond. */
     private final Deque<CallerRequest> requests = new ArrayDeque<>();
 
@@ -75,7 +75,7 @@
     private CallerConnection(ProxyContext context, CallerResponseEncoder encoder) {
         this.context = context;
         this.encoder = encoder;
-        parser = RequestParser.of(context);
+        parser = RequestParser.of(context, () -> remoteAddress().getAddress());
         decoder = StrictRequestDecoder.create(context.limits().headBytes(), this::headStarted);
     }
 
--- a/src/main/java/org/arbutusfield/proxy/CallerRequest.java
+++ b/src/main/java/org/arbutusfield/proxy/CallerRequest.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.http.SimpleHttpResponse;
 
@@ -327,6 +328,10 @@
     private void addFailureFields(FullHttpResponse fullResponse, Failure failure) {
         fullResponse.headers().set(NotRunStatement.ERROR_CODE, failure.code().name());
         fullResponse.headers().set(ProxyHeaders.NOT_RUN, Boolean.toString(failure.notRun()));
+        if (failure.code() == ErrorCode.KEY_UNKNOWN) {
+            // RFC 9110 requires it in each response with status 401.
+            fullResponse.headers().set(HttpHeaderNames.WWW_AUTHENTICATE, "Bearer");
+        }
         if (context.components().headerNames().fractionalRetryAfter()) {
             failure.retryAfter().ifPresent(delay -> setFractionalRetryAfter(fullResponse, delay));
         }
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -72,7 +72,7 @@
         progress = ResponseProgress.of(caller, context, deadline);
         responseWait = ResponseWait.of(deadline, context, head, body);
         recordBuilder = RequestRecordBuilder.of(head, startNanos);
-        admission = RequestAdmission.of(context.components(), head, caller.loop(), caller.remoteAddress());
+        admission = RequestAdmission.of(context.components(), head, caller);
         end = ExchangeEnd.of(caller, context, head, body, history, admission, recordBuilder);
     }
 
@@ -108,6 +108,11 @@
         return resumption;
     }
 
+    /** The team of the request. */
+    RequestTeam team() {
+        return admission.team();
+    }
+
     /** Requests more of the body from the caller. */
     void demandBody() {
         caller.demandBody(head.expectsContinue());
@@ -209,25 +214,29 @@
     }
 
     private void place() {
-        Optional<Failure> refusal = crashCheck.refusal().or(stopCheck::refusal);
+        Optional<Failure> refusal =
+                admission.team().refusal().or(crashCheck::refusal).or(stopCheck::refusal);
         if (refusal.isPresent()) {
             refused(refusal.get());
             return;
         }
         stage = relay == null ? Stage.PLACE : Stage.RESPONSE;
+        if (admission.needsTeamUse()) {
+            // The checks are repeated after the wait.
+            admission.acquireTeamUse(remaining(), failure -> failure.ifPresentOrElse(this::refused, this::place));
+            return;
+        }
         attempt = null;
         recordBuilder.waitStarted();
         admission.place(remaining(), history.tried(), result -> {
             recordBuilder.waitEnded();
-            result.peek(this::connect).peekLeft(this::placementFailed);
+            result.peek(this::connect)
+                    .peekLeft(failure -> refused(history.lastFailure().orElse(failure)));
         });
     }
 
-    private void placementFailed(Failure failure) {
-        refused(history.lastFailure().orElse(failure));
-    }
-
-    private void refused(Failure failure) {
+    /** Ends the request, which was not placed, or not sent because of a {@link #refusalToSend}. */
+    void refused(Failure failure) {
         if (relay != null) {
             abortResponse();
         } else {
@@ -247,16 +256,12 @@
 
     /** The reason for which the current attempt must not send the request, if there is one since it was placed. */
     Optional<Failure> refusalToSend(Attempt from) {
-        return crashCheck.refusal().or(() -> stopCheck.refusalAt(from));
-    }
-
-    /** Called when the current attempt ended, with its connection unused, because of a {@link #refusalToSend}. */
-    void sendingRefused(Failure refusal) {
-        refused(refusal);
+        return admission.team().refusal().or(crashCheck::refusal).or(() -> stopCheck.refusalAt(from));
     }
 
     /** Called when the current attempt starts to send the request. */
     void requestSending(Attempt from) {
+        admission.teamUse().sending();
         if (relay == null) {
             stage = Stage.SENT;
             responseWait.start(from);
@@ -266,6 +271,7 @@
     /** Called when an attempt ended without a response to relay. */
     void attemptFailed(Attempt from, Failure failure, boolean notRun) {
         history.attemptFailed(from, failure, notRun);
+        admission.teamUse().attemptFailed(from.target(), failure, from.sent());
         context.components()
                 .observer()
                 .attemptFailed(head.requestId(), from.target().name(), failure, notRun);
@@ -401,7 +407,7 @@
         switch (state) {
             case ENDS -> {
                 history.addPossibleRun();
-                countIfCutByStop();
+                stopCheck.countIfCut();
                 from.timedOut(deadline.endsWithHost());
                 fail(Failure.of(ErrorCode.UPSTREAM_TIMEOUT, target));
             }
@@ -418,16 +424,10 @@
         }
     }
 
-    private void countIfCutByStop() {
-        if (deadline.passed() && deadline.endsWithHost()) {
-            context.cutByStop().incrementAndGet();
-        }
-    }
-
     private void progressTimerExpired(ResponseProgress.State state) {
         switch (state) {
             case ENDS -> {
-                countIfCutByStop();
+                stopCheck.countIfCut();
                 abortResponse();
             }
             case UPSTREAM_SILENT -> {
--- a/src/main/java/org/arbutusfield/proxy/HeaderNames.java
+++ b/src/main/java/org/arbutusfield/proxy/HeaderNames.java
@@ -13,6 +13,7 @@
  * @param upstreamLeaving field with which an upstream says that it is about to stop, if upstreams send one
  * @param upstreamRateLimit field with which an upstream names the requests per second that it accepts from all hosts
  *     together, if upstreams send one
+ * @param team field with which an upstream is told the team of a request, if upstreams expect one
  * @param fractionalRetryAfter whether callers accept fractions of seconds in {@code Retry-After}
  */
 public record HeaderNames(
@@ -23,8 +24,31 @@
         Optional<String> responseProof,
         Optional<String> upstreamLeaving,
         Optional<String> upstreamRateLimit,
+        Optional<String> team,
         boolean fractionalRetryAfter) {
 
+    /** Names without a field for the team. */
+    public HeaderNames(
+            String deadlineMillis,
+            String notRun,
+            Optional<String> expectedInstance,
+            Optional<String> objectKey,
+            Optional<String> responseProof,
+            Optional<String> upstreamLeaving,
+            Optional<String> upstreamRateLimit,
+            boolean fractionalRetryAfter) {
+        this(
+                deadlineMillis,
+                notRun,
+                expectedInstance,
+                objectKey,
+                responseProof,
+                upstreamLeaving,
+                upstreamRateLimit,
+                Optional.empty(),
+                fractionalRetryAfter);
+    }
+
     /** The default names. */
     public static HeaderNames defaults() {
         return new HeaderNames(
--- a/src/main/java/org/arbutusfield/proxy/NotRunStatement.java
+++ b/src/main/java/org/arbutusfield/proxy/NotRunStatement.java
@@ -47,6 +47,8 @@
         return Stream.of(ErrorCode.values())
                 .filter(code -> code.name().equals(name))
                 .filter(code -> code.execution() == ErrorCode.Execution.NOT_RUN)
+                // The host doesn't know this one as a host yet; that says nothing of the caller's key.
+                .map(code -> code == ErrorCode.KEY_UNKNOWN ? ErrorCode.HOST_BUSY : code)
                 .findFirst()
                 .orElse(ErrorCode.UPSTREAM_SHED);
     }
--- a/src/main/java/org/arbutusfield/proxy/ProxyComponents.java
+++ b/src/main/java/org/arbutusfield/proxy/ProxyComponents.java
@@ -9,6 +9,7 @@
 import org.arbutusfield.model.Kind;
 import org.arbutusfield.model.Region;
 import org.arbutusfield.model.Upstream;
+import org.arbutusfield.team.TeamDirectory;
 
 /**
  * The collaborators of a proxy server.
@@ -21,10 +22,12 @@
  * @param observer receives the record of each request
  * @param localHandler answers paths under {@code /-/}
  * @param peers whether an address belongs to a host of this system, which has already claimed the keys of the requests
- *     that it forwards
+ *     that it forwards, identified their teams and counted them
  * @param limits supplies the current limits on sizes and times
  * @param connectionShare maximum number of connections from this host to an upstream; at least 1
  * @param headerNames names of header fields
+ * @param teams supplies the teams of the configuration in force
+ * @param teamLimiter counts the requests of limited teams
  */
 public record ProxyComponents(
         Router router,
@@ -37,7 +40,9 @@
         Predicate<InetAddress> peers,
         Supplier<ProxyLimits> limits,
         ToIntFunction<Upstream> connectionShare,
-        HeaderNames headerNames) {
+        HeaderNames headerNames,
+        Supplier<TeamDirectory> teams,
+        TeamLimiter teamLimiter) {
 
     /**
      * Components of a standalone host: it places requests by its own counters, claims no idempotency keys and trusts no
@@ -56,7 +61,27 @@
                 address -> false,
                 () -> limits,
                 upstream -> connectionShareOf(upstream, configurationInForce.get()),
-                HeaderNames.defaults());
+                HeaderNames.defaults(),
+                TeamDirectory::empty,
+                TeamLimiter.UNLIMITED);
+    }
+
+    /** A copy with another router. */
+    public ProxyComponents withRouter(Router replacement) {
+        return new ProxyComponents(
+                replacement,
+                placement,
+                retryLimiter,
+                idempotencyGuard,
+                crashGuard,
+                observer,
+                localHandler,
+                peers,
+                limits,
+                connectionShare,
+                headerNames,
+                teams,
+                teamLimiter);
     }
 
     /** A copy with another placement. */
@@ -72,7 +97,9 @@
                 peers,
                 limits,
                 connectionShare,
-                headerNames);
+                headerNames,
+                teams,
+                teamLimiter);
     }
 
     /** A copy with another retry limiter. */
@@ -88,7 +115,9 @@
                 peers,
                 limits,
                 connectionShare,
-                headerNames);
+                headerNames,
+                teams,
+                teamLimiter);
     }
 
     /** A copy with another idempotency guard. */
@@ -104,7 +133,9 @@
                 peers,
                 limits,
                 connectionShare,
-                headerNames);
+                headerNames,
+                teams,
+                teamLimiter);
     }
 
     /** A copy with another crash guard. */
@@ -120,7 +151,9 @@
                 peers,
                 limits,
                 connectionShare,
-                headerNames);
+                headerNames,
+                teams,
+                teamLimiter);
     }
 
     /** A copy with another observer. */
@@ -136,7 +169,9 @@
                 peers,
                 limits,
                 connectionShare,
-                headerNames);
+                headerNames,
+                teams,
+                teamLimiter);
     }
 
     /** A copy with another handler of paths under {@code /-/}. */
@@ -152,7 +187,9 @@
                 peers,
                 limits,
                 connectionShare,
-                headerNames);
+                headerNames,
+                teams,
+                teamLimiter);
     }
 
     /** A copy with another test for peer addresses. */
@@ -168,7 +205,9 @@
                 replacement,
                 limits,
                 connectionShare,
-                headerNames);
+                headerNames,
+                teams,
+                teamLimiter);
     }
 
     /** A copy with other limits. */
@@ -184,7 +223,28 @@
                 peers,
                 () -> replacement,
                 connectionShare,
-                headerNames);
+                headerNames,
+                teams,
+                teamLimiter);
+    }
+
+    /** A copy with teams, a limiter of their requests, and other names of header fields. */
+    public ProxyComponents withTeams(
+            Supplier<TeamDirectory> replacement, TeamLimiter limiter, HeaderNames replacementNames) {
+        return new ProxyComponents(
+                router,
+                placement,
+                retryLimiter,
+                idempotencyGuard,
+                crashGuard,
+                observer,
+                localHandler,
+                peers,
+                limits,
+                connectionShare,
+                replacementNames,
+                replacement,
+                limiter);
     }
 
     /** This host's share of an upstream's connection limit if every region ran its maximum number of hosts. */
--- a/src/main/java/org/arbutusfield/proxy/ProxyContext.java
+++ b/src/main/java/org/arbutusfield/proxy/ProxyContext.java
@@ -1,9 +1,12 @@
 package org.arbutusfield.proxy;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.arbutusfield.model.Upstream;
+import org.arbutusfield.proxy.upstream.ConnectionPool;
 import org.arbutusfield.proxy.upstream.ConnectionPools;
 
 /** State shared by all requests of one proxy server. Thread-safe. */
@@ -17,6 +20,7 @@
     private final ResponseTimes responseTimes = ResponseTimes.create();
     private final ResponseTimes completionTimes = ResponseTimes.create();
     private final AtomicReference<Optional<HostStop>> stop = new AtomicReference<>(Optional.empty());
+    private final AtomicReference<Optional<InetAddress>> hostAddress = new AtomicReference<>(Optional.empty());
     private final AtomicInteger cutByStop = new AtomicInteger();
 
     private ProxyContext(ProxyComponents components, ConnectionPools pools) {
@@ -42,6 +46,16 @@
         return pools;
     }
 
+    /** The pool of connections to another host, which come from the address by which that host knows this one. */
+    ConnectionPool poolToHost(InetSocketAddress host) {
+        return pools.pool(host, hostAddress.get());
+    }
+
+    /** Sets the IP address of the caller port. One that stands for all addresses isn't used as a source. */
+    void bound(InetAddress address) {
+        hostAddress.set(Optional.of(address).filter(bound -> !bound.isAnyLocalAddress()));
+    }
+
     /** Budget for request bodies kept for a retry. */
     BufferBudget requestBuffers() {
         return requestBuffers;
--- a/src/main/java/org/arbutusfield/proxy/ProxyHeaders.java
+++ b/src/main/java/org/arbutusfield/proxy/ProxyHeaders.java
@@ -17,6 +17,9 @@
 final class ProxyHeaders {
     static final String REQUEST_ID = "x-request-id";
     static final String HOP = "x-arbutus-hop";
+    /** Names the team of a request that one host forwards to another. */
+    static final String TEAM = "x-arbutus-team";
+
     static final String NOT_RUN = "x-not-run";
     static final String IDEMPOTENCY_KEY = "idempotency-key";
 
@@ -57,13 +60,20 @@
         return hex.toHexDigits(random.nextLong()) + hex.toHexDigits(random.nextLong());
     }
 
-    /** The fields to forward: all received ones except hop-by-hop fields and fields that the proxy sets itself. */
-    static HttpHeaders forwardedFields(HttpHeaders received) {
+    /**
+     * The fields to forward: all received ones except hop-by-hop fields, fields that the proxy sets itself, and others
+     * to withhold.
+     *
+     * @param received fields received
+     * @param withheld names of the others to withhold, in lower case
+     */
+    static HttpHeaders forwardedFields(HttpHeaders received, Set<String> withheld) {
         Set<String> named = namedByConnection(received);
         HttpHeaders forwardedFields = UNCHECKED.newHeaders();
         for (Map.Entry<String, String> field : received) {
             String name = field.getKey().toLowerCase(Locale.ROOT);
-            if (!HOP_BY_HOP.contains(name) && !REWRITTEN.contains(name) && !named.contains(name)) {
+            boolean ownOrHopByHop = HOP_BY_HOP.contains(name) || REWRITTEN.contains(name);
+            if (!ownOrHopByHop && !named.contains(name) && !withheld.contains(name)) {
                 forwardedFields.add(field.getKey(), field.getValue());
             }
         }
--- a/src/main/java/org/arbutusfield/proxy/ProxyServer.java
+++ b/src/main/java/org/arbutusfield/proxy/ProxyServer.java
@@ -77,6 +77,7 @@
             return Either.left(Failure.of(ErrorCode.ADDRESS_IN_USE, address.toString()));
         }
         server.listener = bound.channel();
+        server.context.bound(server.address().getAddress());
         return Either.right(server);
     }
 
--- a/src/main/java/org/arbutusfield/proxy/RequestAdmission.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestAdmission.java
@@ -13,6 +13,7 @@
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.misc.LogValue;
+import org.arbutusfield.team.Team;
 
 /**
  * Claims the idempotency key and obtains the placements of one request. Delivers the results on the request's event
@@ -25,19 +26,62 @@
     private final RequestHead head;
     private final EventLoop loop;
     private final InetSocketAddress caller;
+    private final RequestTeam team;
+    private final TeamUse teamUse = TeamUse.none();
     private CompletableFuture<?> waitingFor;
     private boolean placementPending;
     private Optional<KeyClaim> heldClaim = Optional.empty();
 
-    private RequestAdmission(ProxyComponents components, RequestHead head, EventLoop loop, InetSocketAddress caller) {
+    private RequestAdmission(ProxyComponents components, RequestHead head, CallerRequest caller) {
         this.components = components;
         this.head = head;
-        this.loop = loop;
-        this.caller = caller;
+        this.team = RequestTeam.of(components, head);
+        this.loop = caller.loop();
+        this.caller = caller.remoteAddress();
     }
 
-    static RequestAdmission of(ProxyComponents components, RequestHead head, EventLoop loop, InetSocketAddress caller) {
-        return new RequestAdmission(components, head, loop, caller);
+    static RequestAdmission of(ProxyComponents components, RequestHead head, CallerRequest caller) {
+        return new RequestAdmission(components, head, caller);
+    }
+
+    /** The team of the request. */
+    RequestTeam team() {
+        return team;
+    }
+
+    /** The count of the request against its team's limit. */
+    TeamUse teamUse() {
+        return teamUse;
+    }
+
+    /** True if the request must be counted against its team's limit before it is placed. */
+    boolean needsTeamUse() {
+        return !teamUse.taken() && team.limitedTeam().isPresent();
+    }
+
+    /**
+     * Counts the request against its team's limit; the callback receives the failure, or empty once it is counted. A
+     * count that arrives after {@link #cancel()} is given back.
+     */
+    void acquireTeamUse(Duration remaining, Consumer<Optional<Failure>> callback) {
+        Team limited = team.limitedTeam().orElseThrow();
+        CompletableFuture<Either<Failure, TeamLimiter.Use>> future =
+                components.teamLimiter().acquire(limited, remaining);
+        waitingFor = future;
+        future.whenComplete((result, error) -> runOnLoop(() -> {
+            if (waitingFor != future) {
+                Optional.ofNullable(result).ifPresent(r -> r.peek(TeamLimiter.Use::giveBack));
+                return;
+            }
+            waitingFor = null;
+            if (error != null) {
+                LOG.error("event=team_limiter_failed id={}", LogValue.of(head.requestId()), error);
+                callback.accept(Optional.of(Failure.of(ErrorCode.TEAM_SHARE_UNAVAILABLE, limited.name())));
+                return;
+            }
+            result.peek(teamUse::take);
+            callback.accept(result.fold(Optional::of, use -> Optional.empty()));
+        }));
     }
 
     /** True if the request has an idempotency key that this host must claim before placing it. */
@@ -86,7 +130,8 @@
                 head.hops(),
                 tried,
                 head.route(),
-                head.objectKey());
+                head.objectKey(),
+                team.team());
         CompletableFuture<Either<Failure, PlacementTarget>> future =
                 components.placement().place(request);
         waitingFor = future;
@@ -110,8 +155,9 @@
         }
     }
 
-    /** Reports the outcome of the request to the claim, if one is held. */
+    /** Reports the outcome of the request to the claim, if one is held, and ends its count. */
     void finish(KeyOutcome outcome) {
+        teamUse.finish();
         heldClaim.ifPresent(claimed -> claimed.complete(outcome));
         heldClaim = Optional.empty();
     }
--- a/src/main/java/org/arbutusfield/proxy/RequestFingerprint.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestFingerprint.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.arbutusfield.misc.Digests;
+import org.arbutusfield.team.Team;
 
 /** Digests that tell whether two requests are the same request. */
 final class RequestFingerprint {
@@ -38,7 +39,7 @@
             // The caller is the host that passed the request on.
             return List.of(ofContent.substring(0, REPEAT_DIGITS));
         }
-        String credentials = head.headers().get(HttpHeaderNames.AUTHORIZATION, "");
+        String credentials = credentials(head);
         content.write(SEPARATOR);
         content.writeBytes(credentials.isEmpty() ? caller.getAddress() : credentials.getBytes(StandardCharsets.UTF_8));
         String ofContentAndCaller = Digests.sha256(content.toByteArray());
@@ -47,6 +48,16 @@
                 ofContentAndCaller.substring(0, REPEAT_DIGITS) + CrashGuard.OF_CALLER);
     }
 
+    /**
+     * Returns what names the caller. With teams that is the team's name: the digest is sent between hosts, stored and
+     * logged, and a weak key could be found from it.
+     */
+    private static String credentials(RequestHead head) {
+        return head.identity().required()
+                ? head.team().map(Team::name).orElse("")
+                : head.headers().get(HttpHeaderNames.AUTHORIZATION, "");
+    }
+
     private static ByteArrayOutputStream content(RequestHead head, RequestBody body) {
         ByteArrayOutputStream content = new ByteArrayOutputStream();
         content.writeBytes(head.method().getBytes(StandardCharsets.UTF_8));
--- a/src/main/java/org/arbutusfield/proxy/RequestHead.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestHead.java
@@ -18,6 +18,7 @@
 import org.arbutusfield.model.RequestClass;
 import org.arbutusfield.model.Service;
 import org.arbutusfield.route.Route;
+import org.arbutusfield.team.Team;
 
 /**
  * A validated request head.
@@ -37,6 +38,8 @@
  * @param length declared length of the body in bytes; empty if none is declared, as for chunked bodies
  * @param expectsContinue whether the caller waits for {@code 100 Continue} before it sends the body
  * @param headers all header fields received
+ * @param credentials what the request states of its team
+ * @param identity its team, by the configuration when the head was read
  */
 record RequestHead(
         String requestId,
@@ -53,7 +56,9 @@
         Optional<String> objectKey,
         OptionalLong length,
         boolean expectsContinue,
-        HttpHeaders headers) {
+        HttpHeaders headers,
+        TeamCredentials credentials,
+        TeamIdentity identity) {
 
     private static final int MAX_HOPS = 1;
     private static final Pattern VALID_KEY = Pattern.compile("[!-~]{1,256}");
@@ -109,12 +114,21 @@
      * @param request head of the request
      * @param requestId id of the request
      * @param route result of routing the request
+     * @param credentials what the request states of its team
+     * @param identity its team
      * @param headerNames names of header fields
      */
     static Either<Failure, RequestHead> parse(
-            HttpRequest request, String requestId, RouteMatch route, HeaderNames headerNames) {
+            HttpRequest request,
+            String requestId,
+            RouteMatch route,
+            TeamCredentials credentials,
+            TeamIdentity identity,
+            HeaderNames headerNames) {
         HttpHeaders headers = request.headers();
-        Optional<Failure> fault = validateFields(headers, headerNames);
+        // With teams, only a host's field is believed: hosts have other rights than callers.
+        boolean hopBelieved = !identity.required() || credentials.forwarded();
+        Optional<Failure> fault = validateFields(headers, hopBelieved, headerNames);
         if (fault.isPresent()) {
             return Either.left(fault.get());
         }
@@ -129,12 +143,25 @@
                 route.target(),
                 route.path(),
                 deadline(headers, route.requestClass(), headerNames),
-                hops(headers),
+                hopBelieved ? hops(headers) : 0,
                 Optional.ofNullable(headers.get(ProxyHeaders.IDEMPOTENCY_KEY)),
                 headerNames.objectKey().map(headers::get),
                 length == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(length)),
                 HttpUtil.is100ContinueExpected(request),
-                headers));
+                headers,
+                credentials,
+                identity));
+    }
+
+    /** The team of the request, by the configuration when the head was read. */
+    Optional<Team> team() {
+        return identity.team();
+    }
+
+    /** The parts that are safe to log: the fields may contain a team's key. */
+    @Override
+    public String toString() {
+        return "RequestHead[requestId=" + requestId + ", method=" + method + ", target=" + target + "]";
     }
 
     /** True if the request has a body, possibly an empty one. */
@@ -142,16 +169,16 @@
         return length.isPresent() || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
     }
 
-    private static Optional<Failure> validateFields(HttpHeaders headers, HeaderNames headerNames) {
+    private static Optional<Failure> validateFields(HttpHeaders headers, boolean hopBelieved, HeaderNames headerNames) {
         String deadline = headers.get(headerNames.deadlineMillis());
         if (deadline != null && DecimalText.parse(deadline).isEmpty()) {
             return malformed(headerNames.deadlineMillis());
         }
-        String hop = headers.get(ProxyHeaders.HOP);
+        String hop = hopBelieved ? headers.get(ProxyHeaders.HOP) : null;
         if (hop != null && !UP_TO_9_DIGITS.matcher(hop).matches()) {
             return malformed(ProxyHeaders.HOP);
         }
-        if (hops(headers) > MAX_HOPS) {
+        if (hop != null && hops(headers) > MAX_HOPS) {
             return Optional.of(Failure.of(ErrorCode.NO_UPSTREAM, ProxyHeaders.HOP, "forwarded too many times"));
         }
         List<String> keys = headers.getAll(ProxyHeaders.IDEMPOTENCY_KEY);
--- a/src/main/java/org/arbutusfield/proxy/RequestParser.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestParser.java
@@ -8,9 +8,12 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vavr.control.Either;
+import java.net.InetAddress;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.route.Route;
 
 /** Checks and routes the heads of a caller's requests. Has no state of its own. */
 final class RequestParser {
@@ -21,12 +24,16 @@
 
     private final ProxyContext context;
 
-    private RequestParser(ProxyContext context) {
+    private final Supplier<InetAddress> sender;
+
+    private RequestParser(ProxyContext context, Supplier<InetAddress> sender) {
         this.context = context;
+        this.sender = sender;
     }
 
-    static RequestParser of(ProxyContext context) {
-        return new RequestParser(context);
+    /** Creates the parser of one connection; the sender is the caller, or a host that forwards requests. */
+    static RequestParser of(ProxyContext context, Supplier<InetAddress> sender) {
+        return new RequestParser(context, sender);
     }
 
     /** Returns true if this host answers the request itself. */
@@ -49,11 +56,17 @@
 
     /** Finds the service of a request, or the reason to refuse it. */
     Either<Failure, RequestHead> route(HttpRequest head, String id) {
-        return context.components()
-                .router()
-                .route(head, id)
-                .flatMap(route ->
-                        RequestHead.parse(head, id, route, context.components().headerNames()));
+        return context.components().router().route(head, id).flatMap(route -> identify(head, id, route));
+    }
+
+    private Either<Failure, RequestHead> identify(HttpRequest head, String id, RouteMatch route) {
+        ProxyComponents components = context.components();
+        TeamCredentials credentials =
+                TeamCredentials.read(head.headers(), () -> components.peers().test(sender.get()));
+        boolean open = route.route().map(Route::open).orElse(false);
+        return TeamIdentity.of(credentials, open, components.teams().get())
+                .flatMap(identity ->
+                        RequestHead.parse(head, id, route, credentials, identity, components.headerNames()));
     }
 
     /** Returns the head of a request that has no body and may run twice; empty for any other or a faulty one. */
--- a/src/main/java/org/arbutusfield/proxy/ResponseRelay.java
+++ b/src/main/java/org/arbutusfield/proxy/ResponseRelay.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Relays one upstream response to the caller and counts the body bytes relayed.
@@ -98,7 +99,7 @@
     }
 
     private void writeHead(RequestHead request) {
-        HttpHeaders headers = ProxyHeaders.forwardedFields(response.headers());
+        HttpHeaders headers = ProxyHeaders.forwardedFields(response.headers(), Set.of());
         headers.set(ProxyHeaders.REQUEST_ID, request.requestId());
         boolean closeDelimited = false;
         if (!bodiless && !HttpUtil.isContentLengthSet(response)) {
--- a/src/main/java/org/arbutusfield/proxy/StopCheck.java
+++ b/src/main/java/org/arbutusfield/proxy/StopCheck.java
@@ -102,4 +102,11 @@
                 .map(slowest -> Duration.ofNanos((long) (slowest.toNanos() * margin * turns)))
                 .orElseGet(head::deadline);
     }
+
+    /** Counts a request that the stop ends although it had been sent. */
+    void countIfCut() {
+        if (deadline.passed() && deadline.endsWithHost()) {
+            context.cutByStop().incrementAndGet();
+        }
+    }
 }
--- a/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.vavr.control.Either;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -40,6 +41,7 @@
     private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 << 10, 64 << 10);
 
     private final InetSocketAddress address;
+    private final Optional<InetAddress> source;
     private final Duration connectTimeout;
     private final UpstreamRestartListener restartListener;
     private final Object lock = new Object();
@@ -49,8 +51,13 @@
     private int limit;
     private boolean reachable = true;
 
-    ConnectionPool(InetSocketAddress address, Duration connectTimeout, UpstreamRestartListener restartListener) {
+    ConnectionPool(
+            InetSocketAddress address,
+            Optional<InetAddress> source,
+            Duration connectTimeout,
+            UpstreamRestartListener restartListener) {
         this.address = address;
+        this.source = source;
         this.connectTimeout = connectTimeout;
         this.restartListener = restartListener;
     }
@@ -221,7 +228,7 @@
                                 .addLast(connection);
                     }
                 })
-                .connect(address);
+                .connect(address, source.map(ip -> new InetSocketAddress(ip, 0)).orElse(null));
         opened.addListener(done -> {
             boolean changed;
             synchronized (lock) {
--- a/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPools.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPools.java
@@ -1,9 +1,11 @@
 package org.arbutusfield.proxy.upstream;
 
 import io.netty.channel.EventLoopGroup;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -44,10 +46,21 @@
 
     /** The pool of connections to the address. */
     public ConnectionPool pool(InetSocketAddress address) {
+        return pool(address, Optional.empty());
+    }
+
+    /**
+     * The pool of connections to the address.
+     *
+     * @param address the address
+     * @param source IP address from which they come; if empty, the system chooses it
+     */
+    public ConnectionPool pool(InetSocketAddress address, Optional<InetAddress> source) {
         ConnectionPool existing = pools.get(address);
         return existing != null
                 ? existing
-                : pools.computeIfAbsent(address, key -> new ConnectionPool(key, connectTimeout, restartListener));
+                : pools.computeIfAbsent(
+                        address, key -> new ConnectionPool(key, source, connectTimeout, restartListener));
     }
 
     /** Connections to all addresses that are open or being opened. */
--- a/src/main/java/org/arbutusfield/reach/PeerForwarding.java
+++ b/src/main/java/org/arbutusfield/reach/PeerForwarding.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
@@ -125,9 +124,10 @@
         if (ownLinks || hosts.size() <= 1) {
             return Optional.empty();
         }
-        Predicate<String> regionAllowed =
-                region -> request.route().map(route -> route.allows(region)).orElse(true);
-        Optional<HostEntry> helper = helpers.choose(hosts, request.tried(), regionAllowed, timer.nowNanos());
+        List<HostEntry> allowedByTeam = request.team().isEmpty()
+                ? hosts
+                : hosts.stream().filter(host -> request.allows(host.region())).toList();
+        Optional<HostEntry> helper = helpers.choose(allowedByTeam, request.tried(), request::allows, timer.nowNanos());
         if (helper.isPresent()) {
             return Optional.of(Either.right(target(request, helper.get())));
         }
--- a/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
@@ -174,7 +174,7 @@
         Route route = request.route().get();
         String service = request.service().name();
         boolean preferOwnRegion = route.largeResponses()
-                && route.allows(region)
+                && request.allows(region)
                 && state.get().upstreams(service).stream()
                         .anyMatch(upstream -> upstream.region().equals(region));
         ObjectGroup group = new ObjectGroup(service, route.name(), preferOwnRegion ? region : ObjectId.ANY_REGION);
--- a/src/main/java/org/arbutusfield/steering/UpstreamSelector.java
+++ b/src/main/java/org/arbutusfield/steering/UpstreamSelector.java
@@ -12,7 +12,6 @@
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.proxy.PlacementRequest;
-import org.arbutusfield.route.Route;
 import org.arbutusfield.state.LiveUpstream;
 import org.arbutusfield.state.SteeringState;
 
@@ -146,10 +145,7 @@
     }
 
     private static boolean untriedAndInAllowedRegion(PlacementRequest request, LiveUpstream upstream) {
-        return !request.tried().contains(upstream.name())
-                && request.route()
-                        .map((Route route) -> route.allows(upstream.region()))
-                        .orElse(true);
+        return !request.tried().contains(upstream.name()) && request.allows(upstream.region());
     }
 
     private static Optional<LiveUpstream> find(String name, List<LiveUpstream> candidates) {
