--- /dev/null
+++ b/src/main/java/org/arbutusfield/share/TeamReport.java
@@ -0,0 +1,42 @@
+package org.arbutusfield.share;
+
+/**
+ * What a host reports of one team.
+ *
+ * @param team name of the team
+ * @param number number of the report; increases with each report of the process
+ * @param demandPerSecond requests per second that callers ask for
+ * @param rate rate of the share that it holds, in requests per second
+ * @param burst burst of the share that it holds
+ * @param remainingMillis time until the share ends, in milliseconds
+ * @param wanted requests that wait for a token
+ * @param returned tokens that the host gives back
+ * @param limit limit under which the share was granted
+ */
+record TeamReport(
+        String team,
+        long number,
+        double demandPerSecond,
+        double rate,
+        double burst,
+        int remainingMillis,
+        int wanted,
+        double returned,
+        TeamLimit limit) {
+
+    /** Returns true if all figures are finite and not negative. */
+    boolean valid() {
+        return usable(demandPerSecond)
+                && usable(rate)
+                && usable(burst)
+                && usable(returned)
+                && usable(limit.ratePerSecond())
+                && usable(limit.burst())
+                && wanted >= 0
+                && remainingMillis >= 0;
+    }
+
+    private static boolean usable(double value) {
+        return Double.isFinite(value) && value >= 0;
+    }
+}
--- a/src/main/java/org/arbutusfield/wire/gen/ControlMessage.java
+++ b/src/main/java/org/arbutusfield/wire/gen/ControlMessage.java
@@ -36,6 +36,8 @@
   private static final org.apache.thrift.protocol.TField LIMIT_ANNOUNCEMENT_RECEIVED_FIELD_DESC = new org.apache.thrift.protocol.TField("limitAnnouncementReceived", org.apache.thrift.protocol.TType.STRUCT, (short)65);
   private static final org.apache.thrift.protocol.TField PORT_REPORT_FIELD_DESC = new org.apache.thrift.protocol.TField("portReport", org.apache.thrift.protocol.TType.STRUCT, (short)70);
   private static final org.apache.thrift.protocol.TField PORT_REPORT_RECEIVED_FIELD_DESC = new org.apache.thrift.protocol.TField("portReportReceived", org.apache.thrift.protocol.TType.STRUCT, (short)71);
+  private static final org.apache.thrift.protocol.TField SHARE_REPORT_FIELD_DESC = new org.apache.thrift.protocol.TField("shareReport", org.apache.thrift.protocol.TType.STRUCT, (short)80);
+  private static final org.apache.thrift.protocol.TField SHARE_ANSWER_FIELD_DESC = new org.apache.thrift.protocol.TField("shareAnswer", org.apache.thrift.protocol.TType.STRUCT, (short)81);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -65,7 +67,9 @@
     LIMIT_ANNOUNCEMENT((short)64, "limitAnnouncement"),
     LIMIT_ANNOUNCEMENT_RECEIVED((short)65, "limitAnnouncementReceived"),
     PORT_REPORT((short)70, "portReport"),
-    PORT_REPORT_RECEIVED((short)71, "portReportReceived");
+    PORT_REPORT_RECEIVED((short)71, "portReportReceived"),
+    SHARE_REPORT((short)80, "shareReport"),
+    SHARE_ANSWER((short)81, "shareAnswer");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -135,6 +139,10 @@
           return PORT_REPORT;
         case 71: // PORT_REPORT_RECEIVED
           return PORT_REPORT_RECEIVED;
+        case 80: // SHARE_REPORT
+          return SHARE_REPORT;
+        case 81: // SHARE_ANSWER
+          return SHARE_ANSWER;
         default:
           return null;
       }
@@ -234,6 +242,10 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PortReport.class)));
     tmpMap.put(_Fields.PORT_REPORT_RECEIVED, new org.apache.thrift.meta_data.FieldMetaData("portReportReceived", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PortReportReceived.class)));
+    tmpMap.put(_Fields.SHARE_REPORT, new org.apache.thrift.meta_data.FieldMetaData("shareReport", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ShareReport.class)));
+    tmpMap.put(_Fields.SHARE_ANSWER, new org.apache.thrift.meta_data.FieldMetaData("shareAnswer", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ShareAnswer.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ControlMessage.class, metaDataMap);
   }
@@ -416,6 +428,18 @@
     return x;
   }
 
+  public static ControlMessage shareReport(ShareReport value) {
+    ControlMessage x = new ControlMessage();
+    x.setShareReport(value);
+    return x;
+  }
+
+  public static ControlMessage shareAnswer(ShareAnswer value) {
+    ControlMessage x = new ControlMessage();
+    x.setShareAnswer(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -555,6 +579,16 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type PortReportReceived for field 'portReportReceived', but got " + value.getClass().getSimpleName());
+      case SHARE_REPORT:
+        if (value instanceof ShareReport) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type ShareReport for field 'shareReport', but got " + value.getClass().getSimpleName());
+      case SHARE_ANSWER:
+        if (value instanceof ShareAnswer) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type ShareAnswer for field 'shareAnswer', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -835,6 +869,26 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case SHARE_REPORT:
+          if (field.type == SHARE_REPORT_FIELD_DESC.type) {
+            ShareReport shareReport;
+            shareReport = new ShareReport();
+            shareReport.read(iprot);
+            return shareReport;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case SHARE_ANSWER:
+          if (field.type == SHARE_ANSWER_FIELD_DESC.type) {
+            ShareAnswer shareAnswer;
+            shareAnswer = new ShareAnswer();
+            shareAnswer.read(iprot);
+            return shareAnswer;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -955,6 +1009,14 @@
         PortReportReceived portReportReceived = (PortReportReceived)value_;
         portReportReceived.write(oprot);
         return;
+      case SHARE_REPORT:
+        ShareReport shareReport = (ShareReport)value_;
+        shareReport.write(oprot);
+        return;
+      case SHARE_ANSWER:
+        ShareAnswer shareAnswer = (ShareAnswer)value_;
+        shareAnswer.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -1100,6 +1162,16 @@
           portReportReceived = new PortReportReceived();
           portReportReceived.read(iprot);
           return portReportReceived;
+        case SHARE_REPORT:
+          ShareReport shareReport;
+          shareReport = new ShareReport();
+          shareReport.read(iprot);
+          return shareReport;
+        case SHARE_ANSWER:
+          ShareAnswer shareAnswer;
+          shareAnswer = new ShareAnswer();
+          shareAnswer.read(iprot);
+          return shareAnswer;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -1219,6 +1291,14 @@
         PortReportReceived portReportReceived = (PortReportReceived)value_;
         portReportReceived.write(oprot);
         return;
+      case SHARE_REPORT:
+        ShareReport shareReport = (ShareReport)value_;
+        shareReport.write(oprot);
+        return;
+      case SHARE_ANSWER:
+        ShareAnswer shareAnswer = (ShareAnswer)value_;
+        shareAnswer.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -1281,6 +1361,10 @@
         return PORT_REPORT_FIELD_DESC;
       case PORT_REPORT_RECEIVED:
         return PORT_REPORT_RECEIVED_FIELD_DESC;
+      case SHARE_REPORT:
+        return SHARE_REPORT_FIELD_DESC;
+      case SHARE_ANSWER:
+        return SHARE_ANSWER_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -1654,6 +1738,32 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.PORT_REPORT_RECEIVED");
   }
 
+  public ShareReport getShareReport() {
+    if (getSetField() == _Fields.SHARE_REPORT) {
+      return (ShareReport)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'shareReport' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setShareReport(ShareReport value) {
+    setField_ = _Fields.SHARE_REPORT;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.SHARE_REPORT");
+  }
+
+  public ShareAnswer getShareAnswer() {
+    if (getSetField() == _Fields.SHARE_ANSWER) {
+      return (ShareAnswer)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'shareAnswer' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setShareAnswer(ShareAnswer value) {
+    setField_ = _Fields.SHARE_ANSWER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.SHARE_ANSWER");
+  }
+
   public boolean isSetRefusal() {
     return setField_ == _Fields.REFUSAL;
   }
@@ -1789,6 +1899,16 @@
   }
 
 
+  public boolean isSetShareReport() {
+    return setField_ == _Fields.SHARE_REPORT;
+  }
+
+
+  public boolean isSetShareAnswer() {
+    return setField_ == _Fields.SHARE_ANSWER;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof ControlMessage) {
       return equals((ControlMessage)other);
--- a/src/main/thrift/control.thrift
+++ b/src/main/thrift/control.thrift
@@ -290,6 +290,54 @@
 struct PortReportReceived {
 }
 
+// What a host reports of one team. `number` increases with each report of the process. `rate` and `burst`: the share that it
+// holds, valid for `remainingMillis`, granted under the limit `limitRate` and `limitBurst`. `wanted`: requests that wait for
+// a token. `returned`: tokens that it gives back with this report.
+struct ShareState {
+  1: string team
+  2: i64 number
+  3: double demand
+  4: double rate
+  5: double burst
+  6: i32 remainingMillis
+  7: i32 wanted
+  8: double returned
+  9: double limitRate
+  10: double limitBurst
+}
+
+// Asks the host that leads for shares of the limits of teams. `version`: the configuration that the host knows. `term`:
+// that of the last answer, 0 if there was none.
+struct ShareReport {
+  1: string host
+  2: i64 incarnation
+  3: i64 version
+  4: list<ShareState> teams
+  5: i64 term
+}
+
+// The share of a host from the receipt on, in place of an earlier one, and tokens for waiting requests. `filled`: tokens that
+// the share has gained with its burst.
+struct ShareGrant {
+  1: string team
+  2: i64 number
+  3: double rate
+  4: double burst
+  5: i32 tokens
+  6: i64 retryMillis
+  7: double limitRate
+  8: double limitBurst
+  9: double filled
+}
+
+// The response to a report. Teams that the leader doesn't know are missing, as are those for which it needs a report of its
+// present term, which a random number names.
+struct ShareAnswer {
+  1: i64 version
+  2: list<ShareGrant> teams
+  3: i64 term
+}
+
 union ControlMessage {
   1: Refusal refusal
   2: Heartbeat heartbeat
@@ -318,6 +366,8 @@
   65: LimitAnnouncementReceived limitAnnouncementReceived
   70: PortReport portReport
   71: PortReportReceived portReportReceived
+  80: ShareReport shareReport
+  81: ShareAnswer shareAnswer
 }
 
 // The content of one frame. `kind`: 0 one-way, 1 request, 2 response.
