--- a/src/main/java/org/arbutusfield/wire/gen/ControlMessage.java
+++ b/src/main/java/org/arbutusfield/wire/gen/ControlMessage.java
@@ -36,6 +36,8 @@
   private static final org.apache.thrift.protocol.TField LIMIT_ANNOUNCEMENT_RECEIVED_FIELD_DESC = new org.apache.thrift.protocol.TField("limitAnnouncementReceived", org.apache.thrift.protocol.TType.STRUCT, (short)65);
   private static final org.apache.thrift.protocol.TField PORT_REPORT_FIELD_DESC = new org.apache.thrift.protocol.TField("portReport", org.apache.thrift.protocol.TType.STRUCT, (short)70);
   private static final org.apache.thrift.protocol.TField PORT_REPORT_RECEIVED_FIELD_DESC = new org.apache.thrift.protocol.TField("portReportReceived", org.apache.thrift.protocol.TType.STRUCT, (short)71);
+  private static final org.apache.thrift.protocol.TField SHARE_REPORT_FIELD_DESC = new org.apache.thrift.protocol.TField("shareReport", org.apache.thrift.protocol.TType.STRUCT, (short)80);
+  private static final org.apache.thrift.protocol.TField SHARE_ANSWER_FIELD_DESC = new org.apache.thrift.protocol.TField("shareAnswer", org.apache.thrift.protocol.TType.STRUCT, (short)81);
   private static final org.apache.thrift.protocol.TField CONFIGURATION_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("configurationRequest", org.apache.thrift.protocol.TType.STRUCT, (short)90);
   private static final org.apache.thrift.protocol.TField CONFIGURATION_RESPONSE_FIELD_DESC = new org.apache.thrift.protocol.TField("configurationResponse", org.apache.thrift.protocol.TType.STRUCT, (short)91);
 
@@ -68,6 +70,8 @@
     LIMIT_ANNOUNCEMENT_RECEIVED((short)65, "limitAnnouncementReceived"),
     PORT_REPORT((short)70, "portReport"),
     PORT_REPORT_RECEIVED((short)71, "portReportReceived"),
+    SHARE_REPORT((short)80, "shareReport"),
+    SHARE_ANSWER((short)81, "shareAnswer"),
     CONFIGURATION_REQUEST((short)90, "configurationRequest"),
     CONFIGURATION_RESPONSE((short)91, "configurationResponse");
 
@@ -139,6 +143,10 @@
           return PORT_REPORT;
         case 71: // PORT_REPORT_RECEIVED
           return PORT_REPORT_RECEIVED;
+        case 80: // SHARE_REPORT
+          return SHARE_REPORT;
+        case 81: // SHARE_ANSWER
+          return SHARE_ANSWER;
         case 90: // CONFIGURATION_REQUEST
           return CONFIGURATION_REQUEST;
         case 91: // CONFIGURATION_RESPONSE
@@ -242,6 +250,10 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PortReport.class)));
     tmpMap.put(_Fields.PORT_REPORT_RECEIVED, new org.apache.thrift.meta_data.FieldMetaData("portReportReceived", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PortReportReceived.class)));
+    tmpMap.put(_Fields.SHARE_REPORT, new org.apache.thrift.meta_data.FieldMetaData("shareReport", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ShareReport.class)));
+    tmpMap.put(_Fields.SHARE_ANSWER, new org.apache.thrift.meta_data.FieldMetaData("shareAnswer", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ShareAnswer.class)));
     tmpMap.put(_Fields.CONFIGURATION_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("configurationRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ConfigurationRequest.class)));
     tmpMap.put(_Fields.CONFIGURATION_RESPONSE, new org.apache.thrift.meta_data.FieldMetaData("configurationResponse", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
@@ -428,6 +440,18 @@
     return x;
   }
 
+  public static ControlMessage shareReport(ShareReport value) {
+    ControlMessage x = new ControlMessage();
+    x.setShareReport(value);
+    return x;
+  }
+
+  public static ControlMessage shareAnswer(ShareAnswer value) {
+    ControlMessage x = new ControlMessage();
+    x.setShareAnswer(value);
+    return x;
+  }
+
   public static ControlMessage configurationRequest(ConfigurationRequest value) {
     ControlMessage x = new ControlMessage();
     x.setConfigurationRequest(value);
@@ -579,6 +603,16 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type PortReportReceived for field 'portReportReceived', but got " + value.getClass().getSimpleName());
+      case SHARE_REPORT:
+        if (value instanceof ShareReport) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type ShareReport for field 'shareReport', but got " + value.getClass().getSimpleName());
+      case SHARE_ANSWER:
+        if (value instanceof ShareAnswer) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type ShareAnswer for field 'shareAnswer', but got " + value.getClass().getSimpleName());
       case CONFIGURATION_REQUEST:
         if (value instanceof ConfigurationRequest) {
           break;
@@ -869,6 +903,26 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case SHARE_REPORT:
+          if (field.type == SHARE_REPORT_FIELD_DESC.type) {
+            ShareReport shareReport;
+            shareReport = new ShareReport();
+            shareReport.read(iprot);
+            return shareReport;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case SHARE_ANSWER:
+          if (field.type == SHARE_ANSWER_FIELD_DESC.type) {
+            ShareAnswer shareAnswer;
+            shareAnswer = new ShareAnswer();
+            shareAnswer.read(iprot);
+            return shareAnswer;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         case CONFIGURATION_REQUEST:
           if (field.type == CONFIGURATION_REQUEST_FIELD_DESC.type) {
             ConfigurationRequest configurationRequest;
@@ -1009,6 +1063,14 @@
         PortReportReceived portReportReceived = (PortReportReceived)value_;
         portReportReceived.write(oprot);
         return;
+      case SHARE_REPORT:
+        ShareReport shareReport = (ShareReport)value_;
+        shareReport.write(oprot);
+        return;
+      case SHARE_ANSWER:
+        ShareAnswer shareAnswer = (ShareAnswer)value_;
+        shareAnswer.write(oprot);
+        return;
       case CONFIGURATION_REQUEST:
         ConfigurationRequest configurationRequest = (ConfigurationRequest)value_;
         configurationRequest.write(oprot);
@@ -1162,6 +1224,16 @@
           portReportReceived = new PortReportReceived();
           portReportReceived.read(iprot);
           return portReportReceived;
+        case SHARE_REPORT:
+          ShareReport shareReport;
+          shareReport = new ShareReport();
+          shareReport.read(iprot);
+          return shareReport;
+        case SHARE_ANSWER:
+          ShareAnswer shareAnswer;
+          shareAnswer = new ShareAnswer();
+          shareAnswer.read(iprot);
+          return shareAnswer;
         case CONFIGURATION_REQUEST:
           ConfigurationRequest configurationRequest;
           configurationRequest = new ConfigurationRequest();
@@ -1291,6 +1363,14 @@
         PortReportReceived portReportReceived = (PortReportReceived)value_;
         portReportReceived.write(oprot);
         return;
+      case SHARE_REPORT:
+        ShareReport shareReport = (ShareReport)value_;
+        shareReport.write(oprot);
+        return;
+      case SHARE_ANSWER:
+        ShareAnswer shareAnswer = (ShareAnswer)value_;
+        shareAnswer.write(oprot);
+        return;
       case CONFIGURATION_REQUEST:
         ConfigurationRequest configurationRequest = (ConfigurationRequest)value_;
         configurationRequest.write(oprot);
@@ -1361,6 +1441,10 @@
         return PORT_REPORT_FIELD_DESC;
       case PORT_REPORT_RECEIVED:
         return PORT_REPORT_RECEIVED_FIELD_DESC;
+      case SHARE_REPORT:
+        return SHARE_REPORT_FIELD_DESC;
+      case SHARE_ANSWER:
+        return SHARE_ANSWER_FIELD_DESC;
       case CONFIGURATION_REQUEST:
         return CONFIGURATION_REQUEST_FIELD_DESC;
       case CONFIGURATION_RESPONSE:
@@ -1738,6 +1822,32 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.PORT_REPORT_RECEIVED");
   }
 
+  public ShareReport getShareReport() {
+    if (getSetField() == _Fields.SHARE_REPORT) {
+      return (ShareReport)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'shareReport' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setShareReport(ShareReport value) {
+    setField_ = _Fields.SHARE_REPORT;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.SHARE_REPORT");
+  }
+
+  public ShareAnswer getShareAnswer() {
+    if (getSetField() == _Fields.SHARE_ANSWER) {
+      return (ShareAnswer)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'shareAnswer' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setShareAnswer(ShareAnswer value) {
+    setField_ = _Fields.SHARE_ANSWER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.SHARE_ANSWER");
+  }
+
   public ConfigurationRequest getConfigurationRequest() {
     if (getSetField() == _Fields.CONFIGURATION_REQUEST) {
       return (ConfigurationRequest)getFieldValue();
@@ -1899,6 +2009,16 @@
   }
 
 
+  public boolean isSetShareReport() {
+    return setField_ == _Fields.SHARE_REPORT;
+  }
+
+
+  public boolean isSetShareAnswer() {
+    return setField_ == _Fields.SHARE_ANSWER;
+  }
+
+
   public boolean isSetConfigurationRequest() {
     return setField_ == _Fields.CONFIGURATION_REQUEST;
   }
