--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -48,7 +48,6 @@
 import org.arbutusfield.share.ShareClient;
 import org.arbutusfield.share.ShareServer;
 import org.arbutusfield.share.ShareTolerance;
-import org.arbutusfield.share.TeamLimits;
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.LiveUpstream;
 import org.arbutusfield.state.PeerConfiguration;
@@ -233,11 +232,11 @@
         quota = quotaClient;
     }
 
-    /** Creates the limiter of teams. It limits nothing until the configuration supplies limits. */
+    /** Creates the limiter of teams. It limits nothing while no team in the configuration has a limit. */
     private void createTeamLimiter(ControlClient client, ControlHandlers handlers) {
         ShareServer server = ShareServer.create(
                 leadership,
-                () -> TeamLimits.NONE,
+                () -> ConfiguredTeamLimits.of(state.routes()),
                 settings.teamTolerance().orElse(ShareTolerance.NONE),
                 timer,
                 new SplittableRandom());
@@ -246,18 +245,13 @@
                 settings.name(),
                 System.currentTimeMillis(),
                 () -> state,
-                () -> TeamLimits.NONE,
+                () -> ConfiguredTeamLimits.of(state.routes()),
                 client,
                 server,
                 TeamShareMetrics.of(registry),
                 timer);
     }
 
-    /** Returns what keeps the requests of teams within their limits. */
-    TeamLimiter teamLimiter() {
-        return teamLimiter;
-    }
-
     private void createRestartDetection(ControlClient client, ControlHandlers handlers) {
         PortReports reports = PortReports.create(
                 settings.name(),
@@ -311,18 +305,13 @@
                 this::connectionShare,
                 protocol.headerNames(),
                 () -> state.routes().map(RouteTable::teams).orElseGet(TeamDirectory::empty),
-                teamLimiter());
+                teamLimiter);
         return ProxyServer.bind(group, settings.callerAddress(), components).map(server -> {
             proxyServer = server;
             return this;
         });
     }
 
-    /** Limits of teams over all hosts; not limited yet. */
-    private TeamLimiter teamLimiter() {
-        return TeamLimiter.UNLIMITED;
-    }
-
     private RequestObserver observer() {
         return new CompositeRequestObserver(log, RequestMetrics.of(registry), this::upstreamMayHaveRestarted);
     }
