--- a/src/main/java/org/arbutusfield/error/ErrorCode.java
+++ b/src/main/java/org/arbutusfield/error/ErrorCode.java
@@ -65,8 +65,7 @@
     METHOD_NOT_ALLOWED(Severity.NOTICE, 405, Execution.NOT_RUN, "the method is not allowed here"),
     KEY_UNKNOWN(Severity.NOTICE, 401, Execution.NOT_RUN, "the caller's key is missing or belongs to no team"),
     TEAM_LIMIT(Severity.NOTICE, 429, Execution.NOT_RUN, "the team's limit over all hosts is reached"),
-    TEAM_SHARE_UNAVAILABLE(
-            Severity.WARNING, 503, Execution.NOT_RUN, "this host has no share of the team's limit now"),
+    TEAM_SHARE_UNAVAILABLE(Severity.WARNING, 503, Execution.NOT_RUN, "this host has no share of the team's limit now"),
     UNAUTHORIZED(Severity.NOTICE, 401, Execution.NOT_RUN, "the operator token is missing or wrong"),
     DEADLINE_PASSED(Severity.NOTICE, 503, Execution.NOT_RUN, "the deadline passed before the request was run"),
     DEADLINE_UNREACHABLE(Severity.NOTICE, 503, Execution.NOT_RUN, "the request cannot finish within its deadline"),
--- a/src/main/java/org/arbutusfield/proxy/Attempt.java
+++ b/src/main/java/org/arbutusfield/proxy/Attempt.java
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
@@ -47,6 +48,7 @@
     private final Duration nonRepeatableReuseLimit;
     private ConnectionPool pool;
     private UpstreamConnection connection;
+    private BooleanSupplier bytesSent = () -> false;
     private long sentNanos;
     private boolean sendingBody;
     private boolean bodySent;
@@ -102,7 +104,7 @@
 
     /** True once any byte of the request may have reached the target. */
     boolean sent() {
-        return sentNanos != 0;
+        return bytesSent.getAsBoolean();
     }
 
     /** Time since the request was sent. */
@@ -246,6 +248,14 @@
         discardRest(AttemptOutcome.SHED);
     }
 
+    /**
+     * Returns the failure of an attempt that got no response: the one given, or that the upstream can't be reached if
+     * no byte of the request was sent.
+     */
+    Failure failure(ErrorCode code, String detail) {
+        return Failure.of(sent() ? code : ErrorCode.UPSTREAM_CONNECT, target.name(), detail);
+    }
+
     void release(AttemptOutcome outcome) {
         if (released) {
             return;
@@ -306,7 +316,7 @@
         }
         release(onReusedConnection() ? AttemptOutcome.CANCELLED : AttemptOutcome.FAILED);
         ErrorCode code = cause == Loss.MALFORMED ? ErrorCode.UPSTREAM_PROTOCOL : ErrorCode.UPSTREAM_LOST;
-        exchange.responseLost(this, Failure.of(code, target.name()));
+        exchange.responseLost(this, failure(code, ""));
     }
 
     private void noticed(UpstreamNotice notice) {
@@ -339,7 +349,7 @@
             ended = true;
             release(AttemptOutcome.CANCELLED);
             result.get().release();
-            exchange.sendingRefused(refusal.get());
+            exchange.refused(refusal.get());
             return;
         }
         Optional<Failure> expired = target.permit().refusalToSend();
@@ -347,14 +357,14 @@
             ended = true;
             release(AttemptOutcome.CANCELLED);
             result.get().release();
-            exchange.attemptFailed(this, expired.get(), true);
+            exchange.attemptFailed(this, expired.get());
             return;
         }
         connection = result.get();
         if (!connection.open()) {
             ended = true;
             release(AttemptOutcome.CANCELLED);
-            exchange.attemptFailed(this, Failure.of(ErrorCode.UPSTREAM_CONNECT, target.name()), true);
+            exchange.attemptFailed(this, Failure.of(ErrorCode.UPSTREAM_CONNECT, target.name()));
             return;
         }
         send();
@@ -367,7 +377,7 @@
             target.permit().unreachable();
         }
         release(limit ? AttemptOutcome.CANCELLED : AttemptOutcome.FAILED);
-        exchange.attemptFailed(this, Failure.of(code, target.name()), true);
+        exchange.attemptFailed(this, Failure.of(code, target.name()));
     }
 
     private void send() {
@@ -389,7 +399,7 @@
                     headers,
                     EmptyHttpHeaders.INSTANCE);
         }
-        connection.begin(request, this);
+        bytesSent = connection.begin(request, this);
         sendPendingBody();
     }
 
--- a/src/main/java/org/arbutusfield/proxy/AttemptHistory.java
+++ b/src/main/java/org/arbutusfield/proxy/AttemptHistory.java
@@ -1,6 +1,5 @@
 package org.arbutusfield.proxy;
 
-import java.time.Duration;
 import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.Optional;
@@ -16,7 +15,6 @@
  * certainly did not run counts only against the host's limit on attempts.
  */
 final class AttemptHistory {
-    private static final int SERVICE_UNAVAILABLE = 503;
     /** A request that has lost as many upstreams may be the cause. */
     private static final int MAX_LOST_RUNS = 2;
 
@@ -27,8 +25,6 @@
             ErrorCode.HOST_BUSY,
             ErrorCode.HOST_LEAVING);
 
-    private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
-
     private final RequestHead head;
     private final int maxAttempts;
     private final RetryLimiter retryLimiter;
@@ -116,8 +112,7 @@
             return Failure.of(
                     ErrorCode.UPSTREAM_LOST, failure.subject(), failure.code().name());
         }
-        boolean unavailable = failure.code().httpStatus() == SERVICE_UNAVAILABLE;
-        return unavailable && failure.retryAfter().isEmpty() ? failure.withRetryAfter(DEFAULT_RETRY_AFTER) : failure;
+        return RetryAfter.withDefault(failure);
     }
 
     /** True if the outcome of an attempt is unknown. */
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -190,7 +190,7 @@
         Optional<Failure> refusal = stopCheck.refusal();
         if (refusal.isPresent()) {
             refused(refusal.get());
-        } else if (!deadline.passed()) {
+        } else if (!stopCheck.latestStartPassed()) {
             stopCheck.awaitLatestStart();
         } else if (stage == Stage.BODY) {
             fail(Failure.of(ErrorCode.REQUEST_TIMEOUT, "body"));
@@ -219,15 +219,13 @@
         recordBuilder.waitStarted();
         admission.place(remaining(), history.tried(), result -> {
             recordBuilder.waitEnded();
-            result.peek(this::connect).peekLeft(this::placementFailed);
+            result.peek(this::connect)
+                    .peekLeft(failure -> refused(history.lastFailure().orElse(failure)));
         });
     }
 
-    private void placementFailed(Failure failure) {
-        refused(history.lastFailure().orElse(failure));
-    }
-
-    private void refused(Failure failure) {
+    /** Ends the exchange without another attempt; nothing of the current one was sent. */
+    void refused(Failure failure) {
         if (relay != null) {
             abortResponse();
         } else {
@@ -250,11 +248,6 @@
         return crashCheck.refusal().or(() -> stopCheck.refusalAt(from));
     }
 
-    /** Called when the current attempt ended, with its connection unused, because of a {@link #refusalToSend}. */
-    void sendingRefused(Failure refusal) {
-        refused(refusal);
-    }
-
     /** Called when the current attempt starts to send the request. */
     void requestSending(Attempt from) {
         if (relay == null) {
@@ -264,7 +257,8 @@
     }
 
     /** Called when an attempt ended without a response to relay. */
-    void attemptFailed(Attempt from, Failure failure, boolean notRun) {
+    void attemptFailed(Attempt from, Failure failure) {
+        boolean notRun = failure.notRun();
         history.attemptFailed(from, failure, notRun);
         context.components()
                 .observer()
@@ -282,7 +276,7 @@
     void responseHead(Attempt from, HttpResponse response) {
         if (!ResponseCheck.isRelated(response, head)) {
             from.cancel(AttemptOutcome.CANCELLED);
-            attemptFailed(from, protocolFailure(from, "unrelated response"), false);
+            attemptFailed(from, protocolFailure(from, "unrelated response"));
             return;
         }
         if (relay != null) {
@@ -295,12 +289,12 @@
         if (NotRunStatement.isIn(response, from.target(), context.components().headerNames())) {
             Failure refusal = NotRunStatement.failure(response, from.target());
             from.refused(refusal, response.headers().contains(ProxyHeaders.REQUEST_ID));
-            attemptFailed(from, refusal, true);
+            attemptFailed(from, refusal);
             return;
         }
         if (!ResponseCheck.hasProof(response, context.components().headerNames())) {
             from.cancel(AttemptOutcome.FAILED);
-            attemptFailed(from, protocolFailure(from, "proof field missing"), false);
+            attemptFailed(from, protocolFailure(from, "proof field missing"));
             return;
         }
         stage = Stage.RESPONSE;
@@ -339,7 +333,7 @@
             crashCheck.connectionLost(from);
         }
         if (relay == null) {
-            attemptFailed(from, failure, false);
+            attemptFailed(from, failure);
             return;
         }
         history.responseBrokeOff(from.target().name());
@@ -397,27 +391,31 @@
 
     private void sentTimerExpired(ResponseWait.State state) {
         Attempt from = attempt;
-        String target = from.target().name();
         switch (state) {
-            case ENDS -> {
-                history.addPossibleRun();
-                countIfCutByStop();
-                from.timedOut(deadline.endsWithHost());
-                fail(Failure.of(ErrorCode.UPSTREAM_TIMEOUT, target));
-            }
-            case UPSTREAM_SILENT -> {
-                from.closeSilentConnections();
-                attemptFailed(from, Failure.of(ErrorCode.UPSTREAM_LOST, target, "no bytes received"), false);
-            }
-            case UPSTREAM_NOT_READING -> {
-                from.closeSilentConnections();
-                attemptFailed(from, Failure.of(ErrorCode.UPSTREAM_TIMEOUT, target), false);
-            }
+            case ENDS -> sentRequestEnds(from);
+            case UPSTREAM_SILENT -> connectionSilent(from, from.failure(ErrorCode.UPSTREAM_LOST, "no bytes received"));
+            case UPSTREAM_NOT_READING -> connectionSilent(from, from.failure(ErrorCode.UPSTREAM_TIMEOUT, ""));
             case CALLER_SILENT -> rejectBody(ErrorCode.REQUEST_TIMEOUT);
             default -> {} // The body goes on arriving; the timer has been set again.
         }
     }
 
+    private void connectionSilent(Attempt from, Failure failure) {
+        from.closeSilentConnections();
+        attemptFailed(from, failure);
+    }
+
+    private void sentRequestEnds(Attempt from) {
+        if (!from.sent()) {
+            fail(Failure.of(ErrorCode.DEADLINE_PASSED, head.service().name()));
+            return;
+        }
+        history.addPossibleRun();
+        countIfCutByStop();
+        from.timedOut(deadline.endsWithHost());
+        fail(Failure.of(ErrorCode.UPSTREAM_TIMEOUT, from.target().name()));
+    }
+
     private void countIfCutByStop() {
         if (deadline.passed() && deadline.endsWithHost()) {
             context.cutByStop().incrementAndGet();
--- a/src/main/java/org/arbutusfield/proxy/ExchangeDeadline.java
+++ b/src/main/java/org/arbutusfield/proxy/ExchangeDeadline.java
@@ -50,6 +50,11 @@
         return !lifted && endNanos() - System.nanoTime() <= 0;
     }
 
+    /** Returns true once less than some time is left until the exchange must end. */
+    boolean passedLess(Duration reserve) {
+        return !lifted && endNanos() - reserve.toNanos() - System.nanoTime() <= 0;
+    }
+
     /** Returns true if the request's own deadline ends before the exchanges of a host that stops. */
     boolean endsBefore(HostStop other) {
         return ownEndNanos - other.endNanos() <= 0;
@@ -72,6 +77,11 @@
         timer.set(endNanos());
     }
 
+    /** Sets the timer to expire some time before the deadline. */
+    void awaitEndLess(Duration reserve) {
+        timer.set(endNanos() - reserve.toNanos());
+    }
+
     /** Sets the timer to expire after some time, or at the deadline if that is earlier. */
     void await(Duration time) {
         awaitUntil(System.nanoTime() + time.toNanos());
--- a/src/main/java/org/arbutusfield/proxy/RetryAfter.java
+++ b/src/main/java/org/arbutusfield/proxy/RetryAfter.java
@@ -8,6 +8,7 @@
 import java.util.Date;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import org.arbutusfield.error.Failure;
 import org.arbutusfield.misc.DecimalText;
 
 /** Parses {@code Retry-After}: seconds, with or without a fraction, or a date. */
@@ -15,6 +16,8 @@
     /** Longer times are taken for this one. */
     static final Duration MAX = Duration.ofDays(1);
 
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final Duration DEFAULT = Duration.ofMillis(500);
     private static final double MILLIS_PER_SECOND = 1000;
 
     private RetryAfter() {}
@@ -39,6 +42,12 @@
                                 between(date(headers.get(HttpHeaderNames.DATE)).orElse(now), date));
     }
 
+    /** Returns the failure; one with status 503 always says when to retry. */
+    static Failure withDefault(Failure failure) {
+        boolean unavailable = failure.code().httpStatus() == SERVICE_UNAVAILABLE;
+        return unavailable && failure.retryAfter().isEmpty() ? failure.withRetryAfter(DEFAULT) : failure;
+    }
+
     private static Duration ofSeconds(double seconds) {
         double millis = Math.ceil(Math.min((double) MAX.toSeconds(), seconds) * MILLIS_PER_SECOND);
         return Duration.ofMillis((long) millis);
--- a/src/main/java/org/arbutusfield/proxy/StopCheck.java
+++ b/src/main/java/org/arbutusfield/proxy/StopCheck.java
@@ -37,6 +37,11 @@
     /** Other hosts take the request at once. */
     private static final Duration RETRY_AFTER = Duration.ofMillis(100);
 
+    /** Longest round trip between hosts. */
+    private static final Duration ROUND_TRIP = Duration.ofMillis(150);
+
+    private static final int MIN_DEADLINE_PARTS = 5;
+
     private final ProxyContext context;
     private final RequestHead head;
     private final ExchangeDeadline deadline;
@@ -69,12 +74,30 @@
     void awaitLatestStart() {
         Optional<HostStop> stop = context.stop();
         if (stop.isEmpty() || deadline.endsBefore(stop.get())) {
-            deadline.awaitEnd();
+            deadline.awaitEndLess(reserveForAnswer());
             return;
         }
         deadline.awaitUntil(stop.get().endNanos() - expectedTime(1).toNanos());
     }
 
+    /** Returns true once the request is too late to be sent, whether or not the host stops. */
+    boolean latestStartPassed() {
+        return deadline.passedLess(reserveForAnswer());
+    }
+
+    /**
+     * Returns how long before its deadline a request that wasn't sent is refused. The deadline that another host
+     * forwards ends later here than there, by the time that the request took, and the refusal takes as long again; an
+     * answer that arrives late is reported as an unknown outcome by that host.
+     */
+    private Duration reserveForAnswer() {
+        if (head.hops() == 0) {
+            return Duration.ZERO;
+        }
+        Duration part = head.deadline().dividedBy(MIN_DEADLINE_PARTS);
+        return part.compareTo(ROUND_TRIP) < 0 ? part : ROUND_TRIP;
+    }
+
     private Optional<Failure> refusal(HostStop stop, int turns) {
         if (deadline.endsBefore(stop)) {
             return Optional.empty();
--- a/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
@@ -211,6 +211,8 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
                 .option(ChannelOption.TCP_NODELAY, true)
+                // A failed write must not discard a response that was received before it.
+                .option(ChannelOption.AUTO_CLOSE, false)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
--- a/src/main/java/org/arbutusfield/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/UpstreamConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -16,6 +17,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.arbutusfield.proxy.upstream.UpstreamResponseListener.Loss;
 
 /**
@@ -44,7 +47,10 @@
     private static final String REQUEST_ID = "x-request-id";
     /** Upstreams close connections that were idle for longer than this without any change. */
     private static final Duration RECENT_USE = Duration.ofSeconds(2);
+    /** The peer of a failed write has closed the connection, so what it had sent before is here or on its way. */
+    private static final Duration LAST_RESPONSE_TIMEOUT = Duration.ofMillis(200);
 
+    private final ChannelFutureListener writeListener = this::written;
     private final ConnectionPool pool;
     private final StrictResponseDecoder decoder;
     private Channel channel;
@@ -52,6 +58,7 @@
     private boolean closedHere;
     private boolean reused;
     private boolean requestEnded;
+    private boolean outputFailed;
     private boolean keepAlive;
     private boolean informational;
     private boolean requestIdEchoed;
@@ -75,7 +82,7 @@
 
     /** False once the connection is closed. */
     public boolean open() {
-        return channel.isActive();
+        return channel.isActive() && !outputFailed;
     }
 
     /** False while the write buffer is full and the request's body has to wait. */
@@ -88,29 +95,36 @@
         return lastReadNanos;
     }
 
-    /** Starts a request; the response goes to the listener. The connection must be idle. */
-    public void begin(HttpRequest head, UpstreamResponseListener listener) {
+    /**
+     * Starts a request; the response goes to the listener. The connection must be idle.
+     *
+     * @return true once any byte of the request was handed to the network
+     */
+    public BooleanSupplier begin(HttpRequest head, UpstreamResponseListener listener) {
         responseListener = listener;
         requestEnded = false;
         keepAlive = true;
         decoder.expectResponseTo(head.method());
+        WriteProgress headProgress = new WriteProgress(channel);
+        headProgress.addListener(writeListener);
         if (head instanceof FullHttpRequest) {
             requestEnded = true;
-            channel.writeAndFlush(head, channel.voidPromise());
+            channel.writeAndFlush(head, headProgress);
         } else {
-            channel.write(head, channel.voidPromise());
+            channel.write(head, headProgress);
         }
+        return headProgress::begun;
     }
 
     /** Sends a part of the request's body and takes ownership of it. */
     public void sendBody(ByteBuf part) {
-        channel.writeAndFlush(new DefaultHttpContent(part), channel.voidPromise());
+        channel.writeAndFlush(new DefaultHttpContent(part)).addListener(writeListener);
     }
 
     /** Ends the request. */
     public void endBody(LastHttpContent last) {
         requestEnded = true;
-        channel.writeAndFlush(last, channel.voidPromise());
+        channel.writeAndFlush(last).addListener(writeListener);
     }
 
     /**
@@ -227,6 +241,23 @@
         idleSinceNanos = nowNanos;
     }
 
+    /**
+     * After a failed write, reads on until the end of the connection: an upstream that refuses a request before it has
+     * read the body closes the connection with a reset, and its response waits to be read.
+     */
+    private void written(ChannelFuture write) {
+        if (write.isSuccess() || outputFailed) {
+            return;
+        }
+        outputFailed = true;
+        keepAlive = false;
+        if (!channel.isOpen()) {
+            return;
+        }
+        setReading(true);
+        channel.eventLoop().schedule(() -> channel.close(), LAST_RESPONSE_TIMEOUT.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
     private void responseHead(HttpResponse head) {
         if (head.decoderResult().isFailure()) {
             reportLoss(Loss.MALFORMED);
--- a/src/main/java/org/arbutusfield/team/Team.java
+++ b/src/main/java/org/arbutusfield/team/Team.java
@@ -12,8 +12,7 @@
  * @param burst requests that may be sent beyond the rate
  * @param allowedRegions regions that may serve it; empty if all may
  */
-public record Team(
-        String name, OptionalInt priority, double ratePerSecond, double burst, Set<String> allowedRegions) {
+public record Team(String name, OptionalInt priority, double ratePerSecond, double burst, Set<String> allowedRegions) {
 
     /** Makes the record immutable by copying the regions. */
     public Team {
--- a/src/test/java/org/arbutusfield/proxy/HopTest.java
+++ b/src/test/java/org/arbutusfield/proxy/HopTest.java
@@ -113,6 +113,26 @@
         server.close();
     }
 
+    /**
+     * Guards against 504 for a request that the remote host never sent: its refusal must arrive before the deadline of
+     * the host that forwarded it.
+     */
+    @Test
+    void refusalOfRemoteHostArrivesBeforeTheDeadline() {
+        ProxyComponents neverPlacing = ProxyComponents.of("gulf", () -> remote.configuration)
+                .withPlacement(request -> new CompletableFuture<>());
+        try (ProxyServer far = ProxyServer.bind(remote.group, ProxyFixture.ANY_PORT, neverPlacing)
+                        .get();
+                ProxyServer server = forwardingTo(far.address());
+                RawCaller caller = RawCaller.connect(server.address())) {
+            Response response = caller.call(
+                    post("/desk/book", "b", "x").replace("host: x", "host: x\r\nx-request-deadline-ms: 600"));
+            assertThat(response.status()).isEqualTo(503);
+            assertThat(response.statesNotRun()).isTrue();
+            assertThat(response.header("retry-after")).isNotNull();
+        }
+    }
+
     @Test
     void hopFieldOfUnknownPeerDoesNotSkipClaim() {
         ProxyServer server = forwardingTo(remote.server.address());
