--- a/src/main/java/org/arbutusfield/platform/PlatformItemDecoder.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformItemDecoder.java
@@ -154,7 +154,8 @@
                 action.positiveInt("attempts"),
                 regions(action),
                 rule.flag("session_affinity"),
-                weightedServices(action));
+                weightedServices(action),
+                routeType.equals("upload"));
     }
 
     private static boolean isIdempotent(String routeType) {
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -82,12 +82,12 @@
 
     /** Starts to receive the body, or claims and places the request immediately if the body is too large to keep. */
     void start() {
-        if (head.hasBody() && context.requestBuffers().exhausted()) {
+        if (!body.acquireBuffers(head)) {
             fail(Failure.of(ErrorCode.OVERLOADED, "buffers"));
             return;
         }
         stopCheck.awaitLatestStart();
-        if (head.length().orElse(0) > context.limits().replayBytes()) {
+        if (head.upload() || head.length().orElse(0) > context.limits().replayBytes()) {
             claim();
             return;
         }
--- a/src/main/java/org/arbutusfield/proxy/PlacementRequest.java
+++ b/src/main/java/org/arbutusfield/proxy/PlacementRequest.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.arbutusfield.model.RequestClass;
 import org.arbutusfield.model.Service;
@@ -22,6 +23,7 @@
  * @param tried names of the upstreams and hosts at which an attempt has failed
  * @param route the operator's route, if there is one
  * @param objectKey key of the object that the request concerns, if the caller names one
+ * @param bodyBytes declared length of the body; empty if none is declared, as for chunked bodies
  */
 public record PlacementRequest(
         String requestId,
@@ -34,10 +36,39 @@
         int hops,
         Set<String> tried,
         Optional<Route> route,
-        Optional<String> objectKey) {
+        Optional<String> objectKey,
+        OptionalLong bodyBytes) {
 
     /** Copies the set so that the record is immutable. */
     public PlacementRequest {
         tried = Set.copyOf(tried);
     }
+
+    /** Creates a request of which the length of the body isn't known. */
+    public PlacementRequest(
+            String requestId,
+            Service service,
+            RequestClass requestClass,
+            String method,
+            String path,
+            Duration remaining,
+            InetSocketAddress caller,
+            int hops,
+            Set<String> tried,
+            Optional<Route> route,
+            Optional<String> objectKey) {
+        this(
+                requestId,
+                service,
+                requestClass,
+                method,
+                path,
+                remaining,
+                caller,
+                hops,
+                tried,
+                route,
+                objectKey,
+                OptionalLong.empty());
+    }
 }
--- a/src/main/java/org/arbutusfield/proxy/RequestAdmission.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestAdmission.java
@@ -86,7 +86,8 @@
                 head.hops(),
                 tried,
                 head.route(),
-                head.objectKey());
+                head.objectKey(),
+                head.length());
         CompletableFuture<Either<Failure, PlacementTarget>> future =
                 components.placement().place(request);
         waitingFor = future;
--- a/src/main/java/org/arbutusfield/proxy/RequestBody.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestBody.java
@@ -21,6 +21,7 @@
     private ByteBuf coalescing;
     private long received;
     private long held;
+    private long reserved;
     private boolean ended;
     private boolean replayable = true;
 
@@ -33,6 +34,22 @@
         return new RequestBody(maxKeptBytes, budget);
     }
 
+    /**
+     * Returns false if the host's buffers have no room for the body. An upload reserves the most that it may hold, and
+     * what it holds counts only beyond that: uploads that start together would otherwise find the buffers empty.
+     */
+    boolean acquireBuffers(RequestHead head) {
+        if (!head.upload()) {
+            return !head.hasBody() || !budget.exhausted();
+        }
+        long most = Math.min(maxKeptBytes, head.length().orElse(maxKeptBytes));
+        if (!budget.tryAdd(most)) {
+            return false;
+        }
+        reserved = most;
+        return true;
+    }
+
     /**
      * Takes ownership of a part. Small parts are copied together, so that they do not retain the large buffers into
      * which they were read.
@@ -142,6 +159,8 @@
         unsent.forEach(ByteBuf::release);
         unsent.clear();
         addHeld(-held);
+        budget.remove(reserved);
+        reserved = 0;
     }
 
     private void discardSent() {
@@ -154,7 +173,8 @@
     }
 
     private void addHeld(long bytes) {
+        long counted = Math.max(held, reserved);
         held += bytes;
-        budget.add(bytes);
+        budget.add(Math.max(held, reserved) - counted);
     }
 }
--- a/src/main/java/org/arbutusfield/proxy/RequestHead.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestHead.java
@@ -142,6 +142,11 @@
         return length.isPresent() || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
     }
 
+    /** True if the request has a body that is placed before it is read. */
+    boolean upload() {
+        return hasBody() && route.map(Route::upload).orElse(false);
+    }
+
     private static Optional<Failure> validateFields(HttpHeaders headers, HeaderNames headerNames) {
         String deadline = headers.get(headerNames.deadlineMillis());
         if (deadline != null && DecimalText.parse(deadline).isEmpty()) {
--- a/src/main/java/org/arbutusfield/route/Route.java
+++ b/src/main/java/org/arbutusfield/route/Route.java
@@ -19,6 +19,7 @@
  * @param allowedRegions regions that may serve it; empty for all
  * @param affinity whether requests for an object go to the same upstream, because one that served it recently is faster
  * @param weightedServices services that share its requests, with their weights; at least one
+ * @param upload whether requests have large bodies, run at most once and are placed before their bodies are read
  */
 public record Route(
         String name,
@@ -32,7 +33,8 @@
         int attempts,
         Set<String> allowedRegions,
         boolean affinity,
-        List<WeightedService> weightedServices) {
+        List<WeightedService> weightedServices,
+        boolean upload) {
 
     /** Makes the record immutable by copying the collections. */
     public Route {
@@ -40,6 +42,36 @@
         weightedServices = List.copyOf(weightedServices);
     }
 
+    /** Creates a route whose requests aren't uploads. */
+    public Route(
+            String name,
+            String host,
+            String prefix,
+            boolean idempotent,
+            boolean largeResponses,
+            Duration timeout,
+            Duration latencyObjective,
+            int priority,
+            int attempts,
+            Set<String> allowedRegions,
+            boolean affinity,
+            List<WeightedService> weightedServices) {
+        this(
+                name,
+                host,
+                prefix,
+                idempotent,
+                largeResponses,
+                timeout,
+                latencyObjective,
+                priority,
+                attempts,
+                allowedRegions,
+                affinity,
+                weightedServices,
+                false);
+    }
+
     /** Returns true when an upstream in the region may serve the route. */
     public boolean allows(String region) {
         return allowedRegions.isEmpty() || allowedRegions.contains(region);
--- a/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
@@ -52,6 +52,7 @@
     private final UpstreamSelector selector = UpstreamSelector.of(availability, backoff, this::load);
     private final SharedRates sharedRates;
     private final Map<String, Integer> inFlight = new HashMap<>();
+    private final UploadAllowance uploads = UploadAllowance.create();
 
     private SteeringPlacement(
             String region,
@@ -145,9 +146,14 @@
         Predicate<LiveUpstream> withinRate =
                 upstream -> sharedRates.of(upstream, current, nanos).isEmpty()
                         || (questionsLeft > 0 && quota.mayAsk(upstream.name()));
-        Either<Failure, Selection> selected = selector.select(request, object, home, withinRate, current, nanos);
+        Either<Failure, Selection> selected = selector.select(
+                request, object, home, withinRate.and(upstream -> hasRoom(upstream, request)), current, nanos);
         if (selected.isLeft()) {
-            return CompletableFuture.completedFuture(Either.left(selected.getLeft()));
+            boolean onlyRoomIsMissing = isUpload(request)
+                    && selector.select(request, object, home, withinRate, current, nanos)
+                            .isRight();
+            return CompletableFuture.completedFuture(
+                    Either.left(onlyRoomIsMissing ? UploadAllowance.refusal(request) : selected.getLeft()));
         }
         Selection selection = selected.get();
         OptionalDouble rate = sharedRates.of(selection.upstream(), current, nanos);
@@ -156,7 +162,7 @@
                     Either.right(target(request, object, selection, Optional.empty(), UNLIMITED)));
         }
         return quota.ask(selection.upstream().start(), sharedRates.coldRate(selection.upstream(), current, nanos))
-                .thenCompose(grant -> grant.isPresent()
+                .thenCompose(grant -> grant.isPresent() && hasRoom(selection.upstream(), request)
                         ? CompletableFuture.completedFuture(
                                 Either.right(target(request, object, selection, grant, rate.getAsDouble())))
                         : place(request, object, home, questionsLeft - 1));
@@ -183,6 +189,15 @@
         return Optional.of(new ObjectId(group, key));
     }
 
+    private static boolean isUpload(PlacementRequest request) {
+        return request.route().map(Route::upload).orElse(false);
+    }
+
+    private boolean hasRoom(LiveUpstream upstream, PlacementRequest request) {
+        return !isUpload(request)
+                || uploads.hasRoom(upstream.upstream(), fleetSize.largest(), UploadAllowance.bytesOf(request));
+    }
+
     private double load(LiveUpstream upstream) {
         return (double) inFlight.getOrDefault(upstream.name(), 0)
                 / upstream.upstream().slots();
@@ -209,8 +224,15 @@
                         current.hosts().size(),
                         current.revision().number()));
         inFlight.merge(name, 1, Integer::sum);
+        Runnable uploadEnded = isUpload(request) ? startUpload(name, UploadAllowance.bytesOf(request)) : () -> {};
         object.ifPresent(o -> homeResolver.recordFallback(o.group(), o.key(), name));
-        return new PlacementTarget.UpstreamTarget(upstream.upstream(), new UpstreamPermit(upstream, object, grant));
+        return new PlacementTarget.UpstreamTarget(
+                upstream.upstream(), new UpstreamPermit(upstream, object, grant, uploadEnded));
+    }
+
+    private Runnable startUpload(String upstream, long bytes) {
+        uploads.started(upstream, bytes);
+        return () -> uploads.ended(upstream, bytes);
     }
 
     private void objectRequestEnded(ObjectId object, String name, AttemptOutcome outcome, long serviceNanos) {
@@ -240,8 +262,11 @@
         private final LiveUpstream upstream;
         private final Optional<ObjectId> object;
         private final Optional<QuotaGrant> grant;
+        private final Runnable uploadEnded;
 
-        private UpstreamPermit(LiveUpstream upstream, Optional<ObjectId> object, Optional<QuotaGrant> grant) {
+        private UpstreamPermit(
+                LiveUpstream upstream, Optional<ObjectId> object, Optional<QuotaGrant> grant, Runnable uploadEnded) {
+            this.uploadEnded = uploadEnded;
             this.upstream = upstream;
             this.object = object;
             this.grant = grant;
@@ -264,6 +289,7 @@
         @Override
         public void release(AttemptOutcome outcome, long serviceNanos) {
             requestEnded(upstream.name(), outcome);
+            uploadEnded.run();
             object.ifPresent(o -> objectRequestEnded(o, upstream.name(), outcome, serviceNanos));
         }
 
--- a/src/test/java/org/arbutusfield/platform/PlatformItemDecoderTest.java
+++ b/src/test/java/org/arbutusfield/platform/PlatformItemDecoderTest.java
@@ -102,6 +102,7 @@
                         "download",
                         "/one/two/",
                         "\"traffic_split\":[{\"service\":\"desk\",\"weight\":90},{\"service\":\"vault\",\"weight\":10}]")
+                + "," + rule.formatted("upload", "/up/", "\"service\":\"desk\"").replace("r-1", "r-2")
                 + "]}],\"upstreams\":[{\"name\":\"desk\",\"health_path\":\"/health\",\"max_connections\":660,"
                 + "\"cold_start\":\"3s\",\"cold_per_s\":2.6}]}";
         RouteTable table = ((StateItem.Routes) decode("op/config", config).get()).routes();
@@ -109,6 +110,10 @@
         assertThat(table.limits().idleTimeout()).isEqualTo(Duration.ofSeconds(15));
         Route nonIdempotent = table.match("A.example", "/one/x").orElseThrow();
         assertThat(nonIdempotent.idempotent()).isFalse();
+        assertThat(nonIdempotent.upload()).isFalse();
+        Route upload = table.match("a.example", "/up/x").orElseThrow();
+        assertThat(upload.upload()).isTrue();
+        assertThat(upload.idempotent()).isFalse();
         assertThat(nonIdempotent.allowedRegions()).isEqualTo(Set.of("gulf"));
         assertThat(nonIdempotent.timeout()).isEqualTo(Duration.ofSeconds(2));
         Route download = table.match("a.example", "/one/two/x").orElseThrow();
