--- a/src/main/java/org/arbutusfield/platform/PlatformItemDecoder.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformItemDecoder.java
@@ -201,7 +201,8 @@
                 regions(action),
                 rule.flag("session_affinity"),
                 weightedServices(action),
-                rule.isTrue("public"));
+                rule.isTrue("public"),
+                routeType.equals("upload"));
     }
 
     private static boolean isIdempotent(String routeType) {
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -82,12 +82,12 @@
 
     /** Starts to receive the body, or claims and places the request immediately if the body is too large to keep. */
     void start() {
-        if (head.hasBody() && context.requestBuffers().exhausted()) {
+        if (!body.acquireBuffers(head)) {
             fail(Failure.of(ErrorCode.OVERLOADED, "buffers"));
             return;
         }
         stopCheck.awaitLatestStart();
-        if (head.length().orElse(0) > context.limits().replayBytes()) {
+        if (head.upload() || head.length().orElse(0) > context.limits().replayBytes()) {
             claim();
             return;
         }
@@ -195,7 +195,7 @@
         Optional<Failure> refusal = stopCheck.refusal();
         if (refusal.isPresent()) {
             refused(refusal.get());
-        } else if (!deadline.passed()) {
+        } else if (!stopCheck.latestStartPassed()) {
             stopCheck.awaitLatestStart();
         } else if (stage == Stage.BODY) {
             fail(Failure.of(ErrorCode.REQUEST_TIMEOUT, "body"));
@@ -235,7 +235,7 @@
         });
     }
 
-    /** Ends the request, which was not placed, or not sent because of a {@link #refusalToSend}. */
+    /** Ends the exchange without another attempt; nothing of the current one was sent. */
     void refused(Failure failure) {
         if (relay != null) {
             abortResponse();
@@ -269,7 +269,8 @@
     }
 
     /** Called when an attempt ended without a response to relay. */
-    void attemptFailed(Attempt from, Failure failure, boolean notRun) {
+    void attemptFailed(Attempt from, Failure failure) {
+        boolean notRun = failure.notRun();
         history.attemptFailed(from, failure, notRun);
         admission.teamUse().attemptFailed(from.target(), failure, from.sent());
         context.components()
@@ -288,7 +289,7 @@
     void responseHead(Attempt from, HttpResponse response) {
         if (!ResponseCheck.isRelated(response, head)) {
             from.cancel(AttemptOutcome.CANCELLED);
-            attemptFailed(from, protocolFailure(from, "unrelated response"), false);
+            attemptFailed(from, from.failure(ErrorCode.UPSTREAM_PROTOCOL, "unrelated response"));
             return;
         }
         if (relay != null) {
@@ -301,12 +302,12 @@
         if (NotRunStatement.isIn(response, from.target(), context.components().headerNames())) {
             Failure refusal = NotRunStatement.failure(response, from.target());
             from.refused(refusal, response.headers().contains(ProxyHeaders.REQUEST_ID));
-            attemptFailed(from, refusal, true);
+            attemptFailed(from, refusal);
             return;
         }
         if (!ResponseCheck.hasProof(response, context.components().headerNames())) {
             from.cancel(AttemptOutcome.FAILED);
-            attemptFailed(from, protocolFailure(from, "proof field missing"), false);
+            attemptFailed(from, from.failure(ErrorCode.UPSTREAM_PROTOCOL, "proof field missing"));
             return;
         }
         stage = Stage.RESPONSE;
@@ -316,10 +317,6 @@
         progress.awaitUpstream();
     }
 
-    private static Failure protocolFailure(Attempt from, String detail) {
-        return Failure.of(ErrorCode.UPSTREAM_PROTOCOL, from.target().name(), detail);
-    }
-
     /** Called with a part of the response body. */
     void responseContent(Attempt from, HttpContent content) {
         if (content instanceof LastHttpContent last) {
@@ -345,7 +342,7 @@
             crashCheck.connectionLost(from);
         }
         if (relay == null) {
-            attemptFailed(from, failure, false);
+            attemptFailed(from, failure);
             return;
         }
         history.responseBrokeOff(from.target().name());
@@ -403,27 +400,31 @@
 
     private void sentTimerExpired(ResponseWait.State state) {
         Attempt from = attempt;
-        String target = from.target().name();
         switch (state) {
-            case ENDS -> {
-                history.addPossibleRun();
-                stopCheck.countIfCut();
-                from.timedOut(deadline.endsWithHost());
-                fail(Failure.of(ErrorCode.UPSTREAM_TIMEOUT, target));
-            }
-            case UPSTREAM_SILENT -> {
-                from.closeSilentConnections();
-                attemptFailed(from, Failure.of(ErrorCode.UPSTREAM_LOST, target, "no bytes received"), false);
-            }
-            case UPSTREAM_NOT_READING -> {
-                from.closeSilentConnections();
-                attemptFailed(from, Failure.of(ErrorCode.UPSTREAM_TIMEOUT, target), false);
-            }
+            case ENDS -> sentRequestEnds(from);
+            case UPSTREAM_SILENT -> connectionSilent(from, from.failure(ErrorCode.UPSTREAM_LOST, "no bytes received"));
+            case UPSTREAM_NOT_READING -> connectionSilent(from, from.failure(ErrorCode.UPSTREAM_TIMEOUT, ""));
             case CALLER_SILENT -> rejectBody(ErrorCode.REQUEST_TIMEOUT);
             default -> {} // The body goes on arriving; the timer has been set again.
         }
     }
 
+    private void connectionSilent(Attempt from, Failure failure) {
+        from.closeSilentConnections();
+        attemptFailed(from, failure);
+    }
+
+    private void sentRequestEnds(Attempt from) {
+        if (!from.sent()) {
+            fail(Failure.of(ErrorCode.DEADLINE_PASSED, head.service().name()));
+            return;
+        }
+        history.addPossibleRun();
+        stopCheck.countIfCut();
+        from.timedOut(deadline.endsWithHost());
+        fail(Failure.of(ErrorCode.UPSTREAM_TIMEOUT, from.target().name()));
+    }
+
     private void progressTimerExpired(ResponseProgress.State state) {
         switch (state) {
             case ENDS -> {
--- a/src/main/java/org/arbutusfield/proxy/PlacementRequest.java
+++ b/src/main/java/org/arbutusfield/proxy/PlacementRequest.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.arbutusfield.model.RequestClass;
 import org.arbutusfield.model.Service;
@@ -25,6 +26,7 @@
  * @param route the operator's route, if there is one
  * @param objectKey key of the object that the request concerns, if the caller names one
  * @param team the team of the request, if it is known
+ * @param bodyBytes declared length of the body; empty if none is declared, as for chunked bodies
  */
 public record PlacementRequest(
         String requestId,
@@ -38,11 +40,12 @@
         Set<String> tried,
         Optional<Route> route,
         Optional<String> objectKey,
-        Optional<Team> team) {
+        Optional<Team> team,
+        OptionalLong bodyBytes) {
     /** Rank of requests without a team or route that states one: as the most urgent ones. */
     private static final int DEFAULT_RANK = 0;
 
-    /** Creates the data of a request without a team. */
+    /** Creates the data of a request without a team, and without a declared length of its body. */
     public PlacementRequest(
             String requestId,
             Service service,
@@ -67,7 +70,8 @@
                 tried,
                 route,
                 objectKey,
-                Optional.empty());
+                Optional.empty(),
+                OptionalLong.empty());
     }
 
     /** Copies the set so that the record is immutable. */
--- a/src/main/java/org/arbutusfield/proxy/RequestAdmission.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestAdmission.java
@@ -131,7 +131,8 @@
                 tried,
                 head.route(),
                 head.objectKey(),
-                team.team());
+                team.team(),
+                head.length());
         CompletableFuture<Either<Failure, PlacementTarget>> future =
                 components.placement().place(request);
         waitingFor = future;
--- a/src/main/java/org/arbutusfield/route/Route.java
+++ b/src/main/java/org/arbutusfield/route/Route.java
@@ -20,6 +20,7 @@
  * @param affinity whether requests for an object go to the same upstream, because one that served it recently is faster
  * @param weightedServices services that share its requests, with their weights; at least one
  * @param open whether requests need no key although the configuration has teams
+ * @param upload whether requests have large bodies, run at most once and are placed before their bodies are read
  */
 public record Route(
         String name,
@@ -34,9 +35,10 @@
         Set<String> allowedRegions,
         boolean affinity,
         List<WeightedService> weightedServices,
-        boolean open) {
+        boolean open,
+        boolean upload) {
 
-    /** Creates a route whose requests need a key if the configuration has teams. */
+    /** Creates a route that is no upload and whose requests need a key if the configuration has teams. */
     public Route(
             String name,
             String host,
@@ -63,6 +65,7 @@
                 allowedRegions,
                 affinity,
                 weightedServices,
+                false,
                 false);
     }
 
--- a/src/test/java/org/arbutusfield/proxy/TeamRequestTest.java
+++ b/src/test/java/org/arbutusfield/proxy/TeamRequestTest.java
@@ -196,7 +196,8 @@
                 Set.of(),
                 false,
                 List.of(new WeightedService("desk", 1)),
-                true);
+                true,
+                false);
         try (ProxyFixture fixture = ProxyFixture.of(1, 64, components -> {
                     Router router = components.router();
                     ProxyComponents base = withTeams(components);
