--- a/src/test/java/org/arbutusfield/proxy/TeamIdentityTest.java
+++ b/src/test/java/org/arbutusfield/proxy/TeamIdentityTest.java
@@ -3,15 +3,24 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
 import io.vavr.control.Either;
+import java.net.InetAddress;
+import java.net.UnknownHostException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.model.RequestClass;
+import org.arbutusfield.model.Service;
 import org.arbutusfield.team.KeyDigester;
 import org.arbutusfield.team.Team;
 import org.arbutusfield.team.TeamDirectory;
@@ -137,4 +146,36 @@
         assertThat(TeamIdentity.of(credentials, false, TEAMS).getLeft().toString())
                 .doesNotContain("s3cret");
     }
+
+    private static RequestHead head(TeamDirectory teams, String key) {
+        HttpRequest request = new DefaultHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.GET,
+                "/desk/a",
+                headers("host", "x", "authorization", "Bearer " + key));
+        TeamCredentials credentials = TeamCredentials.read(request.headers(), () -> false);
+        RequestClass requestClass = new RequestClass("r", List.of(), "/", true, true, 1_000);
+        Service service = new Service("desk", 0, 0, 0, List.of(requestClass), List.of());
+        RouteMatch match = new RouteMatch(service, requestClass, "/a", "/a", Optional.empty());
+        TeamIdentity identity = TeamIdentity.of(credentials, false, teams).get();
+        return RequestHead.parse(request, "1", match, credentials, identity, HeaderNames.defaults())
+                .get();
+    }
+
+    private static List<String> repeats(RequestHead head) throws UnknownHostException {
+        RequestBody body = RequestBody.of(1, BufferBudget.of(1));
+        body.end();
+        return RequestFingerprint.ofRepeats(head, body, InetAddress.getByName("10.0.0.1"));
+    }
+
+    /** Guards against a key in a text of the head, or in a digest that is stored and that others can compute. */
+    @Test
+    void digestOfRepeatsDependsOnTheTeamAndNotOnTheKey() throws UnknownHostException {
+        TeamDirectory teams = TeamDirectory.of(List.of(entry("blue", "s3cret", "s3cret-2"), entry("red", "s3cret-3")));
+        assertThat(head(teams, "s3cret").toString()).doesNotContain("s3cret");
+        assertThat(repeats(head(teams, "s3cret"))).isEqualTo(repeats(head(teams, "s3cret-2")));
+        assertThat(repeats(head(teams, "s3cret"))).isNotEqualTo(repeats(head(teams, "s3cret-3")));
+        assertThat(repeats(head(TeamDirectory.empty(), "s3cret")))
+                .isNotEqualTo(repeats(head(TeamDirectory.empty(), "s3cret-2")));
+    }
 }
--- a/src/test/java/org/arbutusfield/proxy/TeamRequestTest.java
+++ b/src/test/java/org/arbutusfield/proxy/TeamRequestTest.java
@@ -221,6 +221,14 @@
             assertThat(caller.call(blue(get("/desk/a", "b"))).status()).isEqualTo(200);
             assertThat(receivedValues("x-team-name")).containsExactly("blue");
             assertThat(placed.remove().rank()).isZero();
+            // A key removed while its request waits makes no difference but that the team isn't named.
+            String waiting = with(blue(post("/desk/a", "c", "hall")), "expect: 100-continue\r\n");
+            caller.send(waiting.substring(0, waiting.length() - 4));
+            assertThat(caller.read(false).status()).isEqualTo(100);
+            teams.set(WITHOUT_BLUE);
+            assertThat(caller.call("hall").status()).isEqualTo(200);
+            assertThat(received.peek().header("authorization")).isEmpty();
+            assertThat(receivedValues("x-team-name")).isEmpty();
         }
     }
 
