Test that connections to other hosts come from the address that a host registers

On loopback a connection to another address of the machine came from 127.0.0.1 unless it was bound, so that the receiver would not know the sender.

--- a/src/test/java/org/arbutusfield/proxy/TeamRequestTest.java
+++ b/src/test/java/org/arbutusfield/proxy/TeamRequestTest.java
@@ -49,6 +49,9 @@
             Optional.empty(),
             Optional.of("x-team-name"),
             false);
+    /** Address of a host whose connections the system would open from another one, if the host didn't choose it. */
+    private static final String NEAR_IP = "127.0.0.7";
+
     private static final Team BLUE = new Team("blue", OptionalInt.of(0), 10, 5, Set.of());
     private static final TeamDirectory TEAMS = TeamDirectory.of(
             List.of(TeamIdentityTest.entry(BLUE, "blue-key"), TeamIdentityTest.entry("red", "red-key")));
@@ -350,11 +353,16 @@
         }
     }
 
-    /** Guards against a forwarded request that is refused, counted twice, or sent with the key. */
+    /**
+     * Guards against a forwarded request that comes from an unknown address, is counted twice, or sent with the key.
+     */
     @Test
     void forwardedRequestIsIdentifiedAndCountedOnce() {
-        try (ProxyFixture far =
-                ProxyFixture.of(1, 64, components -> withTeams(components).withPeers(address -> true))) {
+        try (ProxyFixture far = ProxyFixture.of(
+                1,
+                64,
+                components -> withTeams(components)
+                        .withPeers(address -> address.getHostAddress().equals(NEAR_IP)))) {
             far.upstream().injectFaults((request, n) -> {
                 received.add(request);
                 return Fault.NONE;
@@ -406,7 +414,8 @@
                         request.tried().isEmpty()
                                 ? Either.right(new PlacementTarget.HostTarget("far", address, Permit.NONE))
                                 : Either.left(Failure.of(ErrorCode.NO_UPSTREAM))));
-        return ProxyServer.bind(far.group, ProxyFixture.ANY_PORT, components).get();
+        return ProxyServer.bind(far.group, new InetSocketAddress(NEAR_IP, 0), components)
+                .get();
     }
 
     /** Guards against a key or a forged team that passes in the trailer of a chunked request. */
