Optional tolerance settings read and tested, log line for ended shares, stricter test of uses given back

Cause: the test of a use that is given back twice did not catch its mutation: the room of the bucket refused the second. Change: the bucket of the test has room. teamLimitSlack accepts a fraction, as retrySlack does, since the platform derives it.

--- a/src/main/java/org/arbutusfield/edge/EdgeSetting.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeSetting.java
@@ -43,7 +43,7 @@
             "teamLimitOver", ValueType.FRACTION, "tolerance beyond the limit of a team, as a fraction of it", false),
     TEAM_LIMIT_SLACK(
             "teamLimitSlack",
-            ValueType.COUNT,
+            ValueType.FRACTION,
             "tolerance beyond the limit of a team in a window, in requests in addition to the fraction",
             false);
 
--- a/src/main/java/org/arbutusfield/edge/EdgeSettingsReader.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeSettingsReader.java
@@ -114,7 +114,7 @@
                 ? Optional.of(new ShareTolerance(
                         duration(EdgeSetting.TEAM_LIMIT_WINDOW),
                         number(EdgeSetting.TEAM_LIMIT_OVER),
-                        count(EdgeSetting.TEAM_LIMIT_SLACK)))
+                        number(EdgeSetting.TEAM_LIMIT_SLACK)))
                 : Optional.empty();
     }
 
--- a/src/main/java/org/arbutusfield/share/ShareClient.java
+++ b/src/main/java/org/arbutusfield/share/ShareClient.java
@@ -212,6 +212,7 @@
         if (!due.isEmpty() && leader().isPresent()) {
             send(due);
         }
+        teams.forEach((team, entry) -> noteEnd(team, entry, now));
         observer.holds((int) teams.values().stream()
                 .filter(entry -> entry.use.allowance().holdsShare(now))
                 .count());
@@ -220,6 +221,19 @@
         }
     }
 
+    /** Logs a share that ended because the leader did not answer; the first one of a few seconds. */
+    private void noteEnd(String team, TeamEntry entry, long now) {
+        boolean holds = entry.use.allowance().holdsShare(now);
+        if (entry.held && !holds && entry.silent && logDue()) {
+            loggedNanos = Optional.of(now);
+            LOG.warn(
+                    "event=team_share_ended team={} leader={}",
+                    team,
+                    leader().map(HostEntry::name).orElse(""));
+        }
+        entry.held = holds;
+    }
+
     private static boolean inUse(TeamEntry entry, long now) {
         HostAllowance allowance = entry.use.allowance();
         return allowance.holdsShare(now)
@@ -365,6 +379,7 @@
         private boolean shortOfTokens;
 
         private boolean silent;
+        private boolean held;
         private Duration retryAfter = UNAVAILABLE_RETRY;
 
         private TeamEntry(TeamUse use) {
--- a/src/test/java/org/arbutusfield/edge/EdgeSettingsReaderTest.java
+++ b/src/test/java/org/arbutusfield/edge/EdgeSettingsReaderTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.share.ShareTolerance;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -42,6 +43,20 @@
         assertThat(settings.retryBudget().slack()).isEqualTo(33);
     }
 
+    /** Guards against a host that doesn't start on a deployment without teams, or ignores a wrong tolerance. */
+    @Test
+    void toleranceBeyondTheLimitsOfTeamsIsOptional() {
+        assertThat(parse(VALID).get().teamTolerance()).isEmpty();
+        String with = VALID.replace(
+                "\"retrySlack\"",
+                "\"teamLimitWindow\": \"5s\", \"teamLimitOver\": 0.1, \"teamLimitSlack\": 20, \"retrySlack\"");
+        assertThat(parse(with).get().teamTolerance()).hasValue(new ShareTolerance(Duration.ofSeconds(5), 0.1, 20));
+        assertThat(parse(with.replace("\"5s\", \"teamLimitOver", "5, \"teamLimitOver"))
+                        .getLeft())
+                .extracting(Failure::subject)
+                .containsExactly("/teamLimitWindow");
+    }
+
     @Test
     void unknownFieldsAreIgnored() {
         assertThat(parse(VALID.replace("{\"name\"", "{\"later\": 1, \"name\"")).isRight())
--- a/src/test/java/org/arbutusfield/share/ShareRulesTest.java
+++ b/src/test/java/org/arbutusfield/share/ShareRulesTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.arbutusfield.proxy.TeamLimiter;
 import org.junit.jupiter.api.Test;
 
 /** Rules of lender and host, one by one. */
@@ -102,11 +103,13 @@
         ShareFleet fleet = new ShareFleet(1, 1, LIMIT, ShareTolerance.NONE);
         fleet.timer.advance(Duration.ofSeconds(20));
         TeamUse use = new TeamUse("t", holdingAt(fleet), ShareObserver.NONE, fleet.timer);
-        use.tryTake().orElseThrow();
-        var second = use.tryTake().orElseThrow();
-        assertThat(use.tryTake()).isEmpty();
-        second.giveBack();
-        second.giveBack();
+        for (int i = 0; i < 4; i++) {
+            assertThat(use.tryTake()).isPresent();
+        }
+        fleet.timer.advance(Duration.ofMillis(130));
+        TeamLimiter.Use last = use.tryTake().orElseThrow();
+        last.giveBack();
+        last.giveBack();
         assertThat(use.tryTake()).isPresent();
         assertThat(use.tryTake()).isEmpty();
     }
@@ -115,7 +118,7 @@
         long now = fleet.timer.nowNanos();
         HostAllowance host = HostAllowance.create("t", 1, LIMIT, now);
         host.report(1, 0, now);
-        host.answered(1, share(1, 1, 2, 2), now);
+        host.answered(1, share(1, 1, 5, 5), now);
         return host;
     }
 
