--- a/src/main/java/org/arbutusfield/edge/EdgeProxyLimits.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeProxyLimits.java
@@ -21,7 +21,13 @@
     private static final Duration PROGRESS_TIMEOUT = Duration.ofSeconds(30);
 
     private static final Duration WRITE_TIMEOUT = Duration.ofSeconds(30);
+    /**
+     * No reuse. Connections that were forgotten without a sign reset what is sent on them, and the outcome is unknown
+     * then. A limit below the shortest time until that (320 ms) is not safe either: after a pause of this host, a
+     * response that had long arrived counts as just received.
+     */
     private static final Duration NON_REPEATABLE_REUSE_LIMIT = Duration.ZERO;
+
     private static final int MAX_ATTEMPTS = 4;
     private static final CallerLimits DEFAULT_CALLER_LIMITS =
             new CallerLimits(16 << 10, 64L << 20, Duration.ofSeconds(3), Duration.ofSeconds(15));
--- a/src/test/java/org/arbutusfield/proxy/ConnectionReuseTest.java
+++ b/src/test/java/org/arbutusfield/proxy/ConnectionReuseTest.java
@@ -13,6 +13,7 @@
 import org.arbutusfield.lab.ServiceTimes;
 import org.arbutusfield.lab.UpstreamStandIn;
 import org.arbutusfield.proxy.RawCaller.Response;
+import org.arbutusfield.proxy.ScriptedUpstream.Reply;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -95,6 +96,51 @@
         }
     }
 
+    /**
+     * Guards against an unknown outcome on a connection that the upstream has forgotten without a sign, at the reuse
+     * limit of edge hosts: each connection answers one request and is closed when it gets another one.
+     */
+    @Test
+    @Timeout(20)
+    void nonRepeatableRequestNeverUsesAForgottenConnection() {
+        String success = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx-request-id: %s\r\n\r\nok";
+        try (ScriptedUpstream upstream = ScriptedUpstream.start(
+                        (number, id) -> number == 1 ? Reply.keep(success.formatted(id)) : Reply.thenClose(""));
+                ProxyFixture fixture = ProxyFixture.of(
+                        0,
+                        0,
+                        all -> all.withPlacement(ScriptedUpstream.inTurn(upstream))
+                                .withLimits(withoutReuse()));
+                RawCaller caller = fixture.caller()) {
+            for (int i = 0; i < 20; i++) {
+                assertThat(caller.call(get("/desk/quote/" + i, "q" + i)).status())
+                        .isEqualTo(200);
+                assertThat(caller.call(post("/desk/book/" + i, "b" + i, "x")).status())
+                        .isEqualTo(200);
+            }
+        }
+    }
+
+    private static ProxyLimits withoutReuse() {
+        ProxyLimits all = ProxyLimits.defaults();
+        return new ProxyLimits(
+                all.callerConnections(),
+                all.headBytes(),
+                all.bodyBytes(),
+                all.replayBytes(),
+                all.hostReplayBytes(),
+                all.hostPendingBytes(),
+                all.headTimeout(),
+                all.bodyTimeout(),
+                all.idleTimeout(),
+                all.lingerTimeout(),
+                all.connectTimeout(),
+                all.progressTimeout(),
+                all.writeTimeout(),
+                Duration.ZERO,
+                all.attempts());
+    }
+
     /**
      * Open connections stop delivering data, as after a middlebox lost its state, while a new connection to the same
      * upstream works. The request is retried on a new connection, and no failed attempt is reported for the upstream.
