Placement by expected end, refusal by rank, loads passed through the planner

A request waited at its home until it was cut or the queue was full, whatever its rank. ExpectedEnd now decides by the stated load with its age, this host's requests since, and the measured work of the route; UpstreamLoadKnowledge keeps the loads, RankShares the rank rule, LoadPlacement brings them together. Hosts report loads each second with HomeQuestion, and the planner answers with the upstreams that have no room. Active only for upstreams that state their speed, or with teams (EdgeHost.teamsConfigured, false until they are merged).

Ruled out by comparison in virtual time (LoadSimulation, 12 upstreams of 6 slots): moving requests to cold upstreams because the home would miss the target. Requests move only if they can't end in time at home and at most half of the other's slots are known to be occupied.

--- a/src/main/java/org/arbutusfield/affinity/HomePlanner.java
+++ b/src/main/java/org/arbutusfield/affinity/HomePlanner.java
@@ -37,6 +37,7 @@
     private final Supplier<SteeringState> state;
     private final TimerService timer;
     private final Map<String, HomePlan> plans = new HashMap<>();
+    private final FleetLoads loads = FleetLoads.create();
     private final Map<String, Long> planIds = new HashMap<>();
     private final Map<String, Long> lastQueriedNanos = new HashMap<>();
 
@@ -97,7 +98,12 @@
         homes.putAll(changes.homes());
         List<ObjectHome> objects = new ArrayList<>();
         homes.forEach((key, home) -> objects.add(new ObjectHome(key, 0, 0, home, 0)));
-        return new HomeAnswer(objects, planId, changes.version());
+        HomeAnswer answer = new HomeAnswer(objects, planId, changes.version());
+        if (query.isSetLoads()) {
+            loads.merge(service, query.getLoads(), nanos);
+            answer.setLoads(loads.withoutRoom(service, nanos));
+        }
+        return answer;
     }
 
     private static Map<Long, String> homes(
--- a/src/main/java/org/arbutusfield/affinity/HomeResolver.java
+++ b/src/main/java/org/arbutusfield/affinity/HomeResolver.java
@@ -18,9 +18,11 @@
 import org.arbutusfield.wire.ControlTransport;
 import org.arbutusfield.wire.PeerAddress;
 import org.arbutusfield.wire.gen.ControlMessage;
+import org.arbutusfield.wire.gen.HomeAnswer;
 import org.arbutusfield.wire.gen.HomeQuestion;
 import org.arbutusfield.wire.gen.ObjectHome;
 import org.arbutusfield.wire.gen.RouteUse;
+import org.arbutusfield.wire.gen.UpstreamLoad;
 
 /**
  * Resolves the homes of the objects that this host serves. The home of an object is the upstream that its requests are
@@ -50,6 +52,7 @@
     private final Supplier<SteeringState> state;
     private final ControlTransport transport;
     private final HomePlanner localPlanner;
+    private final LoadExchange loads;
     private final TimerService timer;
     private final Map<ObjectGroup, Map<Long, ObjectCounters>> countersByGroup = new HashMap<>();
     private final Map<String, CachedPlan> cachedPlans = new HashMap<>();
@@ -63,7 +66,9 @@
             Supplier<SteeringState> state,
             ControlTransport transport,
             HomePlanner localPlanner,
+            LoadExchange loads,
             TimerService timer) {
+        this.loads = loads;
         this.self = self;
         this.state = state;
         this.transport = transport;
@@ -86,7 +91,18 @@
             ControlTransport transport,
             HomePlanner localPlanner,
             TimerService timer) {
-        HomeResolver resolver = new HomeResolver(self, state, transport, localPlanner, timer);
+        return start(self, state, transport, localPlanner, LoadExchange.NONE, timer);
+    }
+
+    /** Starts a resolver that passes the loads of upstreams on with its reports; see the other method. */
+    public static HomeResolver start(
+            String self,
+            Supplier<SteeringState> state,
+            ControlTransport transport,
+            HomePlanner localPlanner,
+            LoadExchange loads,
+            TimerService timer) {
+        HomeResolver resolver = new HomeResolver(self, state, transport, localPlanner, loads, timer);
         timer.every(REFRESH_PERIOD, resolver::refresh);
         return resolver;
     }
@@ -217,7 +233,7 @@
             }
         }
         if (used) {
-            queryPlanner(service, routeUses);
+            queryPlanner(service, routeUses, Optional.of(loads.report(service, timer.nowNanos())));
         }
     }
 
@@ -245,12 +261,18 @@
     }
 
     private CompletableFuture<Void> queryPlanner(String service, List<RouteUse> routeUses) {
+        return queryPlanner(service, routeUses, Optional.empty());
+    }
+
+    private CompletableFuture<Void> queryPlanner(
+            String service, List<RouteUse> routeUses, Optional<List<UpstreamLoad>> reported) {
         CachedPlan plan = cachedPlan(service);
         HomeQuestion query = new HomeQuestion(service, routeUses, plan.planId(), plan.version());
+        reported.ifPresent(query::setLoads);
         Optional<HostEntry> planner =
                 PlannerSelection.plannerOf(service, state.get().hosts());
         if (planner.isEmpty() || planner.get().name().equals(self)) {
-            plan.apply(localPlanner.answer(query));
+            apply(service, localPlanner.answer(query));
             return CompletableFuture.completedFuture(null);
         }
         return transport
@@ -261,9 +283,16 @@
                 .thenAccept(response -> onResponse(service, planner.get(), response));
     }
 
+    private void apply(String service, HomeAnswer answer) {
+        cachedPlan(service).apply(answer);
+        if (answer.isSetLoads()) {
+            loads.heard(answer.getLoads(), timer.nowNanos());
+        }
+    }
+
     private void onResponse(String service, HostEntry planner, Either<Failure, ControlMessage> response) {
         if (response.isRight() && response.get().isSetHomeAnswer()) {
-            cachedPlan(service).apply(response.get().getHomeAnswer());
+            apply(service, response.get().getHomeAnswer());
             return;
         }
         if (!inBackoff(service)) {
--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -51,9 +51,12 @@
 import org.arbutusfield.state.StoreHealth;
 import org.arbutusfield.state.StoreWatcher;
 import org.arbutusfield.steering.HostRetryBudget;
+import org.arbutusfield.steering.LoadPlacement;
+import org.arbutusfield.steering.PlacementObserver;
 import org.arbutusfield.steering.RouteTableRouter;
 import org.arbutusfield.steering.SharedLimits;
 import org.arbutusfield.steering.SteeringPlacement;
+import org.arbutusfield.steering.UpstreamLoadKnowledge;
 import org.arbutusfield.store.WatchableStore;
 import org.arbutusfield.timer.PauseMonitor;
 import org.arbutusfield.timer.SystemTimer;
@@ -78,6 +81,7 @@
      */
     private static final double SERVE_WHILE_LEAVING_FRACTION = 0.4;
 
+    private final UpstreamLoadKnowledge loadKnowledge = UpstreamLoadKnowledge.create();
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
     private final TimerService timer = SystemTimer.on(loop);
@@ -195,7 +199,7 @@
         ControlClient client = ControlClient.start(group, timer, ControlLimits.defaults());
         quarantine = RequestQuarantine.start(settings.name(), () -> state, client, store, probe, this::leaves, timer);
         quarantine.register(handlers);
-        homeResolver = HomeResolver.start(settings.name(), () -> state, client, planner, timer);
+        homeResolver = HomeResolver.start(settings.name(), () -> state, client, planner, loadKnowledge, timer);
         createQuota(client, handlers);
         createRestartDetection(client, handlers);
         PeerAddress address = new PeerAddress(
@@ -249,13 +253,15 @@
                 reach,
                 timer,
                 new SplittableRandom());
+        PlacementObserver placementObserver = LoadMetrics.observing(registry, log);
         placement = SteeringPlacement.create(
                 settings.region(),
                 () -> state,
                 homeResolver,
                 new SharedLimits(retryBudget, quota),
                 forwarding,
-                log,
+                placementObserver,
+                LoadPlacement.create(loadKnowledge, EdgeHost::teamsConfigured, placementObserver),
                 timer);
         return this;
     }
@@ -335,6 +341,11 @@
         return placement.isLeaving(upstream);
     }
 
+    /** Returns whether the configuration has teams, which activates placement by load; it has none yet. */
+    private static boolean teamsConfigured() {
+        return false;
+    }
+
     private boolean ready() {
         return !leaving && state.routes().isPresent();
     }
--- a/src/main/java/org/arbutusfield/edge/RequestLog.java
+++ b/src/main/java/org/arbutusfield/edge/RequestLog.java
@@ -13,6 +13,7 @@
 import org.arbutusfield.proxy.RequestRecord;
 import org.arbutusfield.steering.Choice;
 import org.arbutusfield.steering.PlacementObserver;
+import org.arbutusfield.steering.PlacementRefusal;
 import org.arbutusfield.timer.TimerService;
 
 /**
@@ -128,6 +129,26 @@
         }
     }
 
+    @Override
+    public void refused(PlacementRequest request, PlacementRefusal refusal) {
+        if (!overLineLimit()) {
+            LOG.info(
+                    "event=load_refused id={} reason={} rank={} upstream={} expected_wait_ms={} expected_work_ms={}"
+                            + " remaining_ms={} knowledge_age_ms={} alternatives={} retry_after_ms={} version={}",
+                    LogValue.of(request.requestId()),
+                    refusal.reason(),
+                    refusal.rank(),
+                    refusal.upstream(),
+                    refusal.expectedWait().toMillis(),
+                    refusal.expectedWork().toMillis(),
+                    refusal.remaining().toMillis(),
+                    refusal.knowledgeAge().toMillis(),
+                    refusal.alternatives(),
+                    refusal.retryAfter().toMillis(),
+                    routesVersion.getAsLong());
+        }
+    }
+
     private boolean overLineLimit() {
         lines++;
         if (lines > LINES_PER_SECOND) {
--- a/src/main/java/org/arbutusfield/steering/Choice.java
+++ b/src/main/java/org/arbutusfield/steering/Choice.java
@@ -28,6 +28,10 @@
         HOME,
         /** The home is unknown or can't be used; the first in the rendezvous order of the object was chosen. */
         HASHED,
+        /**
+         * By the stated load the home is too busy; the first upstream with room in the order of the object was chosen.
+         */
+        LOAD,
         /** The request concerns no object; the less loaded of two random upstreams was chosen. */
         LESS_BUSY
     }
--- a/src/main/java/org/arbutusfield/steering/ObjectAffinity.java
+++ b/src/main/java/org/arbutusfield/steering/ObjectAffinity.java
@@ -1,5 +1,6 @@
 package org.arbutusfield.steering;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.arbutusfield.lookup.WeightedRendezvous;
@@ -38,4 +39,16 @@
         }
         return Optional.ofNullable(best);
     }
+
+    /** Returns the first candidates in the rendezvous order of the object, at most a given number. */
+    static List<LiveUpstream> firstOf(long key, List<LiveUpstream> candidates, int max) {
+        List<LiveUpstream> left = new ArrayList<>(candidates);
+        List<LiveUpstream> chosen = new ArrayList<>();
+        while (chosen.size() < max && !left.isEmpty()) {
+            LiveUpstream next = first(key, left).orElseThrow();
+            left.remove(next);
+            chosen.add(next);
+        }
+        return chosen;
+    }
 }
--- a/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
@@ -51,6 +51,7 @@
     private final UpstreamBackoff backoff = UpstreamBackoff.create();
     private final UpstreamSelector selector = UpstreamSelector.of(availability, backoff, this::load);
     private final SharedRates sharedRates;
+    private final LoadPlacement loads;
     private final Map<String, Integer> inFlight = new HashMap<>();
 
     private SteeringPlacement(
@@ -60,7 +61,9 @@
             SharedLimits limits,
             PeerForwarding forwarding,
             PlacementObserver observer,
+            LoadPlacement loads,
             TimerService timer) {
+        this.loads = loads;
         this.forwarding = forwarding;
         this.region = region;
         this.state = state;
@@ -92,7 +95,21 @@
             PeerForwarding forwarding,
             PlacementObserver observer,
             TimerService timer) {
-        return new SteeringPlacement(region, state, homeResolver, limits, forwarding, observer, timer);
+        LoadPlacement loads = LoadPlacement.create(UpstreamLoadKnowledge.create(), () -> false, observer);
+        return create(region, state, homeResolver, limits, forwarding, observer, loads, timer);
+    }
+
+    /** Creates the placement of one host, which reviews by load where requests are sent; see the other method. */
+    public static SteeringPlacement create(
+            String region,
+            Supplier<SteeringState> state,
+            HomeResolver homeResolver,
+            SharedLimits limits,
+            PeerForwarding forwarding,
+            PlacementObserver observer,
+            LoadPlacement loads,
+            TimerService timer) {
+        return new SteeringPlacement(region, state, homeResolver, limits, forwarding, observer, loads, timer);
     }
 
     @Override
@@ -149,7 +166,11 @@
         if (selected.isLeft()) {
             return CompletableFuture.completedFuture(Either.left(selected.getLeft()));
         }
-        Selection selection = selected.get();
+        Either<Failure, Selection> reviewed = review(request, object, selected.get(), current, nanos);
+        if (reviewed.isLeft()) {
+            return CompletableFuture.completedFuture(Either.left(reviewed.getLeft()));
+        }
+        Selection selection = reviewed.get();
         OptionalDouble rate = sharedRates.of(selection.upstream(), current, nanos);
         if (rate.isEmpty()) {
             return CompletableFuture.completedFuture(
@@ -162,6 +183,32 @@
                         : place(request, object, home, questionsLeft - 1));
     }
 
+    /** Keeps the selection, selects another upstream in the order of the object because of load, or refuses. */
+    private Either<Failure, Selection> review(
+            PlacementRequest request,
+            Optional<ObjectId> object,
+            Selection selection,
+            SteeringState current,
+            long nanos) {
+        LiveUpstream chosen = selection.upstream();
+        Predicate<LiveUpstream> unlimited =
+                upstream -> sharedRates.of(upstream, current, nanos).isEmpty();
+        return loads.review(
+                        request,
+                        chosen,
+                        atHome(object, selection),
+                        () -> selector.alternatives(request, object, chosen, unlimited, current, nanos),
+                        nanos)
+                .map(upstream -> upstream.equals(chosen)
+                        ? selection
+                        : new Selection(upstream, Choice.Reason.LOAD, selection.home(), selection.considered()));
+    }
+
+    private static boolean atHome(Optional<ObjectId> object, Selection selection) {
+        return object.isPresent()
+                && selection.home().equals(Optional.of(selection.upstream().name()));
+    }
+
     /**
      * Returns the object of a request, if its route has session affinity. Objects with large responses get upstreams in
      * this host's region, if the route allows the region and the region has upstreams.
@@ -209,8 +256,12 @@
                         current.hosts().size(),
                         current.revision().number()));
         inFlight.merge(name, 1, Integer::sum);
-        object.ifPresent(o -> homeResolver.recordFallback(o.group(), o.key(), name));
-        return new PlacementTarget.UpstreamTarget(upstream.upstream(), new UpstreamPermit(upstream, object, grant));
+        if (selection.reason() != Choice.Reason.LOAD) {
+            object.ifPresent(o -> homeResolver.recordFallback(o.group(), o.key(), name));
+        }
+        LoadPlacement.Sent sent = loads.sent(request, upstream, atHome(object, selection), timer.nowNanos());
+        return new PlacementTarget.UpstreamTarget(
+                upstream.upstream(), new UpstreamPermit(upstream, object, grant, sent));
     }
 
     private void objectRequestEnded(ObjectId object, String name, AttemptOutcome outcome, long serviceNanos) {
@@ -241,7 +292,11 @@
         private final Optional<ObjectId> object;
         private final Optional<QuotaGrant> grant;
 
-        private UpstreamPermit(LiveUpstream upstream, Optional<ObjectId> object, Optional<QuotaGrant> grant) {
+        private final LoadPlacement.Sent sent;
+
+        private UpstreamPermit(
+                LiveUpstream upstream, Optional<ObjectId> object, Optional<QuotaGrant> grant, LoadPlacement.Sent sent) {
+            this.sent = sent;
             this.upstream = upstream;
             this.object = object;
             this.grant = grant;
@@ -264,6 +319,7 @@
         @Override
         public void release(AttemptOutcome outcome, long serviceNanos) {
             requestEnded(upstream.name(), outcome);
+            sent.ended(outcome, serviceNanos);
             object.ifPresent(o -> objectRequestEnded(o, upstream.name(), outcome, serviceNanos));
         }
 
@@ -283,6 +339,8 @@
                 quota.heard(upstream.start(), OptionalDouble.of(limit.perSecond()), grant);
             } else if (notice instanceof UpstreamNotice.NoRateLimit) {
                 quota.heard(upstream.start(), OptionalDouble.empty(), grant);
+            } else if (notice instanceof UpstreamNotice.Load load) {
+                sent.stated(load, timer.nowNanos());
             } else {
                 availability.record(upstream, notice, timer.nowNanos());
             }
--- a/src/main/java/org/arbutusfield/steering/UpstreamSelector.java
+++ b/src/main/java/org/arbutusfield/steering/UpstreamSelector.java
@@ -11,6 +11,7 @@
 import java.util.function.ToDoubleFunction;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.lookup.WeightedRendezvous;
 import org.arbutusfield.proxy.PlacementRequest;
 import org.arbutusfield.route.Route;
 import org.arbutusfield.state.LiveUpstream;
@@ -23,6 +24,9 @@
  * <p>Callers pass the current time. Not thread-safe; must be used from one thread.
  */
 final class UpstreamSelector {
+    /** Further upstreams in an object's order that its requests may use; each becomes warm for it if used often. */
+    private static final int MAX_ALTERNATIVES = 3;
+
     private static final Duration NO_UPSTREAM_RETRY_AFTER = Duration.ofMillis(400);
 
     private final UpstreamAvailability availability;
@@ -84,6 +88,35 @@
                 : Either.right(selectFrom(candidates, object, home));
     }
 
+    /**
+     * Returns the first upstreams in the order of a key that may serve a request in place of the chosen one: warm, in
+     * the same region group, not in back-off, and accepted by the predicate.
+     */
+    List<LiveUpstream> alternatives(
+            PlacementRequest request,
+            Optional<ObjectId> object,
+            LiveUpstream chosen,
+            Predicate<LiveUpstream> accepted,
+            SteeringState current,
+            long nowNanos) {
+        String region = object.map(o -> o.group().region()).orElse(ObjectId.ANY_REGION);
+        long key = object.map(ObjectId::key).orElseGet(() -> WeightedRendezvous.hash(request.requestId()));
+        List<LiveUpstream> eligible = new ArrayList<>();
+        for (LiveUpstream upstream : current.upstreams(request.service().name())) {
+            boolean usable = !upstream.name().equals(chosen.name())
+                    && inRegion(region, upstream)
+                    && !upstream.cold(nowNanos)
+                    && untriedAndInAllowedRegion(request, upstream)
+                    && availability.accepts(upstream, nowNanos)
+                    && !backoff.inBackoff(upstream.name(), nowNanos)
+                    && accepted.test(upstream);
+            if (usable) {
+                eligible.add(upstream);
+            }
+        }
+        return ObjectAffinity.firstOf(key, eligible, MAX_ALTERNATIVES);
+    }
+
     private Selection selectFrom(List<LiveUpstream> candidates, Optional<ObjectId> object, Optional<String> home) {
         Optional<LiveUpstream> homeAmongCandidates = home.flatMap(name -> find(name, candidates));
         LiveUpstream chosen = homeAmongCandidates.orElseGet(() -> fallback(object, candidates));
