--- a/src/main/thrift/control.thrift
+++ b/src/main/thrift/control.thrift
@@ -194,7 +194,7 @@
 }
 
 // The homes that changed since the plan version that the host knows, and the homes of the objects that it asked for.
-// `loads`: the upstreams that had no free slot when any host last heard from them, in response to loads only.
+// `loads`: the upstreams that had no free slot, or were slow, when any host last heard from them; in response to loads only.
 struct HomeAnswer {
   1: list<ObjectHome> objects
   2: i64 planId
--- a/src/test/java/org/arbutusfield/affinity/FleetLoadsTest.java
+++ b/src/test/java/org/arbutusfield/affinity/FleetLoadsTest.java
@@ -25,7 +25,8 @@
     void onlyUpstreamsWithoutRoomAreTold() {
         UpstreamLoad slow = load("slow", 1, 0, 0).setSlowness(12);
         loads.merge("s", List.of(load("full", 1, 6, 100), load("idle", 1, 5, 100), slow), SECOND);
-        assertThat(loads.withoutRoom("s", SECOND)).extracting(UpstreamLoad::getUpstream)
+        assertThat(loads.withoutRoom("s", SECOND))
+                .extracting(UpstreamLoad::getUpstream)
                 .containsExactlyInAnyOrder("full", "slow");
         assertThat(loads.withoutRoom("other", SECOND)).isEmpty();
     }
@@ -57,6 +58,7 @@
         HomeQuestion question = new HomeQuestion("s", List.of(), 0, 0).setLoads(List.of(load("u", 1, 6, 0)));
         HomeAnswer answer = planner.answer(question);
         assertThat(answer.getLoads()).extracting(UpstreamLoad::getUpstream).containsExactly("u");
-        assertThat(planner.answer(new HomeQuestion("s", List.of(), 0, 0)).isSetLoads()).isFalse();
+        assertThat(planner.answer(new HomeQuestion("s", List.of(), 0, 0)).isSetLoads())
+                .isFalse();
     }
 }
--- a/src/test/java/org/arbutusfield/steering/LoadPlacementTest.java
+++ b/src/test/java/org/arbutusfield/steering/LoadPlacementTest.java
@@ -79,10 +79,12 @@
             assertThat(failure.notRun()).isTrue();
             delays.add(failure.retryAfter().orElseThrow());
         }
-        assertThat(delays).doesNotHaveDuplicates().allSatisfy(delay -> assertThat(delay)
-                .isBetween(Duration.ofMillis(1400), Duration.ofMillis(3200)));
-        assertThat(refusals).hasSize(50).allSatisfy(refusal -> assertThat(refusal.reason())
-                .isEqualTo(PlacementRefusal.Reason.DEADLINE));
+        assertThat(delays)
+                .doesNotHaveDuplicates()
+                .allSatisfy(delay -> assertThat(delay).isBetween(Duration.ofMillis(1400), Duration.ofMillis(3200)));
+        assertThat(refusals)
+                .hasSize(50)
+                .allSatisfy(refusal -> assertThat(refusal.reason()).isEqualTo(PlacementRefusal.Reason.DEADLINE));
     }
 
     /** Guards against a changed placement where neither teams are configured nor upstreams state their speed. */
