--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -56,9 +56,12 @@
 import org.arbutusfield.state.StoreHealth;
 import org.arbutusfield.state.StoreWatcher;
 import org.arbutusfield.steering.HostRetryBudget;
+import org.arbutusfield.steering.LoadPlacement;
+import org.arbutusfield.steering.PlacementObserver;
 import org.arbutusfield.steering.RouteTableRouter;
 import org.arbutusfield.steering.SharedLimits;
 import org.arbutusfield.steering.SteeringPlacement;
+import org.arbutusfield.steering.UpstreamLoadKnowledge;
 import org.arbutusfield.store.WatchableStore;
 import org.arbutusfield.team.TeamDirectory;
 import org.arbutusfield.timer.PauseMonitor;
@@ -84,6 +87,7 @@
      */
     private static final double SERVE_WHILE_LEAVING_FRACTION = 0.4;
 
+    private final UpstreamLoadKnowledge loadKnowledge = UpstreamLoadKnowledge.create();
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
     private final TimerService timer = SystemTimer.on(loop);
@@ -205,7 +209,7 @@
         controlClient = client;
         quarantine = RequestQuarantine.start(settings.name(), () -> state, client, store, probe, this::leaves, timer);
         quarantine.register(handlers);
-        homeResolver = HomeResolver.start(settings.name(), () -> state, client, planner, timer);
+        homeResolver = HomeResolver.start(settings.name(), () -> state, client, planner, loadKnowledge, timer);
         createQuota(client, handlers);
         createTeamLimiter(client, handlers);
         createRestartDetection(client, handlers);
@@ -280,13 +284,15 @@
                 reach,
                 timer,
                 new SplittableRandom());
+        PlacementObserver placementObserver = LoadMetrics.observing(registry, log);
         placement = SteeringPlacement.create(
                 settings.region(),
                 () -> state,
                 homeResolver,
                 new SharedLimits(retryBudget, quota),
                 forwarding,
-                log,
+                placementObserver,
+                LoadPlacement.create(loadKnowledge, this::teamsConfigured, placementObserver),
                 timer);
         return this;
     }
@@ -370,6 +376,11 @@
         return placement.isLeaving(upstream);
     }
 
+    /** Returns whether the configuration has teams, which activates placement by load. */
+    private boolean teamsConfigured() {
+        return state.routes().map(routes -> !routes.teams().isEmpty()).orElse(false);
+    }
+
     private boolean ready() {
         return !leaving && state.routes().isPresent();
     }
--- a/src/main/java/org/arbutusfield/platform/PlatformProtocol.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformProtocol.java
@@ -37,6 +37,7 @@
                 Optional.of("server-leaving"),
                 Optional.of("server-limit"),
                 Optional.of("x-tenant-name"),
+                Optional.of("x-server-load"),
                 true);
     }
 
--- a/src/main/java/org/arbutusfield/proxy/HeaderNames.java
+++ b/src/main/java/org/arbutusfield/proxy/HeaderNames.java
@@ -14,6 +14,8 @@
  * @param upstreamRateLimit field with which an upstream names the requests per second that it accepts from all hosts
  *     together, if upstreams send one
  * @param team field with which an upstream is told the team of a request, if upstreams expect one
+ * @param upstreamLoad field with which an upstream states its load, as {@code running,waiting,slots[,speed]}, if
+ *     upstreams send one
  * @param fractionalRetryAfter whether callers accept fractions of seconds in {@code Retry-After}
  */
 public record HeaderNames(
@@ -25,9 +27,10 @@
         Optional<String> upstreamLeaving,
         Optional<String> upstreamRateLimit,
         Optional<String> team,
+        Optional<String> upstreamLoad,
         boolean fractionalRetryAfter) {
 
-    /** Names without a field for the team. */
+    /** Names without fields for the team and for the load. */
     public HeaderNames(
             String deadlineMillis,
             String notRun,
@@ -46,6 +49,7 @@
                 upstreamLeaving,
                 upstreamRateLimit,
                 Optional.empty(),
+                Optional.empty(),
                 fractionalRetryAfter);
     }
 
--- a/src/main/java/org/arbutusfield/wire/gen/CrashReport.java
+++ b/src/main/java/org/arbutusfield/wire/gen/CrashReport.java
@@ -436,14 +436,14 @@
           case 1: // INTERRUPTED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
-                struct.interrupted = new java.util.ArrayList<InterruptedRequest>(_list56.size);
-                @org.apache.thrift.annotation.Nullable InterruptedRequest _elem57;
-                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
+                org.apache.thrift.protocol.TList _list72 = iprot.readListBegin();
+                struct.interrupted = new java.util.ArrayList<InterruptedRequest>(_list72.size);
+                @org.apache.thrift.annotation.Nullable InterruptedRequest _elem73;
+                for (int _i74 = 0; _i74 < _list72.size; ++_i74)
                 {
-                  _elem57 = new InterruptedRequest();
-                  _elem57.read(iprot);
-                  struct.interrupted.add(_elem57);
+                  _elem73 = new InterruptedRequest();
+                  _elem73.read(iprot);
+                  struct.interrupted.add(_elem73);
                 }
                 iprot.readListEnd();
               }
@@ -455,13 +455,13 @@
           case 2: // ANSWERED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list59 = iprot.readListBegin();
-                struct.answered = new java.util.ArrayList<java.lang.String>(_list59.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem60;
-                for (int _i61 = 0; _i61 < _list59.size; ++_i61)
+                org.apache.thrift.protocol.TList _list75 = iprot.readListBegin();
+                struct.answered = new java.util.ArrayList<java.lang.String>(_list75.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem76;
+                for (int _i77 = 0; _i77 < _list75.size; ++_i77)
                 {
-                  _elem60 = iprot.readString();
-                  struct.answered.add(_elem60);
+                  _elem76 = iprot.readString();
+                  struct.answered.add(_elem76);
                 }
                 iprot.readListEnd();
               }
@@ -490,9 +490,9 @@
         oprot.writeFieldBegin(INTERRUPTED_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.interrupted.size()));
-          for (InterruptedRequest _iter62 : struct.interrupted)
+          for (InterruptedRequest _iter78 : struct.interrupted)
           {
-            _iter62.write(oprot);
+            _iter78.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -502,9 +502,9 @@
         oprot.writeFieldBegin(ANSWERED_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.answered.size()));
-          for (java.lang.String _iter63 : struct.answered)
+          for (java.lang.String _iter79 : struct.answered)
           {
-            oprot.writeString(_iter63);
+            oprot.writeString(_iter79);
           }
           oprot.writeListEnd();
         }
@@ -539,18 +539,18 @@
       if (struct.isSetInterrupted()) {
         {
           oprot.writeI32(struct.interrupted.size());
-          for (InterruptedRequest _iter64 : struct.interrupted)
+          for (InterruptedRequest _iter80 : struct.interrupted)
           {
-            _iter64.write(oprot);
+            _iter80.write(oprot);
           }
         }
       }
       if (struct.isSetAnswered()) {
         {
           oprot.writeI32(struct.answered.size());
-          for (java.lang.String _iter65 : struct.answered)
+          for (java.lang.String _iter81 : struct.answered)
           {
-            oprot.writeString(_iter65);
+            oprot.writeString(_iter81);
           }
         }
       }
@@ -562,27 +562,27 @@
       java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list66 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.interrupted = new java.util.ArrayList<InterruptedRequest>(_list66.size);
-          @org.apache.thrift.annotation.Nullable InterruptedRequest _elem67;
-          for (int _i68 = 0; _i68 < _list66.size; ++_i68)
+          org.apache.thrift.protocol.TList _list82 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.interrupted = new java.util.ArrayList<InterruptedRequest>(_list82.size);
+          @org.apache.thrift.annotation.Nullable InterruptedRequest _elem83;
+          for (int _i84 = 0; _i84 < _list82.size; ++_i84)
           {
-            _elem67 = new InterruptedRequest();
-            _elem67.read(iprot);
-            struct.interrupted.add(_elem67);
+            _elem83 = new InterruptedRequest();
+            _elem83.read(iprot);
+            struct.interrupted.add(_elem83);
           }
         }
         struct.setInterruptedIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list69 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.answered = new java.util.ArrayList<java.lang.String>(_list69.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem70;
-          for (int _i71 = 0; _i71 < _list69.size; ++_i71)
+          org.apache.thrift.protocol.TList _list85 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.answered = new java.util.ArrayList<java.lang.String>(_list85.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem86;
+          for (int _i87 = 0; _i87 < _list85.size; ++_i87)
           {
-            _elem70 = iprot.readString();
-            struct.answered.add(_elem70);
+            _elem86 = iprot.readString();
+            struct.answered.add(_elem86);
           }
         }
         struct.setAnsweredIsSet(true);
--- a/src/main/java/org/arbutusfield/wire/gen/ShareAnswer.java
+++ b/src/main/java/org/arbutusfield/wire/gen/ShareAnswer.java
@@ -498,14 +498,14 @@
           case 2: // TEAMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list96 = iprot.readListBegin();
-                struct.teams = new java.util.ArrayList<ShareGrant>(_list96.size);
-                @org.apache.thrift.annotation.Nullable ShareGrant _elem97;
-                for (int _i98 = 0; _i98 < _list96.size; ++_i98)
+                org.apache.thrift.protocol.TList _list112 = iprot.readListBegin();
+                struct.teams = new java.util.ArrayList<ShareGrant>(_list112.size);
+                @org.apache.thrift.annotation.Nullable ShareGrant _elem113;
+                for (int _i114 = 0; _i114 < _list112.size; ++_i114)
                 {
-                  _elem97 = new ShareGrant();
-                  _elem97.read(iprot);
-                  struct.teams.add(_elem97);
+                  _elem113 = new ShareGrant();
+                  _elem113.read(iprot);
+                  struct.teams.add(_elem113);
                 }
                 iprot.readListEnd();
               }
@@ -545,9 +545,9 @@
         oprot.writeFieldBegin(TEAMS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.teams.size()));
-          for (ShareGrant _iter99 : struct.teams)
+          for (ShareGrant _iter115 : struct.teams)
           {
-            _iter99.write(oprot);
+            _iter115.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -591,9 +591,9 @@
       if (struct.isSetTeams()) {
         {
           oprot.writeI32(struct.teams.size());
-          for (ShareGrant _iter100 : struct.teams)
+          for (ShareGrant _iter116 : struct.teams)
           {
-            _iter100.write(oprot);
+            _iter116.write(oprot);
           }
         }
       }
@@ -612,14 +612,14 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list101 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.teams = new java.util.ArrayList<ShareGrant>(_list101.size);
-          @org.apache.thrift.annotation.Nullable ShareGrant _elem102;
-          for (int _i103 = 0; _i103 < _list101.size; ++_i103)
+          org.apache.thrift.protocol.TList _list117 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.teams = new java.util.ArrayList<ShareGrant>(_list117.size);
+          @org.apache.thrift.annotation.Nullable ShareGrant _elem118;
+          for (int _i119 = 0; _i119 < _list117.size; ++_i119)
           {
-            _elem102 = new ShareGrant();
-            _elem102.read(iprot);
-            struct.teams.add(_elem102);
+            _elem118 = new ShareGrant();
+            _elem118.read(iprot);
+            struct.teams.add(_elem118);
           }
         }
         struct.setTeamsIsSet(true);
--- a/src/main/java/org/arbutusfield/wire/gen/ShareReport.java
+++ b/src/main/java/org/arbutusfield/wire/gen/ShareReport.java
@@ -671,14 +671,14 @@
           case 4: // TEAMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list88 = iprot.readListBegin();
-                struct.teams = new java.util.ArrayList<ShareState>(_list88.size);
-                @org.apache.thrift.annotation.Nullable ShareState _elem89;
-                for (int _i90 = 0; _i90 < _list88.size; ++_i90)
+                org.apache.thrift.protocol.TList _list104 = iprot.readListBegin();
+                struct.teams = new java.util.ArrayList<ShareState>(_list104.size);
+                @org.apache.thrift.annotation.Nullable ShareState _elem105;
+                for (int _i106 = 0; _i106 < _list104.size; ++_i106)
                 {
-                  _elem89 = new ShareState();
-                  _elem89.read(iprot);
-                  struct.teams.add(_elem89);
+                  _elem105 = new ShareState();
+                  _elem105.read(iprot);
+                  struct.teams.add(_elem105);
                 }
                 iprot.readListEnd();
               }
@@ -726,9 +726,9 @@
         oprot.writeFieldBegin(TEAMS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.teams.size()));
-          for (ShareState _iter91 : struct.teams)
+          for (ShareState _iter107 : struct.teams)
           {
-            _iter91.write(oprot);
+            _iter107.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -784,9 +784,9 @@
       if (struct.isSetTeams()) {
         {
           oprot.writeI32(struct.teams.size());
-          for (ShareState _iter92 : struct.teams)
+          for (ShareState _iter108 : struct.teams)
           {
-            _iter92.write(oprot);
+            _iter108.write(oprot);
           }
         }
       }
@@ -813,14 +813,14 @@
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list93 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.teams = new java.util.ArrayList<ShareState>(_list93.size);
-          @org.apache.thrift.annotation.Nullable ShareState _elem94;
-          for (int _i95 = 0; _i95 < _list93.size; ++_i95)
+          org.apache.thrift.protocol.TList _list109 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.teams = new java.util.ArrayList<ShareState>(_list109.size);
+          @org.apache.thrift.annotation.Nullable ShareState _elem110;
+          for (int _i111 = 0; _i111 < _list109.size; ++_i111)
           {
-            _elem94 = new ShareState();
-            _elem94.read(iprot);
-            struct.teams.add(_elem94);
+            _elem110 = new ShareState();
+            _elem110.read(iprot);
+            struct.teams.add(_elem110);
           }
         }
         struct.setTeamsIsSet(true);
--- a/src/main/java/org/arbutusfield/wire/gen/SuspectList.java
+++ b/src/main/java/org/arbutusfield/wire/gen/SuspectList.java
@@ -336,14 +336,14 @@
           case 1: // SUSPECTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list80 = iprot.readListBegin();
-                struct.suspects = new java.util.ArrayList<SuspectRecord>(_list80.size);
-                @org.apache.thrift.annotation.Nullable SuspectRecord _elem81;
-                for (int _i82 = 0; _i82 < _list80.size; ++_i82)
+                org.apache.thrift.protocol.TList _list96 = iprot.readListBegin();
+                struct.suspects = new java.util.ArrayList<SuspectRecord>(_list96.size);
+                @org.apache.thrift.annotation.Nullable SuspectRecord _elem97;
+                for (int _i98 = 0; _i98 < _list96.size; ++_i98)
                 {
-                  _elem81 = new SuspectRecord();
-                  _elem81.read(iprot);
-                  struct.suspects.add(_elem81);
+                  _elem97 = new SuspectRecord();
+                  _elem97.read(iprot);
+                  struct.suspects.add(_elem97);
                 }
                 iprot.readListEnd();
               }
@@ -372,9 +372,9 @@
         oprot.writeFieldBegin(SUSPECTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.suspects.size()));
-          for (SuspectRecord _iter83 : struct.suspects)
+          for (SuspectRecord _iter99 : struct.suspects)
           {
-            _iter83.write(oprot);
+            _iter99.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -406,9 +406,9 @@
       if (struct.isSetSuspects()) {
         {
           oprot.writeI32(struct.suspects.size());
-          for (SuspectRecord _iter84 : struct.suspects)
+          for (SuspectRecord _iter100 : struct.suspects)
           {
-            _iter84.write(oprot);
+            _iter100.write(oprot);
           }
         }
       }
@@ -420,14 +420,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list85 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.suspects = new java.util.ArrayList<SuspectRecord>(_list85.size);
-          @org.apache.thrift.annotation.Nullable SuspectRecord _elem86;
-          for (int _i87 = 0; _i87 < _list85.size; ++_i87)
+          org.apache.thrift.protocol.TList _list101 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.suspects = new java.util.ArrayList<SuspectRecord>(_list101.size);
+          @org.apache.thrift.annotation.Nullable SuspectRecord _elem102;
+          for (int _i103 = 0; _i103 < _list101.size; ++_i103)
           {
-            _elem86 = new SuspectRecord();
-            _elem86.read(iprot);
-            struct.suspects.add(_elem86);
+            _elem102 = new SuspectRecord();
+            _elem102.read(iprot);
+            struct.suspects.add(_elem102);
           }
         }
         struct.setSuspectsIsSet(true);
--- a/src/main/java/org/arbutusfield/wire/gen/SuspectRecord.java
+++ b/src/main/java/org/arbutusfield/wire/gen/SuspectRecord.java
@@ -505,14 +505,14 @@
           case 2: // ENDED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list72 = iprot.readListBegin();
-                struct.ended = new java.util.ArrayList<EndedUpstream>(_list72.size);
-                @org.apache.thrift.annotation.Nullable EndedUpstream _elem73;
-                for (int _i74 = 0; _i74 < _list72.size; ++_i74)
+                org.apache.thrift.protocol.TList _list88 = iprot.readListBegin();
+                struct.ended = new java.util.ArrayList<EndedUpstream>(_list88.size);
+                @org.apache.thrift.annotation.Nullable EndedUpstream _elem89;
+                for (int _i90 = 0; _i90 < _list88.size; ++_i90)
                 {
-                  _elem73 = new EndedUpstream();
-                  _elem73.read(iprot);
-                  struct.ended.add(_elem73);
+                  _elem89 = new EndedUpstream();
+                  _elem89.read(iprot);
+                  struct.ended.add(_elem89);
                 }
                 iprot.readListEnd();
               }
@@ -554,9 +554,9 @@
         oprot.writeFieldBegin(ENDED_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.ended.size()));
-          for (EndedUpstream _iter75 : struct.ended)
+          for (EndedUpstream _iter91 : struct.ended)
           {
-            _iter75.write(oprot);
+            _iter91.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -600,9 +600,9 @@
       if (struct.isSetEnded()) {
         {
           oprot.writeI32(struct.ended.size());
-          for (EndedUpstream _iter76 : struct.ended)
+          for (EndedUpstream _iter92 : struct.ended)
           {
-            _iter76.write(oprot);
+            _iter92.write(oprot);
           }
         }
       }
@@ -621,14 +621,14 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list77 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.ended = new java.util.ArrayList<EndedUpstream>(_list77.size);
-          @org.apache.thrift.annotation.Nullable EndedUpstream _elem78;
-          for (int _i79 = 0; _i79 < _list77.size; ++_i79)
+          org.apache.thrift.protocol.TList _list93 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.ended = new java.util.ArrayList<EndedUpstream>(_list93.size);
+          @org.apache.thrift.annotation.Nullable EndedUpstream _elem94;
+          for (int _i95 = 0; _i95 < _list93.size; ++_i95)
           {
-            _elem78 = new EndedUpstream();
-            _elem78.read(iprot);
-            struct.ended.add(_elem78);
+            _elem94 = new EndedUpstream();
+            _elem94.read(iprot);
+            struct.ended.add(_elem94);
           }
         }
         struct.setEndedIsSet(true);
--- a/src/test/java/org/arbutusfield/proxy/TeamRequestTest.java
+++ b/src/test/java/org/arbutusfield/proxy/TeamRequestTest.java
@@ -48,6 +48,7 @@
             Optional.empty(),
             Optional.empty(),
             Optional.of("x-team-name"),
+            Optional.empty(),
             false);
     /** Address of a host whose connections the system would open from another one, if the host didn't choose it. */
     private static final String NEAR_IP = "127.0.0.7";
--- a/src/test/java/org/arbutusfield/reach/TeamForwardingTest.java
+++ b/src/test/java/org/arbutusfield/reach/TeamForwardingTest.java
@@ -79,7 +79,8 @@
                 request.tried(),
                 request.route(),
                 request.objectKey(),
-                team);
+                team,
+                request.bodyBytes());
     }
 
     /** Guards against a request that passes through a host in a region that its team forbids, its own included. */
--- a/src/test/java/org/arbutusfield/steering/TeamRegionsTest.java
+++ b/src/test/java/org/arbutusfield/steering/TeamRegionsTest.java
@@ -59,7 +59,8 @@
                 request.tried(),
                 request.route(),
                 request.objectKey(),
-                team);
+                team,
+                request.bodyBytes());
     }
 
     private static Team team(OptionalInt priority, String regions) {
