Look-ups include hosts by capacity; balance starts at most of an object

Cause: callers take one of the addresses at random, so a host with 0.21 cores got as many callers as one with 1.5; a look-up names nothing that tells callers apart, so answers are numbered by the host and differ from each other. Balance: with 2 to 3 objects an upstream, giving one object away started the next move; it now starts at 0.8 of a mean object.

--- a/src/main/java/org/arbutusfield/affinity/Rebalancer.java
+++ b/src/main/java/org/arbutusfield/affinity/Rebalancer.java
@@ -42,6 +42,9 @@
     /** Balance starts below this fraction of the mean utilization, or as much above it, and ends near the mean. */
     private static final double START_MARGIN = 0.22;
 
+    /** With few objects an upstream has to be off by most of an object; one more move would only change the sign. */
+    private static final double START_OBJECTS = 0.8;
+
     private static final double END_MARGIN = 0.05;
     /** Smallest gain of a move for balance, as a fraction of the mean utilization. */
     private static final double MIN_GAIN = 0.1;
@@ -189,10 +192,12 @@
 
     private void markUnbalanced(List<Candidate> upstreams, double mean) {
         Set<String> names = new HashSet<>();
+        double objectLoad = loads.meanObjectLoad();
         for (Candidate upstream : upstreams) {
             names.add(upstream.name());
             double difference = Math.abs(loads.utilization(upstream) - mean);
-            double limit = START_MARGIN * mean + SIGNIFICANCE * loads.error(upstream);
+            double margin = Math.max(START_MARGIN * mean, START_OBJECTS * objectLoad / upstream.slots());
+            double limit = margin + SIGNIFICANCE * loads.error(upstream);
             if (difference > limit || loads.objects(upstream.name()) == 0) {
                 unbalanced.add(upstream.name());
             }
--- a/src/main/java/org/arbutusfield/affinity/UpstreamLoads.java
+++ b/src/main/java/org/arbutusfield/affinity/UpstreamLoads.java
@@ -99,6 +99,17 @@
         return slots == 0 ? 0 : busy / slots;
     }
 
+    /** Average load of an object of the service, in busy slots. */
+    double meanObjectLoad() {
+        double busy = 0;
+        int objects = 0;
+        for (Load load : loads.values()) {
+            busy += load.slow;
+            objects += load.objects.size();
+        }
+        return objects == 0 ? 0 : busy / objects;
+    }
+
     /** Number of objects of an upstream. */
     int objects(String upstream) {
         Load load = loads.get(upstream);
--- a/src/main/java/org/arbutusfield/edge/EdgeEndpoints.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeEndpoints.java
@@ -13,15 +13,19 @@
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.SteeringState;
 
-/** HTTP endpoints of an edge host: readiness, look-up of hosts, and metrics. */
+/** HTTP endpoints of an edge host: readiness, look-up of hosts, and metrics. Runs on one event loop. */
 final class EdgeEndpoints {
     private static final Duration MAX_LOOKUP_AGE = Duration.ofSeconds(2);
 
+    /** Enough that the share of a host of a seventh of the largest capacity is correct to a few percent. */
+    private static final int DISTINCT_ANSWERS = 1024;
+
     private final EdgeProtocol protocol;
     private final Supplier<SteeringState> state;
     private final BooleanSupplier ready;
     private final Supplier<EdgeSettings> settings;
     private final Supplier<String> metrics;
+    private long answers;
 
     private EdgeEndpoints(
             EdgeProtocol protocol,
@@ -82,7 +86,7 @@
             return SimpleHttpResponse.problem(Failure.of(ErrorCode.NO_CONFIGURATION));
         }
         List<String> addresses = NearbyHosts.of(
-                        registered, query.get().region(), query.get().failureDomain())
+                        registered, query.get().region(), query.get().failureDomain(), answers++ % DISTINCT_ANSWERS)
                 .stream()
                 .map(HostEntry::callerAddress)
                 .toList();
