--- a/src/main/java/org/arbutusfield/edge/EdgeEndpoints.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeEndpoints.java
@@ -17,7 +17,7 @@
 final class EdgeEndpoints {
     private static final Duration MAX_LOOKUP_AGE = Duration.ofSeconds(2);
 
-    /** Enough that the share of a host of a seventh of the largest capacity is correct to a few percent. */
+    /** With this number of answers the shares by capacity are within 0.03; see {@code NearbyHostsTest}. */
     private static final int DISTINCT_ANSWERS = 1024;
 
     private final EdgeProtocol protocol;
