--- a/src/main/java/org/arbutusfield/edge/ConfiguredTeamLimits.java
+++ b/src/main/java/org/arbutusfield/edge/ConfiguredTeamLimits.java
@@ -31,4 +31,9 @@
                 .filter(Team::limited)
                 .map(limited -> new TeamLimit(limited.ratePerSecond(), limited.burst()));
     }
+
+    @Override
+    public boolean any() {
+        return routes.teams().teams().stream().anyMatch(Team::limited);
+    }
 }
--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -30,7 +30,6 @@
 import org.arbutusfield.proxy.ProxyLimits;
 import org.arbutusfield.proxy.ProxyServer;
 import org.arbutusfield.proxy.RequestObserver;
-import org.arbutusfield.proxy.TeamLimiter;
 import org.arbutusfield.proxy.upstream.PortProbe;
 import org.arbutusfield.proxy.upstream.UpstreamProbe;
 import org.arbutusfield.quarantine.RequestQuarantine;
@@ -111,7 +110,7 @@
     private UpstreamReach reach;
     private Leadership leadership;
     private UpstreamQuota quota;
-    private TeamLimiter teamLimiter;
+    private ShareClient teamLimiter;
     private HostRegistrar registrar;
     private StoreWatcher watcher;
     private RestartedUpstreams restarts;
@@ -242,6 +241,7 @@
                 leadership,
                 () -> ConfiguredTeamLimits.of(state.routes()),
                 settings.teamTolerance().orElse(ShareTolerance.NONE),
+                () -> state.hosts().stream().map(HostEntry::name).toList(),
                 timer,
                 new SplittableRandom());
         server.register(handlers);
@@ -366,6 +366,7 @@
         state = next;
         limits = currentLimits();
         leadership.stateChanged(next);
+        teamLimiter.stateChanged();
         placement.stateChanged(next);
         registrar.stateChanged(next);
         quarantine.stateChanged(next);
--- a/src/main/java/org/arbutusfield/share/HostReport.java
+++ b/src/main/java/org/arbutusfield/share/HostReport.java
@@ -11,9 +11,12 @@
  * @param incarnation number of the process; increases with each start of the host
  * @param version version of the configuration that the host knows
  * @param term term that the last answer named; 0 if there was none
+ * @param uptimeMillis time since its process started; negative if an older build doesn't tell
  * @param teams what it reports of each team
  */
-record HostReport(String host, long incarnation, long version, long term, List<TeamReport> teams) {
+record HostReport(String host, long incarnation, long version, long term, long uptimeMillis, List<TeamReport> teams) {
+    private static final long UNKNOWN_UPTIME = -1;
+
     HostReport {
         teams = List.copyOf(teams);
     }
@@ -24,16 +27,21 @@
                 message.getIncarnation(),
                 message.getVersion(),
                 message.getTerm(),
+                message.isSetUptimeMillis() ? message.getUptimeMillis() : UNKNOWN_UPTIME,
                 message.getTeams().stream().map(HostReport::decode).toList());
     }
 
     ShareReport encode() {
-        return new ShareReport(
+        ShareReport message = new ShareReport(
                 host,
                 incarnation,
                 version,
                 teams.stream().map(HostReport::encode).toList(),
                 term);
+        if (uptimeMillis >= 0) {
+            message.setUptimeMillis(uptimeMillis);
+        }
+        return message;
     }
 
     private static TeamReport decode(ShareState state) {
--- a/src/main/java/org/arbutusfield/share/ShareClient.java
+++ b/src/main/java/org/arbutusfield/share/ShareClient.java
@@ -43,6 +43,7 @@
     private static final long FORGET_NANOS = Duration.ofMinutes(1).toNanos();
     private static final long LOG_NANOS = Duration.ofSeconds(5).toNanos();
     private static final Duration UNAVAILABLE_RETRY = Duration.ofSeconds(1);
+    private static final Duration GREETING_RETRY = Duration.ofMillis(500);
 
     private final String self;
     private final long incarnation;
@@ -52,7 +53,11 @@
     private final ShareServer localServer;
     private final ShareObserver observer;
     private final TimerService timer;
+    private final long startNanos;
     private final Map<String, TeamEntry> teams = new HashMap<>();
+    /** Leader to which this process has reported without teams. */
+    private Optional<String> greetedLeader = Optional.empty();
+
     private long lastNumber;
     private long lastTerm;
     private long knownVersion;
@@ -77,6 +82,7 @@
         this.localServer = localServer;
         this.observer = observer;
         this.timer = timer;
+        this.startNanos = timer.nowNanos();
     }
 
     /**
@@ -277,12 +283,34 @@
             entry.wanted = entry.use.waiting();
             reports.add(entry.use.allowance().report(number, entry.wanted, now));
         }
-        long version = limits.get().version();
-        call(leader, new HostReport(self, incarnation, version, lastTerm, reports))
+        call(leader, report(reports))
                 .thenAccept(answer -> answer.peek(known -> answered(due, number, known))
                         .peekLeft(failure -> notAnswered(due, number, leader, failure)));
     }
 
+    /**
+     * Reports once to a new leader even without callers, because a leader that starts together with the fleet waits for
+     * all hosts to report.
+     */
+    public void stateChanged() {
+        Optional<String> name = leader().map(HostEntry::name);
+        if (name.isEmpty() || name.equals(greetedLeader) || !limits.get().any()) {
+            return;
+        }
+        greetedLeader = name;
+        call(leader().orElseThrow(), report(List.of()))
+                .thenAccept(answer -> answer.peek(known -> lastTerm = known.term())
+                        .peekLeft(failure -> {
+                            greetedLeader = Optional.empty();
+                            timer.after(GREETING_RETRY, this::stateChanged);
+                        }));
+    }
+
+    private HostReport report(List<TeamReport> reports) {
+        long uptimeMillis = Duration.ofNanos(timer.nowNanos() - startNanos).toMillis();
+        return new HostReport(self, incarnation, limits.get().version(), lastTerm, uptimeMillis, reports);
+    }
+
     private CompletableFuture<Either<Failure, LenderAnswer>> call(HostEntry leader, HostReport report) {
         if (leader.name().equals(self)) {
             return CompletableFuture.completedFuture(localServer.answer(report));
--- a/src/main/java/org/arbutusfield/share/ShareServer.java
+++ b/src/main/java/org/arbutusfield/share/ShareServer.java
@@ -31,12 +31,18 @@
     private final LeaderTerm term;
     private final Supplier<TeamLimits> limits;
     private final ShareTolerance tolerance;
+    private final Supplier<List<String>> registeredHosts;
     private final TimerService timer;
     private final RandomGenerator random;
+    private final long processStartNanos;
+    private final FleetRestart restart = new FleetRestart();
     private final Map<String, TeamLedger> ledgers = new HashMap<>();
     /** Start of the term that the ledgers belong to. */
     private OptionalLong begunTermNanos = OptionalLong.empty();
 
+    /** End of the time for which shares of a predecessor may be in use. */
+    private long takenOverNanos;
+
     private long termId;
     private long sweptNanos;
 
@@ -44,11 +50,14 @@
             LeaderTerm term,
             Supplier<TeamLimits> limits,
             ShareTolerance tolerance,
+            Supplier<List<String>> registeredHosts,
             TimerService timer,
             RandomGenerator random) {
         this.term = term;
         this.limits = limits;
         this.tolerance = tolerance;
+        this.registeredHosts = registeredHosts;
+        this.processStartNanos = timer.nowNanos();
         this.timer = timer;
         this.random = random;
     }
@@ -59,6 +68,7 @@
      * @param term tells whether this host leads
      * @param limits supplies the limits in the configuration that this host knows
      * @param tolerance what may be sent beyond the limits after the start of a term
+     * @param registeredHosts supplies the names of all registered hosts
      * @param timer monotonic clock
      * @param random source of the numbers of terms
      */
@@ -66,9 +76,10 @@
             LeaderTerm term,
             Supplier<TeamLimits> limits,
             ShareTolerance tolerance,
+            Supplier<List<String>> registeredHosts,
             TimerService timer,
             RandomGenerator random) {
-        return new ShareServer(term, limits, tolerance, timer, random);
+        return new ShareServer(term, limits, tolerance, registeredHosts, timer, random);
     }
 
     /** Registers the handler for reports of other hosts. */
@@ -86,6 +97,7 @@
         }
         TeamLimits known = limits.get();
         sweepIfDue();
+        endTakeOverIfRestarted(report);
         List<TeamGrant> grants = new ArrayList<>();
         for (TeamReport team : report.teams()) {
             answer(report, team, known).ifPresent(grants::add);
@@ -123,7 +135,8 @@
         }
         long now = timer.nowNanos();
         TeamLedger ledger = ledgers.computeIfAbsent(
-                team.team(), name -> TeamLedger.create(limit.get(), tolerance, begunTermNanos.getAsLong(), now));
+                team.team(),
+                name -> TeamLedger.create(limit.get(), tolerance, begunTermNanos.getAsLong(), takenOverNanos, now));
         ledger.limit(limit.get(), now);
         boolean raises = report.version() >= known.version();
         return ledger.answer(report.host(), report.incarnation(), raises, report.term() == termId, team, now);
@@ -137,13 +150,29 @@
         }
         if (!start.equals(begunTermNanos)) {
             begunTermNanos = start;
+            takenOverNanos = start.getAsLong() + ShareTimes.LENT_NANOS;
             ledgers.clear();
+            restart.clear();
             termId = random.nextLong();
             LOG.info("event=share_term_started term={}", Long.toHexString(termId));
         }
         return true;
     }
 
+    private void endTakeOverIfRestarted(HostReport report) {
+        long now = timer.nowNanos();
+        if (now - takenOverNanos >= 0) {
+            return;
+        }
+        long ownUptimeMillis = Duration.ofNanos(now - processStartNanos).toMillis();
+        restart.reported(report.host(), report.uptimeMillis(), ownUptimeMillis);
+        if (restart.complete(registeredHosts.get(), ownUptimeMillis)) {
+            takenOverNanos = now;
+            ledgers.values().forEach(ledger -> ledger.takenOver(now));
+            LOG.info("event=share_fleet_restarted term={}", Long.toHexString(termId));
+        }
+    }
+
     private void sweepIfDue() {
         long now = timer.nowNanos();
         if (now - sweptNanos >= SWEEP_PERIOD.toNanos()) {
--- a/src/main/java/org/arbutusfield/share/TeamLedger.java
+++ b/src/main/java/org/arbutusfield/share/TeamLedger.java
@@ -25,8 +25,9 @@
  *       host, or {@code TOKEN_LENT_NANOS}.
  *   <li>Counted rates add up to at most the budget's, and counted bursts, tokens and reserve to at most the budget's,
  *       as long as the limit has not been lowered. After that nothing is granted until they do again.
- *   <li>For {@code LENT_NANOS} from the start of the term, the budget is what hosts have claimed in this term: each
- *       claim was part of what the predecessor had lent when its term ended. After that, all it lent has ended.
+ *   <li>For {@code LENT_NANOS} from the start of the term, unless the whole fleet has restarted, the budget is what
+ *       hosts have claimed in this term: each claim was part of what the predecessor had lent when its term ended.
+ *       After that, all it lent has ended.
  *   <li>Reports of an earlier incarnation, or not newer than the last, change nothing.
  * </ul>
  *
@@ -50,11 +51,13 @@
 
     private static final Duration MIN_RETRY = Duration.ofMillis(100);
 
-    private final long startNanos;
     private final ShareTolerance tolerance;
     private final Map<String, Lent> hosts = new HashMap<>();
     private final Deque<SentTokens> sent = new ArrayDeque<>();
     private TeamLimit limit;
+    /** Monotonic time from which no share of a predecessor is in use, except for those that are counted. */
+    private long takenOverNanos;
+
     private double claimedRate;
     private double claimedBurst;
     private double countedRate;
@@ -66,12 +69,12 @@
     private long dividedNanos;
     private Allocation allocation;
 
-    private TeamLedger(TeamLimit limit, ShareTolerance tolerance, long startNanos, long nowNanos) {
+    private TeamLedger(TeamLimit limit, ShareTolerance tolerance, long startNanos, long takenOverNanos, long nowNanos) {
         this.limit = limit;
         this.tolerance = tolerance;
-        this.startNanos = startNanos;
+        this.takenOverNanos = takenOverNanos;
         // Nothing has been lent in this term yet, so the reserve has accrued since a predecessor's shares have ended.
-        this.updatedNanos = takingOver(nowNanos) ? startNanos : startNanos + ShareTimes.LENT_NANOS;
+        this.updatedNanos = takingOver(nowNanos) ? startNanos : takenOverNanos;
         this.dividedNanos = nowNanos - DIVISION_NANOS;
         this.allocation = Allocation.of(limit.ratePerSecond(), new double[0]);
     }
@@ -85,7 +88,19 @@
      * @param nowNanos current monotonic time
      */
     static TeamLedger create(TeamLimit limit, ShareTolerance tolerance, long startNanos, long nowNanos) {
-        return new TeamLedger(limit, tolerance, startNanos, nowNanos);
+        return create(limit, tolerance, startNanos, startNanos + ShareTimes.LENT_NANOS, nowNanos);
+    }
+
+    /** As the other method, with the monotonic time from which no uncounted share of a predecessor is in use. */
+    static TeamLedger create(
+            TeamLimit limit, ShareTolerance tolerance, long startNanos, long takenOverNanos, long nowNanos) {
+        return new TeamLedger(limit, tolerance, startNanos, takenOverNanos, nowNanos);
+    }
+
+    /** Lends the whole limit from now on, because all shares of a predecessor that are in use are counted. */
+    void takenOver(long nowNanos) {
+        advance(nowNanos);
+        takenOverNanos = Math.min(takenOverNanos, nowNanos);
     }
 
     /** Changes the limit. */
@@ -140,7 +155,7 @@
 
     /** Returns true while shares that a predecessor lent may be in use. */
     boolean takingOver(long nowNanos) {
-        return nowNanos - startNanos < ShareTimes.LENT_NANOS;
+        return nowNanos - takenOverNanos < 0;
     }
 
     /** Rate that is counted as lent, in requests per second. */
@@ -313,7 +328,6 @@
                 ended.lent().tokens = 0;
             }
         }
-        long takenOverNanos = startNanos + ShareTimes.LENT_NANOS;
         if (takenOverNanos - nowNanos < 0) {
             accrue(takenOverNanos);
         }
--- a/src/main/java/org/arbutusfield/share/TeamLimits.java
+++ b/src/main/java/org/arbutusfield/share/TeamLimits.java
@@ -15,6 +15,11 @@
         public Optional<TeamLimit> limit(String team) {
             return Optional.empty();
         }
+
+        @Override
+        public boolean any() {
+            return false;
+        }
     };
 
     /** Returns the version of the configuration; it never decreases. */
@@ -22,4 +27,7 @@
 
     /** Returns the limit of a team; empty if it has none, or is not in the configuration. */
     Optional<TeamLimit> limit(String team);
+
+    /** Returns true if any team has a limit. */
+    boolean any();
 }
--- a/src/main/java/org/arbutusfield/wire/gen/ShareReport.java
+++ b/src/main/java/org/arbutusfield/wire/gen/ShareReport.java
@@ -15,6 +15,7 @@
   private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField TEAMS_FIELD_DESC = new org.apache.thrift.protocol.TField("teams", org.apache.thrift.protocol.TType.LIST, (short)4);
   private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short)5);
+  private static final org.apache.thrift.protocol.TField UPTIME_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("uptimeMillis", org.apache.thrift.protocol.TType.I64, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ShareReportStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ShareReportTupleSchemeFactory();
@@ -24,6 +25,7 @@
   private long version; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<ShareState> teams; // required
   private long term; // required
+  private long uptimeMillis; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -31,7 +33,8 @@
     INCARNATION((short)2, "incarnation"),
     VERSION((short)3, "version"),
     TEAMS((short)4, "teams"),
-    TERM((short)5, "term");
+    TERM((short)5, "term"),
+    UPTIME_MILLIS((short)6, "uptimeMillis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -57,6 +60,8 @@
           return TEAMS;
         case 5: // TERM
           return TERM;
+        case 6: // UPTIME_MILLIS
+          return UPTIME_MILLIS;
         default:
           return null;
       }
@@ -103,7 +108,9 @@
   private static final int __INCARNATION_ISSET_ID = 0;
   private static final int __VERSION_ISSET_ID = 1;
   private static final int __TERM_ISSET_ID = 2;
+  private static final int __UPTIMEMILLIS_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.UPTIME_MILLIS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -118,6 +125,8 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ShareState.class))));
     tmpMap.put(_Fields.TERM, new org.apache.thrift.meta_data.FieldMetaData("term", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.UPTIME_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("uptimeMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ShareReport.class, metaDataMap);
   }
@@ -161,6 +170,7 @@
       this.teams = __this__teams;
     }
     this.term = other.term;
+    this.uptimeMillis = other.uptimeMillis;
   }
 
   @Override
@@ -178,6 +188,8 @@
     this.teams = null;
     setTermIsSet(false);
     this.term = 0;
+    setUptimeMillisIsSet(false);
+    this.uptimeMillis = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -315,6 +327,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TERM_ISSET_ID, value);
   }
 
+  public long getUptimeMillis() {
+    return this.uptimeMillis;
+  }
+
+  public ShareReport setUptimeMillis(long uptimeMillis) {
+    this.uptimeMillis = uptimeMillis;
+    setUptimeMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetUptimeMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __UPTIMEMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field uptimeMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetUptimeMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __UPTIMEMILLIS_ISSET_ID);
+  }
+
+  public void setUptimeMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __UPTIMEMILLIS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -358,6 +393,14 @@
       }
       break;
 
+    case UPTIME_MILLIS:
+      if (value == null) {
+        unsetUptimeMillis();
+      } else {
+        setUptimeMillis((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -380,6 +423,9 @@
     case TERM:
       return getTerm();
 
+    case UPTIME_MILLIS:
+      return getUptimeMillis();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -402,6 +448,8 @@
       return isSetTeams();
     case TERM:
       return isSetTerm();
+    case UPTIME_MILLIS:
+      return isSetUptimeMillis();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -464,6 +512,15 @@
         return false;
     }
 
+    boolean this_present_uptimeMillis = true && this.isSetUptimeMillis();
+    boolean that_present_uptimeMillis = true && that.isSetUptimeMillis();
+    if (this_present_uptimeMillis || that_present_uptimeMillis) {
+      if (!(this_present_uptimeMillis && that_present_uptimeMillis))
+        return false;
+      if (this.uptimeMillis != that.uptimeMillis)
+        return false;
+    }
+
     return true;
   }
 
@@ -485,6 +542,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(term);
 
+    hashCode = hashCode * 8191 + ((isSetUptimeMillis()) ? 131071 : 524287);
+    if (isSetUptimeMillis())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(uptimeMillis);
+
     return hashCode;
   }
 
@@ -546,6 +607,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetUptimeMillis(), other.isSetUptimeMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetUptimeMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.uptimeMillis, other.uptimeMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -597,6 +668,12 @@
     sb.append("term:");
     sb.append(this.term);
     first = false;
+    if (isSetUptimeMillis()) {
+      if (!first) sb.append(", ");
+      sb.append("uptimeMillis:");
+      sb.append(this.uptimeMillis);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -695,6 +772,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // UPTIME_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.uptimeMillis = iprot.readI64();
+              struct.setUptimeMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -737,6 +822,11 @@
       oprot.writeFieldBegin(TERM_FIELD_DESC);
       oprot.writeI64(struct.term);
       oprot.writeFieldEnd();
+      if (struct.isSetUptimeMillis()) {
+        oprot.writeFieldBegin(UPTIME_MILLIS_FIELD_DESC);
+        oprot.writeI64(struct.uptimeMillis);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -771,7 +861,10 @@
       if (struct.isSetTerm()) {
         optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetUptimeMillis()) {
+        optionals.set(5);
+      }
+      oprot.writeBitSet(optionals, 6);
       if (struct.isSetHost()) {
         oprot.writeString(struct.host);
       }
@@ -793,12 +886,15 @@
       if (struct.isSetTerm()) {
         oprot.writeI64(struct.term);
       }
+      if (struct.isSetUptimeMillis()) {
+        oprot.writeI64(struct.uptimeMillis);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ShareReport struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(6);
       if (incoming.get(0)) {
         struct.host = iprot.readString();
         struct.setHostIsSet(true);
@@ -829,6 +925,10 @@
         struct.term = iprot.readI64();
         struct.setTermIsSet(true);
       }
+      if (incoming.get(5)) {
+        struct.uptimeMillis = iprot.readI64();
+        struct.setUptimeMillisIsSet(true);
+      }
     }
   }
 
--- a/src/main/thrift/control.thrift
+++ b/src/main/thrift/control.thrift
@@ -336,13 +336,14 @@
 }
 
 // Asks the host that leads for shares of the limits of teams. `version`: the configuration that the host knows. `term`:
-// that of the last answer, 0 if there was none.
+// that of the last answer, 0 if there was none. `uptimeMillis`: time since the process of the host started.
 struct ShareReport {
   1: string host
   2: i64 incarnation
   3: i64 version
   4: list<ShareState> teams
   5: i64 term
+  6: optional i64 uptimeMillis
 }
 
 // The share of a host from the receipt on, in place of an earlier one, and tokens for waiting requests. `filled`: tokens that
--- a/src/test/java/org/arbutusfield/share/ShareClientTest.java
+++ b/src/test/java/org/arbutusfield/share/ShareClientTest.java
@@ -116,8 +116,8 @@
     }
 
     private static int size(TeamReport report, int teams) {
-        HostReport host =
-                new HostReport("host-name-12", 1_700_000_000_000L, 12, -7_000_000_000_000_000L, copies(report, teams));
+        HostReport host = new HostReport(
+                "host-name-12", 1_700_000_000_000L, 12, -7_000_000_000_000_000L, 90_000, copies(report, teams));
         return size(ControlMessage.shareReport(host.encode()));
     }
 
--- a/src/test/java/org/arbutusfield/share/ShareFleet.java
+++ b/src/test/java/org/arbutusfield/share/ShareFleet.java
@@ -58,6 +58,11 @@
 
     static TeamLimits limits(long version, TeamLimit limit) {
         return new TeamLimits() {
+            @Override
+            public boolean any() {
+                return true;
+            }
+
             @Override
             public long version() {
                 return version;
@@ -148,7 +153,7 @@
                 changeLeader(random.nextInt(hosts.size()), millis(4500));
             }
             TimerService own = new HostTimer(this, incarnation);
-            server = ShareServer.create(this::term, () -> limits, tolerance, own, random);
+            server = ShareServer.create(this::term, () -> limits, tolerance, List::of, own, random);
             handlers = ControlHandlers.create();
             server.register(handlers);
             client = ShareClient.create(
