--- a/src/main/java/org/arbutusfield/ctl/ArbutusCtl.java
+++ b/src/main/java/org/arbutusfield/ctl/ArbutusCtl.java
@@ -85,7 +85,7 @@
     private Either<List<Failure>, ExitCode> checkRequirements(CtlCommand command) {
         boolean needsHosts =
                 switch (command) {
-                    case NOTE_WAIT, STATUS, REPORT_BURN -> true;
+                    case NOTE_WAIT, STATUS, REPORT_BURN, TEAMS -> true;
                     default -> false;
                 };
         if (needsHosts && invocation.hosts().isEmpty()) {
@@ -114,6 +114,7 @@
                 notes.drain(argument, false, invocation.noteId())
                         .map(next -> printRevision("undrained in revision ", next));
             case REPORT_BURN -> BurnCommand.of(hosts, printer).run(invocation.out());
+            case TEAMS -> Either.right(TeamsCommand.of(hosts, printer).run());
             case VERSION -> {
                 printer.print("arbutusctl " + Version.RELEASE, Version.RELEASE);
                 yield Either.right(ExitCode.DONE);
--- a/src/main/java/org/arbutusfield/ctl/CtlCommand.java
+++ b/src/main/java/org/arbutusfield/ctl/CtlCommand.java
@@ -16,6 +16,7 @@
     DRAIN("drain", "TARGET:NAME", "stop new work for an upstream, failure_domain, region or host"),
     UNDRAIN("undrain", "TARGET:NAME", "remove a drain"),
     REPORT_BURN("report burn", "", "show service-level objectives, burn rates of their error budgets, and the reasons"),
+    TEAMS("teams", "", "show for each team what hosts were asked for, sent and refused, and the shares they hold"),
     VERSION("version", "", "print the release");
 
     private final String words;
--- a/src/main/java/org/arbutusfield/edge/EdgeEndpoints.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeEndpoints.java
@@ -13,7 +13,7 @@
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.SteeringState;
 
-/** HTTP endpoints of an edge host: readiness, look-up of hosts, and metrics. Runs on one event loop. */
+/** HTTP endpoints of an edge host: readiness, look-up of hosts, metrics and teams. Runs on one event loop. */
 final class EdgeEndpoints {
     private static final Duration MAX_LOOKUP_AGE = Duration.ofSeconds(2);
 
@@ -25,6 +25,7 @@
     private final BooleanSupplier ready;
     private final Supplier<EdgeSettings> settings;
     private final Supplier<String> metrics;
+    private final TeamPage teams;
     private long answers;
 
     private EdgeEndpoints(
@@ -32,12 +33,14 @@
             Supplier<SteeringState> state,
             BooleanSupplier ready,
             Supplier<EdgeSettings> settings,
-            Supplier<String> metrics) {
+            Supplier<String> metrics,
+            TeamPage teams) {
         this.protocol = protocol;
         this.state = state;
         this.ready = ready;
         this.settings = settings;
         this.metrics = metrics;
+        this.teams = teams;
     }
 
     /** Creates the endpoints. */
@@ -46,8 +49,9 @@
             Supplier<SteeringState> state,
             BooleanSupplier ready,
             Supplier<EdgeSettings> settings,
-            Supplier<String> metrics) {
-        return new EdgeEndpoints(protocol, state, ready, settings, metrics);
+            Supplier<String> metrics,
+            TeamPage teams) {
+        return new EdgeEndpoints(protocol, state, ready, settings, metrics, teams);
     }
 
     CompletableFuture<SimpleHttpResponse> ready(SimpleHttpRequest request) {
@@ -59,6 +63,9 @@
     }
 
     CompletableFuture<SimpleHttpResponse> metrics(SimpleHttpRequest request) {
+        if (request.path().equals("/teams")) {
+            return CompletableFuture.completedFuture(teams.render());
+        }
         return respondAt(request, "/metrics", () -> SimpleHttpResponse.text(200, metrics.get()));
     }
 
--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -111,6 +111,7 @@
     private Leadership leadership;
     private UpstreamQuota quota;
     private ShareClient teamLimiter;
+    private TeamPage teamPage;
     private HostRegistrar registrar;
     private StoreWatcher watcher;
     private RestartedUpstreams restarts;
@@ -254,6 +255,7 @@
                 server,
                 TeamShareMetrics.of(registry),
                 timer);
+        teamPage = TeamPage.of(settings.name(), teamLimiter::snapshot, server::snapshot);
     }
 
     private void createRestartDetection(ControlClient client, ControlHandlers handlers) {
@@ -324,7 +326,7 @@
 
     private Either<Failure, EdgeHost> openEndpoints() {
         EdgeEndpoints endpoints =
-                EdgeEndpoints.of(protocol, () -> state, this::ready, () -> settings, registry::scrape);
+                EdgeEndpoints.of(protocol, () -> state, this::ready, () -> settings, registry::scrape, teamPage);
         return listen(settings.readyAddress(), endpoints::ready)
                 .flatMap(bound -> listen(settings.lookupAddress(), endpoints::lookup))
                 .flatMap(bound -> listen(settings.metricsAddress(), endpoints::metrics))
