--- a/src/main/java/org/arbutusfield/share/ShareClient.java
+++ b/src/main/java/org/arbutusfield/share/ShareClient.java
@@ -43,7 +43,7 @@
     private static final long FORGET_NANOS = Duration.ofMinutes(1).toNanos();
     private static final long LOG_NANOS = Duration.ofSeconds(5).toNanos();
     private static final Duration UNAVAILABLE_RETRY = Duration.ofSeconds(1);
-    private static final Duration GREETING_RETRY = Duration.ofMillis(500);
+    private static final Duration FIRST_REPORT_RETRY = Duration.ofMillis(500);
 
     private final String self;
     private final long incarnation;
@@ -55,8 +55,8 @@
     private final TimerService timer;
     private final long startNanos;
     private final Map<String, TeamEntry> teams = new HashMap<>();
-    /** Leader to which this process has reported without teams. */
-    private Optional<String> greetedLeader = Optional.empty();
+    /** Name of the leader to which this process has sent its first report. */
+    private Optional<String> firstReportedTo = Optional.empty();
 
     private long lastNumber;
     private long lastTerm;
@@ -294,15 +294,15 @@
      */
     public void stateChanged() {
         Optional<String> name = leader().map(HostEntry::name);
-        if (name.isEmpty() || name.equals(greetedLeader) || !limits.get().any()) {
+        if (name.isEmpty() || name.equals(firstReportedTo) || !limits.get().any()) {
             return;
         }
-        greetedLeader = name;
+        firstReportedTo = name;
         call(leader().orElseThrow(), report(List.of()))
                 .thenAccept(answer -> answer.peek(known -> lastTerm = known.term())
                         .peekLeft(failure -> {
-                            greetedLeader = Optional.empty();
-                            timer.after(GREETING_RETRY, this::stateChanged);
+                            firstReportedTo = Optional.empty();
+                            timer.after(FIRST_REPORT_RETRY, this::stateChanged);
                         }));
     }
 
