What a read of the whole change found: a retry that waited for ever, tokens lost to older leaders, small faults of the limits

A retry of a rank that had never asked threw in the placement, and nothing completed it: RankShares counts it, and a failed placement ends the request. A leader with an older configuration lost its reserve to a host that asked again at once. A team with a rate and no burst was refused for ever. A request cut at its timeout made placement by load active where nothing asks for it. Hosts with an older configuration were granted more than what is free. A leader that restarts alone after an outage of the store waits until the others can have registered (4.5 s). Requests are refused and served outside of loops over what they may change.

--- a/src/main/java/org/arbutusfield/edge/ConfiguredTeamLimits.java
+++ b/src/main/java/org/arbutusfield/edge/ConfiguredTeamLimits.java
@@ -8,6 +8,9 @@
 
 /** The limits of teams in the operator's configuration. */
 final class ConfiguredTeamLimits implements TeamLimits {
+    /** Without it no whole request could ever be sent. */
+    private static final double MIN_BURST = 1;
+
     private final RouteTable routes;
 
     private ConfiguredTeamLimits(RouteTable routes) {
@@ -29,7 +32,7 @@
         return routes.teams()
                 .byName(team)
                 .filter(Team::limited)
-                .map(limited -> new TeamLimit(limited.ratePerSecond(), limited.burst()));
+                .map(limited -> new TeamLimit(limited.ratePerSecond(), Math.max(MIN_BURST, limited.burst())));
     }
 
     @Override
--- a/src/main/java/org/arbutusfield/share/FleetRestart.java
+++ b/src/main/java/org/arbutusfield/share/FleetRestart.java
@@ -10,8 +10,8 @@
  * lent.
  *
  * <p>Shares end with the processes that hold them. Once every registered host has reported to the leader, all that they
- * hold is counted. Hosts that aren't registered may hold shares too, if they were cut off from the store; this is taken
- * to be impossible when no registered process is older than the leader's, because then all processes have ended.
+ * hold is counted. Hosts that aren't registered may hold shares too, if they were cut off from the store; this is
+ * assumed not to occur if every registered process started about when the leader's did.
  *
  * <p>Not thread-safe.
  */
@@ -19,11 +19,12 @@
     /** Processes that end at the same moment start again within this time of each other. */
     private static final Duration SPREAD = Duration.ofSeconds(5);
 
-    /**
-     * A leader that has run for longer than a share lasts was there when the fleet restarted, or it has not restarted.
-     */
+    /** Above this uptime of the leader, the shares of the predecessor are waited out as usual. */
     private static final Duration MAX_LEADER_UPTIME = Duration.ofSeconds(20);
 
+    /** By then the running hosts that reach the store are registered again, also after an outage of the store. */
+    private static final Duration MIN_LEADER_UPTIME = Duration.ofMillis(4500);
+
     private final Map<String, Boolean> startedWithLeader = new HashMap<>();
 
     /** Forgets all reports, because another term has begun. */
@@ -50,7 +51,8 @@
      * @param ownUptimeMillis time since the leader's process started
      */
     boolean complete(Collection<String> registered, long ownUptimeMillis) {
-        return ownUptimeMillis <= MAX_LEADER_UPTIME.toMillis()
+        return ownUptimeMillis >= MIN_LEADER_UPTIME.toMillis()
+                && ownUptimeMillis <= MAX_LEADER_UPTIME.toMillis()
                 && !registered.isEmpty()
                 && registered.stream().allMatch(host -> startedWithLeader.getOrDefault(host, false));
     }
--- a/src/main/java/org/arbutusfield/share/ShareClient.java
+++ b/src/main/java/org/arbutusfield/share/ShareClient.java
@@ -212,7 +212,8 @@
         applyConfiguration();
         long now = timer.nowNanos();
         teams.values().removeIf(entry -> forgettable(entry, now));
-        teams.values().forEach(entry -> entry.use.serve());
+        // Served requests may start further ones on their connections, which may be of other teams.
+        List.copyOf(teams.values()).forEach(entry -> entry.use.serve());
         List<TeamEntry> due =
                 teams.values().stream().filter(entry -> reportDue(entry, now)).toList();
         if (!due.isEmpty() && leader().isPresent()) {
@@ -299,11 +300,12 @@
         }
         firstReportedTo = name;
         call(leader().orElseThrow(), report(List.of()))
-                .thenAccept(answer -> answer.peek(known -> lastTerm = known.term())
-                        .peekLeft(failure -> {
-                            firstReportedTo = Optional.empty();
-                            timer.after(FIRST_REPORT_RETRY, this::stateChanged);
-                        }));
+                .thenAccept(answer -> answer.peekLeft(failure -> {
+                    if (name.equals(firstReportedTo)) {
+                        firstReportedTo = Optional.empty();
+                        timer.after(FIRST_REPORT_RETRY, this::stateChanged);
+                    }
+                }));
     }
 
     private HostReport report(List<TeamReport> reports) {
@@ -342,8 +344,9 @@
             } else {
                 entry.use.allowance().notAnswered(number);
             }
-            // Requests that arrived after the report was sent were not in it.
-            boolean more = grant != null && entry.use.waiting() > 0;
+            // Requests that arrived after the report was sent were not in it. Tokens of an older configuration are
+            // dropped.
+            boolean more = grant != null && answer.version() >= knownVersion && entry.use.waiting() > 0;
             if (current(entry) && (more || (grant == null && newTerm))) {
                 again.add(entry);
             }
--- a/src/main/java/org/arbutusfield/share/TeamLedger.java
+++ b/src/main/java/org/arbutusfield/share/TeamLedger.java
@@ -225,7 +225,7 @@
         double free = Math.max(0, budgetRate(nowNanos) - (countedRate - lent.rate));
         // The difference would be unused until the host confirms it.
         rate = rate < lent.rate && rate > KEPT * lent.rate ? lent.rate : rate;
-        rate = Math.min(rate, raises ? free : report.rate());
+        rate = Math.min(rate, raises ? free : Math.min(free, report.rate()));
         double burst = Math.min(ShareSizes.burst(rate), freeBurst(lent, rate, nowNanos));
         burst = raises ? burst : Math.min(burst, report.burst());
         rate = Math.min(rate, ShareSizes.maxRate(burst));
@@ -345,7 +345,10 @@
         clampReserve();
     }
 
-    /** In any window at most what accrues in it, and as much from before: the tolerance together. */
+    /**
+     * Half of the tolerance accrues in a window and half may be left from before, so that no window has more than the
+     * tolerance.
+     */
     private void accrueExtra(double seconds, long nowNanos) {
         double half = tolerance.requests(limit) / 2;
         extra = takingOver(nowNanos) ? Math.min(half, extra + half * seconds / tolerance.windowSeconds()) : 0;
--- a/src/main/java/org/arbutusfield/share/TeamUse.java
+++ b/src/main/java/org/arbutusfield/share/TeamUse.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -82,13 +83,11 @@
     /** Refuses the requests that have waited until their end. */
     void refuseDue(ShareOutcome reason, Duration retryAfter) {
         long now = timer.nowNanos();
-        waiting.removeIf(request -> {
-            boolean due = request.untilNanos() - now <= 0;
-            if (due) {
-                request.result().complete(Either.left(refusal(reason, retryAfter)));
-            }
-            return due;
-        });
+        List<Waiting> due = waiting.stream()
+                .filter(request -> request.untilNanos() - now <= 0)
+                .toList();
+        waiting.removeAll(due);
+        due.forEach(request -> request.result().complete(Either.left(refusal(reason, retryAfter))));
     }
 
     /** Counts a refusal and returns it. */
--- a/src/main/java/org/arbutusfield/steering/ExpectedEnd.java
+++ b/src/main/java/org/arbutusfield/steering/ExpectedEnd.java
@@ -42,8 +42,8 @@
     private static final double SAFETY = 0.9;
 
     /**
-     * Part of its slots up to which an alternative may be occupied. Work there takes three times the room; with 0.7 the
-     * displaced requests pushed others out.
+     * Part of its slots up to which an alternative may be occupied. Work there takes three times as long, so a moved
+     * request needs more than a free slot.
      */
     private static final double ROOM = 0.5;
 
--- a/src/main/java/org/arbutusfield/steering/LoadPlacement.java
+++ b/src/main/java/org/arbutusfield/steering/LoadPlacement.java
@@ -76,9 +76,7 @@
             long nowNanos) {
         Optional<UpstreamLoadKnowledge.Known> known = knowledge.of(chosen, nowNanos);
         OptionalDouble work = workTimes.of(request.service().name(), routeOf(request), atHome);
-        boolean active = teamsConfigured.getAsBoolean()
-                || known.map(UpstreamLoadKnowledge.Known::statesSlowness).orElse(false);
-        if (!active || work.isEmpty()) {
+        if (!mayReview(known) || work.isEmpty()) {
             return Either.right(chosen);
         }
         ExpectedEnd.Place home = place(request, chosen, atHome, nowNanos);
@@ -107,6 +105,11 @@
         return Either.right(verdict.action() == ExpectedEnd.Action.HOME ? chosen : others.get(verdict.alternative()));
     }
 
+    private boolean mayReview(Optional<UpstreamLoadKnowledge.Known> known) {
+        return teamsConfigured.getAsBoolean()
+                || known.map(UpstreamLoadKnowledge.Known::statesSlowness).orElse(false);
+    }
+
     /** Records that a request is sent to an upstream; the result is told of its response. */
     Sent sent(PlacementRequest request, LiveUpstream upstream, boolean atHome, long nowNanos) {
         double wait = place(request, upstream, atHome, nowNanos).delay();
@@ -219,7 +222,7 @@
             if (outcome == AttemptOutcome.COMPLETED) {
                 double work = Math.max(0, serviceNanos / NANOS - expectedWait) / slowness;
                 workTimes.record(service, route, atHome, work);
-            } else if (outcome == AttemptOutcome.FAILED) {
+            } else if (outcome == AttemptOutcome.FAILED && mayReview(knowledge.of(upstream, sentNanos))) {
                 OptionalDouble usual = workTimes.of(service, route, atHome);
                 double took = serviceNanos / NANOS - expectedWait;
                 usual.ifPresent(seconds -> knowledge.cut(upstream, took / seconds, sentNanos + serviceNanos));
--- a/src/main/java/org/arbutusfield/steering/RankShares.java
+++ b/src/main/java/org/arbutusfield/steering/RankShares.java
@@ -59,7 +59,8 @@
 
     /** Returns the longest wait in seconds that the rank permits, from what more urgent ranks can bear. */
     double permittedWait(int rank, long nowNanos) {
-        Count own = counts.get(rank);
+        // A rank is unknown while only repeats of its requests have been placed with known work.
+        Count own = counts.computeIfAbsent(rank, key -> new Count());
         if (own.admitted * all.asked < FLOOR * all.admitted * own.asked) {
             return Double.MAX_VALUE;
         }
--- a/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
@@ -126,7 +126,12 @@
         CompletableFuture<Either<Failure, PlacementTarget>> result = new CompletableFuture<>();
         homeOf(object)
                 .thenCompose(home -> place(request, object, home, MAX_QUESTIONS))
-                .thenAccept(placed -> complete(result, placed));
+                .thenAccept(placed -> complete(result, placed))
+                .exceptionally(error -> {
+                    // Otherwise the request would wait for a placement until its deadline.
+                    result.completeExceptionally(error);
+                    return null;
+                });
         return result;
     }
 
--- a/src/test/java/org/arbutusfield/steering/ExpectedEndTest.java
+++ b/src/test/java/org/arbutusfield/steering/ExpectedEndTest.java
@@ -133,4 +133,10 @@
         assertThat(decide(place(2 * SECOND), 1, NO_LIMIT)).isEqualTo(ExpectedEnd.Action.REFUSE_DEADLINE);
         assertThat(decide(place(8 * SECOND), 1, NO_LIMIT)).isEqualTo(ExpectedEnd.Action.HOME);
     }
+
+    /** Guards against a failure when the first request of a rank that is reviewed is a repeat, which never asked. */
+    @Test
+    void rankThatNeverAskedMayWait() {
+        assertThat(RankShares.create().permittedWait(2, 0)).isEqualTo(Double.MAX_VALUE);
+    }
 }
