--- a/src/main/java/org/arbutusfield/affinity/HomePlan.java
+++ b/src/main/java/org/arbutusfield/affinity/HomePlan.java
@@ -1,11 +1,14 @@
 package org.arbutusfield.affinity;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -21,14 +24,15 @@
  * <p>Idea: rendezvous hashing with bounded loads. A new object is assigned to the first upstream in its rendezvous
  * order whose utilization is below the mean. Homes that are stored, or that a host reports, are adopted. Hosts report
  * how many requests each object had and how long they took, which gives the load of the object in busy slots.
- * {@link Rebalancer} says which objects move: those of removed upstreams at once, some of saturated upstreams in each
- * period, and some of upstreams whose average load differs significantly from the mean. Objects are indexed by upstream
- * and sums of loads are kept up to date: a report costs the same whatever the number of objects, and all reports of a
- * route in one message share one pass over the upstreams. A new object costs one more pass.
+ * Periodically some objects move, each from one of the most loaded upstreams to a less loaded one, if that reduces the
+ * larger of the two utilizations by more than {@code MIN_IMPROVEMENT}, the cost of a move. The number of moves in a
+ * period grows with the number of upstreams, so that a large service is balanced as fast as a small one. Sums of loads
+ * are kept up to date: a report costs the same whatever the number of objects, and all reports of a route in one
+ * message share one pass over the upstreams. A new object costs one more pass.
  *
- * <p>Invariants: an object keeps its home while that upstream is a candidate and not avoided, except for such moves. A
- * plan that adopted homes moves nothing for balance until {@code LEARNING} has passed, because it does not know all
- * loads yet. An object that no host uses any more is removed after {@code UNUSED_EXPIRY}, and its load with it.
+ * <p>Invariants: an object keeps its home while that upstream is a candidate and not avoided, except for such moves. An
+ * object that was moved stays where it is for at least {@code MOVE_COOLDOWN}. An object that no host uses any more is
+ * removed after {@code UNUSED_EXPIRY}, and its load with it.
  *
  * <p>Example: upstreams a and b have 3 slots each. Objects 1 and 2 are new: 1 goes to a, 2 goes to b. Object 1 turns
  * out to keep 2 slots busy and object 3, also on a, 0.5 slots. Object 3 moves to b.
@@ -37,10 +41,20 @@
  */
 public final class HomePlan {
     private static final Logger LOG = LogManager.getLogger(HomePlan.class);
+    /** Load of an object before the first report on it, in busy slots. */
+    private static final double INITIAL_LOAD = 0.3;
+    /** Weight of the latest period in the moving average of an object's load. */
+    private static final double LOAD_SMOOTHING = 0.4;
+
     private static final Duration PERIOD = Duration.ofSeconds(1);
+    private static final Duration MOVE_COOLDOWN = Duration.ofSeconds(4);
     private static final Duration UNUSED_EXPIRY = Duration.ofSeconds(30);
-    /** Time in which each host of a service with up to 450 hosts reports its objects. */
-    private static final Duration LEARNING = Duration.ofSeconds(4);
+    /** Utilization below which no object is moved away from an upstream. */
+    private static final double REBALANCE_THRESHOLD = 0.45;
+    /** Smallest reduction of the utilization of the more loaded upstream that justifies a move. */
+    private static final double MIN_IMPROVEMENT = 0.12;
+    /** One object may move in each period for this many upstreams, and one more. A moved object is cold once. */
+    private static final int UPSTREAMS_PER_MOVE = 24;
 
     private final Map<Long, String> storedHomes;
     private final Map<Long, PlannedObject> objects = new HashMap<>();
@@ -50,11 +64,7 @@
     private final UpstreamLoads loads = UpstreamLoads.empty();
     private final OutlierDetector outliers = new OutlierDetector();
     private long version;
-    private final Rebalancer rebalancer = new Rebalancer(loads, this::move);
     private long periodEndNanos;
-    private long nowNanos;
-    private long learningEndNanos;
-    private boolean learning;
     private boolean started;
 
     private HomePlan(Map<Long, String> storedHomes) {
@@ -74,7 +84,7 @@
     /** Returns the homes of all objects. */
     public Map<Long, String> homes() {
         Map<Long, String> homes = new HashMap<>();
-        objects.forEach((key, planned) -> homes.put(key, planned.upstream()));
+        objects.forEach((key, planned) -> homes.put(key, planned.upstream));
         return homes;
     }
 
@@ -92,7 +102,7 @@
             if (homes.size() == maxChanges) {
                 return new PlanChanges(homes, includedVersion);
             }
-            homes.put(change.getValue(), objects.get(change.getValue()).upstream());
+            homes.put(change.getValue(), objects.get(change.getValue()).upstream);
             includedVersion = change.getKey();
         }
         return new PlanChanges(homes, version);
@@ -129,30 +139,14 @@
     private Optional<Candidate> assignHome(ObjectReport report, CandidateSet candidates, long nowNanos) {
         PlannedObject planned = objects.get(report.key());
         Optional<Candidate> home =
-                planned == null ? adoptedHome(report, candidates) : candidates.usable(planned.upstream());
-        if (planned == null && home.isPresent()) {
-            startLearning(nowNanos);
-        }
+                planned == null ? adoptedHome(report, candidates) : candidates.usable(planned.upstream);
         if (home.isEmpty()) {
-            home = planned == null ? firstBelowMeanUtilization(report.key(), candidates) : next(planned, candidates);
+            home = firstBelowMeanUtilization(report.key(), candidates);
         }
         home.ifPresent(upstream -> recordAssignment(report, upstream, candidates, nowNanos));
         return home;
     }
 
-    private Optional<Candidate> next(PlannedObject planned, CandidateSet candidates) {
-        return rebalancer
-                .leastUtilizedWith(planned, candidates.usable())
-                .or(() -> firstBelowMeanUtilization(planned.key(), candidates));
-    }
-
-    private void startLearning(long nowNanos) {
-        if (!learning) {
-            learning = true;
-            learningEndNanos = nowNanos + LEARNING.toNanos();
-        }
-    }
-
     private Optional<Candidate> adoptedHome(ObjectReport report, CandidateSet candidates) {
         return candidates
                 .usable(report.upstream())
@@ -160,49 +154,43 @@
     }
 
     private void recordAssignment(ObjectReport report, Candidate home, CandidateSet candidates, long nowNanos) {
-        PlannedObject planned = objects.computeIfAbsent(report.key(), key -> new PlannedObject(key, nowNanos));
-        if (!home.name().equals(planned.upstream())) {
-            log("placed", planned, home.name());
-            reassign(planned, home.name(), nowNanos);
+        PlannedObject planned = objects.computeIfAbsent(report.key(), key -> new PlannedObject(nowNanos));
+        if (!home.name().equals(planned.upstream)) {
+            log("placed", report.key(), planned, home.name());
+            reassign(report.key(), planned, home.name(), nowNanos);
         }
         planned.record(report, candidates, nowNanos);
     }
 
-    private void move(PlannedObject planned, String target, String reason) {
-        log(reason, planned, target);
-        reassign(planned, target, nowNanos);
-    }
-
-    private void reassign(PlannedObject planned, String target, long nowNanos) {
-        keysByChangeVersion.remove(planned.changeVersion());
+    private void reassign(long key, PlannedObject planned, String target, long nowNanos) {
+        keysByChangeVersion.remove(planned.changeVersion);
         version++;
-        keysByChangeVersion.put(version, planned.key());
-        loads.remove(planned);
-        planned.assign(target, version, nowNanos);
-        loads.add(planned);
+        keysByChangeVersion.put(version, key);
+        planned.changeVersion = version;
+        loads.remove(planned.upstream, planned.load);
+        loads.add(target, planned.load);
+        planned.upstream = target;
+        planned.lastMovedNanos = nowNanos;
     }
 
     private void removeUnused(long nowNanos) {
         objects.values().removeIf(planned -> {
-            boolean unused = planned.unused(UNUSED_EXPIRY, nowNanos);
+            boolean unused = nowNanos - planned.lastUsedNanos > UNUSED_EXPIRY.toNanos();
             if (unused) {
-                loads.remove(planned);
-                keysByChangeVersion.remove(planned.changeVersion());
+                loads.remove(planned.upstream, planned.load);
+                keysByChangeVersion.remove(planned.changeVersion);
             }
             return unused;
         });
     }
 
     /**
-     * Gives the objects of removed upstreams a new home. Ends the period if its time is over: updates the loads from
-     * the reports, removes unused objects and rebalances.
+     * Ends the period if its time is over: updates the loads from the reports, removes unused objects and rebalances.
      *
      * @param upstreams all upstreams of the service that may be assigned objects
      * @param nowNanos current monotonic time
      */
     public void advance(List<Candidate> upstreams, long nowNanos) {
-        this.nowNanos = nowNanos;
-        rebalancer.replaceRemoved(upstreams);
         if (!started) {
             started = true;
             periodEndNanos = nowNanos + PERIOD.toNanos();
@@ -214,8 +202,9 @@
         double seconds = (nowNanos - periodEndNanos + PERIOD.toNanos()) / 1e9;
         periodEndNanos = nowNanos + PERIOD.toNanos();
         removeUnused(nowNanos);
-        objects.values().forEach(planned -> planned.endPeriod(seconds));
-        loads.refresh();
+        for (PlannedObject planned : objects.values()) {
+            loads.change(planned.upstream, planned.endPeriod(seconds));
+        }
         outliers.endPeriod(upstreams, nowNanos);
         rebalance(outliers.usable(upstreams, nowNanos), nowNanos);
     }
@@ -231,10 +220,87 @@
     }
 
     private void rebalance(List<Candidate> upstreams, long nowNanos) {
-        rebalancer.relieve(upstreams, nowNanos);
-        if (!learning || learningEndNanos - nowNanos <= 0) {
-            rebalancer.balance(upstreams, nowNanos);
+        assignToIdleUpstreams(upstreams, nowNanos);
+        int moves = 1 + upstreams.size() / UPSTREAMS_PER_MOVE;
+        while (moves > 0 && moveOneObject(upstreams, nowNanos)) {
+            moves--;
+        }
+    }
+
+    /** Moves an object from the most loaded upstream that has one whose move pays; returns false if there is none. */
+    private boolean moveOneObject(List<Candidate> upstreams, long nowNanos) {
+        List<Candidate> mostLoadedFirst = new ArrayList<>(upstreams);
+        mostLoadedFirst.sort(
+                Comparator.<Candidate>comparingDouble(loads::utilization).reversed());
+        for (Candidate source : mostLoadedFirst) {
+            if (loads.utilization(source) < REBALANCE_THRESHOLD) {
+                return false;
+            }
+            if (moveBestObject(source, upstreams, nowNanos)) {
+                return true;
+            }
         }
+        return false;
+    }
+
+    /**
+     * Moves an object to each upstream that has none: the lightest object of the most loaded upstream that has more
+     * than one.
+     */
+    private void assignToIdleUpstreams(List<Candidate> upstreams, long nowNanos) {
+        for (Candidate idle : upstreams) {
+            if (loads.objects(idle.name()) == 0) {
+                lightestMovableObject(idle, nowNanos)
+                        .ifPresent(object -> reassign(object.getKey(), object.getValue(), idle.name(), nowNanos));
+            }
+        }
+    }
+
+    private Optional<Map.Entry<Long, PlannedObject>> lightestMovableObject(Candidate idle, long nowNanos) {
+        return objects.entrySet().stream()
+                .filter(object ->
+                        mayMove(object.getValue(), idle, nowNanos) && loads.objects(object.getValue().upstream) > 1)
+                .min(Comparator.comparingDouble(
+                                (Map.Entry<Long, PlannedObject> object) -> -loads.busySlots(object.getValue().upstream))
+                        .thenComparingDouble(object -> object.getValue().load));
+    }
+
+    private static boolean mayMove(PlannedObject planned, Candidate target, long nowNanos) {
+        return planned.eligibleUpstreams.contains(target.name())
+                && nowNanos - planned.lastMovedNanos >= MOVE_COOLDOWN.toNanos();
+    }
+
+    private boolean moveBestObject(Candidate source, List<Candidate> upstreams, long nowNanos) {
+        PlannedObject best = null;
+        long bestKey = 0;
+        Candidate bestTarget = null;
+        double bestPeak = loads.utilization(source) - MIN_IMPROVEMENT;
+        for (Map.Entry<Long, PlannedObject> object : objects.entrySet()) {
+            PlannedObject planned = object.getValue();
+            if (!source.name().equals(planned.upstream)
+                    || nowNanos - planned.lastMovedNanos < MOVE_COOLDOWN.toNanos()) {
+                continue;
+            }
+            for (Candidate target : upstreams) {
+                if (target.name().equals(source.name()) || !planned.eligibleUpstreams.contains(target.name())) {
+                    continue;
+                }
+                double sourceAfter = loads.utilization(source) - planned.load / source.slots();
+                double targetAfter = loads.utilization(target) + planned.load / target.slots();
+                if (Math.max(sourceAfter, targetAfter) < bestPeak) {
+                    bestPeak = Math.max(sourceAfter, targetAfter);
+                    best = planned;
+                    bestKey = object.getKey();
+                    bestTarget = target;
+                }
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        log("relieved", bestKey, best, bestTarget.name());
+        reassign(bestKey, best, bestTarget.name(), nowNanos);
+        return true;
     }
 
     /**
@@ -242,7 +308,7 @@
      * the n candidates, where the mean includes the new object; if there is none, the least utilized upstream.
      */
     private Optional<Candidate> firstBelowMeanUtilization(long key, CandidateSet candidates) {
-        double total = LoadEstimate.INITIAL_LOAD;
+        double total = INITIAL_LOAD;
         for (Candidate candidate : candidates.usable()) {
             total += loads.busySlots(candidate.name());
         }
@@ -256,11 +322,8 @@
             if (leastUtilized == null || utilization < loads.utilization(leastUtilized)) {
                 leastUtilized = candidate;
             }
-            if (utilization > limit) {
-                continue;
-            }
             double score = WeightedRendezvous.score(candidate.nameHash(), key, candidate.slots());
-            if (score > firstScore) {
+            if (utilization <= limit && score > firstScore) {
                 first = candidate;
                 firstScore = score;
             }
@@ -268,13 +331,46 @@
         return Optional.ofNullable(first == null ? leastUtilized : first);
     }
 
-    private static void log(String reason, PlannedObject planned, String target) {
+    private static void log(String reason, long key, PlannedObject planned, String target) {
         LOG.info(
                 "event=home_chosen reason={} object={} from={} to={} load={}",
                 reason,
-                Long.toHexString(planned.key()),
-                planned.upstream().isEmpty() ? "-" : planned.upstream(),
+                Long.toHexString(key),
+                planned.upstream.isEmpty() ? "-" : planned.upstream,
                 target,
-                planned.load().slow());
+                planned.load);
+    }
+
+    /** One object of the plan. */
+    private static final class PlannedObject {
+        private String upstream = "";
+        private double load = INITIAL_LOAD;
+        private double busySeconds;
+        private boolean reported;
+        private long lastMovedNanos;
+        private long lastUsedNanos;
+        private long changeVersion;
+        private Set<String> eligibleUpstreams = Set.of();
+
+        private PlannedObject(long nowNanos) {
+            lastMovedNanos = nowNanos;
+        }
+
+        private void record(ObjectReport report, CandidateSet candidates, long nowNanos) {
+            lastUsedNanos = nowNanos;
+            busySeconds += report.busyMicros() / 1e6;
+            reported |= report.requests() > 0;
+            eligibleUpstreams = candidates.names();
+        }
+
+        /** Updates the load from the reports of a period; returns by how much it changed. */
+        private double endPeriod(double seconds) {
+            double before = load;
+            if (reported) {
+                load += LOAD_SMOOTHING * (busySeconds / seconds - load);
+            }
+            busySeconds = 0;
+            return load - before;
+        }
     }
 }
--- a/src/main/java/org/arbutusfield/edge/EdgeEndpoints.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeEndpoints.java
@@ -13,20 +13,16 @@
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.SteeringState;
 
-/** HTTP endpoints of an edge host: readiness, look-up of hosts, metrics and teams. Runs on one event loop. */
+/** HTTP endpoints of an edge host: readiness, look-up of hosts, metrics and teams. */
 final class EdgeEndpoints {
     private static final Duration MAX_LOOKUP_AGE = Duration.ofSeconds(2);
 
-    /** With this number of answers the shares by capacity are within 0.03; see {@code NearbyHostsTest}. */
-    private static final int DISTINCT_ANSWERS = 1024;
-
     private final EdgeProtocol protocol;
     private final Supplier<SteeringState> state;
     private final BooleanSupplier ready;
     private final Supplier<EdgeSettings> settings;
     private final Supplier<String> metrics;
     private final TeamPage teams;
-    private long answers;
 
     private EdgeEndpoints(
             EdgeProtocol protocol,
@@ -93,7 +89,7 @@
             return SimpleHttpResponse.problem(Failure.of(ErrorCode.NO_CONFIGURATION));
         }
         List<String> addresses = NearbyHosts.of(
-                        registered, query.get().region(), query.get().failureDomain(), answers++ % DISTINCT_ANSWERS)
+                        registered, query.get().region(), query.get().failureDomain())
                 .stream()
                 .map(HostEntry::callerAddress)
                 .toList();
