--- a/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
@@ -53,7 +53,6 @@
     private final SharedRates sharedRates;
     private final LoadPlacement loads;
     private final Map<String, Integer> inFlight = new HashMap<>();
-    private final UploadAllowance uploads = UploadAllowance.create();
 
     private SteeringPlacement(
             String region,
@@ -168,19 +167,11 @@
         Predicate<LiveUpstream> withinRate =
                 upstream -> sharedRates.of(upstream, current, nanos).isEmpty()
                         || (questionsLeft > 0 && quota.mayAsk(upstream.name()));
-        Either<Failure, Selection> selected = selector.select(
-                request, object, home, withinRate.and(upstream -> hasRoom(upstream, request)), current, nanos);
+        Either<Failure, Selection> selected = selector.select(request, object, home, withinRate, current, nanos);
         if (selected.isLeft()) {
-            boolean onlyRoomIsMissing = isUpload(request)
-                    && selector.select(request, object, home, withinRate, current, nanos)
-                            .isRight();
-            return CompletableFuture.completedFuture(
-                    Either.left(onlyRoomIsMissing ? UploadAllowance.refusal(request) : selected.getLeft()));
+            return CompletableFuture.completedFuture(Either.left(selected.getLeft()));
         }
-        // Alternatives of an upload would have to have room for it as well; its allowance already bounds what it may
-        // hold.
-        Either<Failure, Selection> reviewed =
-                isUpload(request) ? selected : review(request, object, selected.get(), current, nanos);
+        Either<Failure, Selection> reviewed = review(request, object, selected.get(), current, nanos);
         if (reviewed.isLeft()) {
             return CompletableFuture.completedFuture(Either.left(reviewed.getLeft()));
         }
@@ -191,7 +182,7 @@
                     Either.right(target(request, object, selection, Optional.empty(), UNLIMITED)));
         }
         return quota.ask(selection.upstream().start(), sharedRates.coldRate(selection.upstream(), current, nanos))
-                .thenCompose(grant -> grant.isPresent() && hasRoom(selection.upstream(), request)
+                .thenCompose(grant -> grant.isPresent()
                         ? CompletableFuture.completedFuture(
                                 Either.right(target(request, object, selection, grant, rate.getAsDouble())))
                         : place(request, object, home, questionsLeft - 1));
@@ -244,15 +235,6 @@
         return Optional.of(new ObjectId(group, key));
     }
 
-    private static boolean isUpload(PlacementRequest request) {
-        return request.route().map(Route::upload).orElse(false);
-    }
-
-    private boolean hasRoom(LiveUpstream upstream, PlacementRequest request) {
-        return !isUpload(request)
-                || uploads.hasRoom(upstream.upstream(), fleetSize.largest(), UploadAllowance.bytesOf(request));
-    }
-
     private double load(LiveUpstream upstream) {
         return (double) inFlight.getOrDefault(upstream.name(), 0)
                 / upstream.upstream().slots();
@@ -283,14 +265,8 @@
             object.ifPresent(o -> homeResolver.recordFallback(o.group(), o.key(), name));
         }
         LoadPlacement.Sent sent = loads.sent(request, upstream, atHome(object, selection), timer.nowNanos());
-        Runnable uploadEnded = isUpload(request) ? startUpload(name, UploadAllowance.bytesOf(request)) : () -> {};
         return new PlacementTarget.UpstreamTarget(
-                upstream.upstream(), new UpstreamPermit(upstream, object, grant, sent, uploadEnded));
-    }
-
-    private Runnable startUpload(String upstream, long bytes) {
-        uploads.started(upstream, bytes);
-        return () -> uploads.ended(upstream, bytes);
+                upstream.upstream(), new UpstreamPermit(upstream, object, grant, sent));
     }
 
     private void objectRequestEnded(ObjectId object, String name, AttemptOutcome outcome, long serviceNanos) {
@@ -320,18 +296,12 @@
         private final LiveUpstream upstream;
         private final Optional<ObjectId> object;
         private final Optional<QuotaGrant> grant;
-        private final Runnable uploadEnded;
 
         private final LoadPlacement.Sent sent;
 
         private UpstreamPermit(
-                LiveUpstream upstream,
-                Optional<ObjectId> object,
-                Optional<QuotaGrant> grant,
-                LoadPlacement.Sent sent,
-                Runnable uploadEnded) {
+                LiveUpstream upstream, Optional<ObjectId> object, Optional<QuotaGrant> grant, LoadPlacement.Sent sent) {
             this.sent = sent;
-            this.uploadEnded = uploadEnded;
             this.upstream = upstream;
             this.object = object;
             this.grant = grant;
@@ -354,7 +324,6 @@
         @Override
         public void release(AttemptOutcome outcome, long serviceNanos) {
             requestEnded(upstream.name(), outcome);
-            uploadEnded.run();
             sent.ended(outcome, serviceNanos);
             object.ifPresent(o -> objectRequestEnded(o, upstream.name(), outcome, serviceNanos));
         }
