What a second read of the change left: a component that nothing read any more, two classes of one name

PlacementRequest.bodyBytes served the bound on uploads that was taken back; UploadTest's check of it goes with it, its checks of the refusal stay. proxy.TeamUse is RequestCount, share.TeamUse is TeamRequests. Behaviour stays.

--- a/src/main/java/org/arbutusfield/affinity/FleetLoads.java
+++ b/src/main/java/org/arbutusfield/affinity/FleetLoads.java
@@ -15,7 +15,7 @@
  */
 public final class FleetLoads {
     /**
-     * A full queue of three places for each slot is gone after this time at usual work; see the useful age of loads.
+     * A full queue of three places for each slot is gone after this time at usual work; hosts ignore older loads too.
      */
     private static final Duration MAX_AGE = Duration.ofSeconds(2);
     /** Keeps a response below the frame size limit; the longest queues are told first. */
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -221,9 +221,9 @@
             return;
         }
         stage = relay == null ? Stage.PLACE : Stage.RESPONSE;
-        if (admission.needsTeamUse()) {
+        if (admission.needsCount()) {
             // The checks are repeated after the wait.
-            admission.acquireTeamUse(remaining(), failure -> failure.ifPresentOrElse(this::refused, this::place));
+            admission.countAgainstLimit(remaining(), failure -> failure.ifPresentOrElse(this::refused, this::place));
             return;
         }
         attempt = null;
@@ -261,7 +261,7 @@
 
     /** Called when the current attempt starts to send the request. */
     void requestSending(Attempt from) {
-        admission.teamUse().sending();
+        admission.requestCount().sending();
         if (relay == null) {
             stage = Stage.SENT;
             responseWait.start(from);
@@ -272,7 +272,7 @@
     void attemptFailed(Attempt from, Failure failure) {
         boolean notRun = failure.notRun();
         history.attemptFailed(from, failure, notRun);
-        admission.teamUse().attemptFailed(from.target(), failure, from.sent());
+        admission.requestCount().attemptFailed(from.target(), failure, from.sent());
         context.components()
                 .observer()
                 .attemptFailed(head.requestId(), from.target().name(), failure, notRun);
--- a/src/main/java/org/arbutusfield/proxy/PlacementRequest.java
+++ b/src/main/java/org/arbutusfield/proxy/PlacementRequest.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.arbutusfield.model.RequestClass;
 import org.arbutusfield.model.Service;
@@ -26,7 +25,6 @@
  * @param route the operator's route, if there is one
  * @param objectKey key of the object that the request concerns, if the caller names one
  * @param team the team of the request, if it is known
- * @param bodyBytes declared length of the body; empty if none is declared, as for chunked bodies
  */
 public record PlacementRequest(
         String requestId,
@@ -40,12 +38,11 @@
         Set<String> tried,
         Optional<Route> route,
         Optional<String> objectKey,
-        Optional<Team> team,
-        OptionalLong bodyBytes) {
+        Optional<Team> team) {
     /** Rank of requests without a team or route that states one: as the most urgent ones. */
     private static final int DEFAULT_RANK = 0;
 
-    /** Creates the data of a request without a team, and without a declared length of its body. */
+    /** Creates the data of a request without a team */
     public PlacementRequest(
             String requestId,
             Service service,
@@ -70,8 +67,7 @@
                 tried,
                 route,
                 objectKey,
-                Optional.empty(),
-                OptionalLong.empty());
+                Optional.empty());
     }
 
     /** Copies the set so that the record is immutable. */
--- a/src/main/java/org/arbutusfield/proxy/RequestAdmission.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestAdmission.java
@@ -27,7 +27,7 @@
     private final EventLoop loop;
     private final InetSocketAddress caller;
     private final RequestTeam team;
-    private final TeamUse teamUse = TeamUse.none();
+    private final RequestCount requestCount = RequestCount.none();
     private CompletableFuture<?> waitingFor;
     private boolean placementPending;
     private Optional<KeyClaim> heldClaim = Optional.empty();
@@ -50,20 +50,20 @@
     }
 
     /** The count of the request against its team's limit. */
-    TeamUse teamUse() {
-        return teamUse;
+    RequestCount requestCount() {
+        return requestCount;
     }
 
     /** True if the request must be counted against its team's limit before it is placed. */
-    boolean needsTeamUse() {
-        return !teamUse.taken() && team.limitedTeam().isPresent();
+    boolean needsCount() {
+        return !requestCount.taken() && team.limitedTeam().isPresent();
     }
 
     /**
      * Counts the request against its team's limit; the callback receives the failure, or empty once it is counted. A
      * count that arrives after {@link #cancel()} is given back.
      */
-    void acquireTeamUse(Duration remaining, Consumer<Optional<Failure>> callback) {
+    void countAgainstLimit(Duration remaining, Consumer<Optional<Failure>> callback) {
         Team limited = team.limitedTeam().orElseThrow();
         CompletableFuture<Either<Failure, TeamLimiter.Use>> future =
                 components.teamLimiter().acquire(limited, remaining);
@@ -79,7 +79,7 @@
                 callback.accept(Optional.of(Failure.of(ErrorCode.TEAM_SHARE_UNAVAILABLE, limited.name())));
                 return;
             }
-            result.peek(teamUse::take);
+            result.peek(requestCount::take);
             callback.accept(result.fold(Optional::of, use -> Optional.empty()));
         }));
     }
@@ -131,8 +131,7 @@
                 tried,
                 head.route(),
                 head.objectKey(),
-                team.team(),
-                head.length());
+                team.team());
         CompletableFuture<Either<Failure, PlacementTarget>> future =
                 components.placement().place(request);
         waitingFor = future;
@@ -158,7 +157,7 @@
 
     /** Reports the outcome of the request to the claim, if one is held, and ends its count. */
     void finish(KeyOutcome outcome) {
-        teamUse.finish();
+        requestCount.finish();
         heldClaim.ifPresent(claimed -> claimed.complete(outcome));
         heldClaim = Optional.empty();
     }
--- a/src/main/java/org/arbutusfield/proxy/TeamUse.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestCount.java
@@ -10,7 +10,7 @@
  * The count of one request against its team's limit: taken once, whatever the number of attempts, and given back if the
  * request certainly reached no upstream. Confined to the request's event loop.
  */
-final class TeamUse {
+final class RequestCount {
     /** Refusals by which another host states that it sent the request to no upstream. */
     private static final Set<ErrorCode> NOT_SENT_BY_HOST = EnumSet.of(ErrorCode.HOST_BUSY, ErrorCode.HOST_CUT_OFF);
 
@@ -19,10 +19,10 @@
     private boolean arrivedBefore;
     private boolean mayHaveArrived;
 
-    private TeamUse() {}
+    private RequestCount() {}
 
-    static TeamUse none() {
-        return new TeamUse();
+    static RequestCount none() {
+        return new RequestCount();
     }
 
     /** True once the request was counted. */
--- a/src/main/java/org/arbutusfield/share/ShareClient.java
+++ b/src/main/java/org/arbutusfield/share/ShareClient.java
@@ -141,7 +141,7 @@
 
     private TeamEntry entry(String team, TeamLimit limit) {
         HostAllowance allowance = HostAllowance.create(team, limits.get().version(), limit, timer.nowNanos());
-        return new TeamEntry(new TeamUse(team, allowance, observer, timer));
+        return new TeamEntry(new TeamRequests(team, allowance, observer, timer));
     }
 
     private CompletableFuture<Either<Failure, Use>> waitOrRefuse(TeamEntry entry, Duration maxWait) {
@@ -401,7 +401,7 @@
 
     /** One team at this host, and what the last answer said. */
     private static final class TeamEntry {
-        private final TeamUse use;
+        private final TeamRequests use;
         private boolean reported;
         /** Tokens that the last report asked for. */
         private int wanted;
@@ -413,7 +413,7 @@
         private boolean held;
         private Duration retryAfter = UNAVAILABLE_RETRY;
 
-        private TeamEntry(TeamUse use) {
+        private TeamEntry(TeamRequests use) {
             this.use = use;
         }
     }
--- a/src/main/java/org/arbutusfield/share/TeamUse.java
+++ b/src/main/java/org/arbutusfield/share/TeamRequests.java
@@ -15,7 +15,7 @@
 import org.arbutusfield.timer.TimerService;
 
 /** The requests of one team at this host: those that wait, and counts of all. Runs on one event loop. */
-final class TeamUse {
+final class TeamRequests {
     private final String team;
     private final HostAllowance allowance;
     private final ShareObserver observer;
@@ -25,7 +25,7 @@
     private long asked;
     private long givenBack;
 
-    TeamUse(String team, HostAllowance allowance, ShareObserver observer, TimerService timer) {
+    TeamRequests(String team, HostAllowance allowance, ShareObserver observer, TimerService timer) {
         this.team = team;
         this.allowance = allowance;
         this.observer = observer;
--- a/src/test/java/org/arbutusfield/proxy/UploadTest.java
+++ b/src/test/java/org/arbutusfield/proxy/UploadTest.java
@@ -55,7 +55,6 @@
     @Timeout(20)
     void uploadWithoutRoomIsRefusedBeforeItsBodyIsRead(int length, String field) {
         Placement full = request -> {
-            assertThat(request.bodyBytes()).hasValue(length);
             return CompletableFuture.completedFuture(
                     Either.left(Failure.of(ErrorCode.OVERLOADED).withRetryAfter(Duration.ofSeconds(2))));
         };
--- a/src/test/java/org/arbutusfield/reach/TeamForwardingTest.java
+++ b/src/test/java/org/arbutusfield/reach/TeamForwardingTest.java
@@ -79,8 +79,7 @@
                 request.tried(),
                 request.route(),
                 request.objectKey(),
-                team,
-                request.bodyBytes());
+                team);
     }
 
     /** Guards against a request that passes through a host in a region that its team forbids, its own included. */
--- a/src/test/java/org/arbutusfield/share/ShareRulesTest.java
+++ b/src/test/java/org/arbutusfield/share/ShareRulesTest.java
@@ -102,7 +102,7 @@
     void useIsGivenBackOnce() {
         ShareFleet fleet = new ShareFleet(1, 1, LIMIT, ShareTolerance.NONE);
         fleet.timer.advance(Duration.ofSeconds(20));
-        TeamUse use = new TeamUse("t", holdingAt(fleet), ShareObserver.NONE, fleet.timer);
+        TeamRequests use = new TeamRequests("t", holdingAt(fleet), ShareObserver.NONE, fleet.timer);
         for (int i = 0; i < 4; i++) {
             assertThat(use.tryTake()).isPresent();
         }
--- a/src/test/java/org/arbutusfield/steering/TeamRegionsTest.java
+++ b/src/test/java/org/arbutusfield/steering/TeamRegionsTest.java
@@ -59,8 +59,7 @@
                 request.tried(),
                 request.route(),
                 request.objectKey(),
-                team,
-                request.bodyBytes());
+                team);
     }
 
     private static Team team(OptionalInt priority, String regions) {
