--- a/review/src-2/Bed.java
+++ b/review/src-2/Bed.java
@@ -223,7 +223,7 @@
         values.put("node_name", quoted(edge.name));
         values.put("region", quoted("gulf"));
         values.put("zone", quoted("gulf-a"));
-        values.put("zones", "{\"gulf-a\":\"gulf\",\"gulf-b\":\"gulf\"}");
+        values.put("zones", "{\"gulf-a\":\"gulf\",\"gulf-b\":\"gulf\",\"piedmont-a\":\"piedmont\",\"piedmont-b\":\"piedmont\",\"delta-a\":\"delta\",\"delta-b\":\"delta\"}");
         values.put("ip", quoted(edge.ip));
         values.put("listen.front", quoted(text(edge.front)));
         values.put("listen.ready", quoted(text(edge.ready)));
