--- a/review/src-2/GivenUp.java
+++ b/review/src-2/GivenUp.java
@@ -7,33 +7,30 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A host is stopped while servers work on requests for objects that are new to them, which takes longer than the
- * requests before.
+ * A host is stopped while servers work on requests that take them longer than those before.
  */
 final class GivenUp {
     private static final int CLIENTS = 40;
     private static final int SERVERS = 12;
     private static final int SLOTS = 9;
-    /** The site's figures of outlook-browse: work of a request whose object is new, and below its aim for the others. */
-    private static final int NEW_OBJECT_MILLIS = 2_560;
+    /** The work of consulta-saldo, and three times as much at a server that is nearly full. */
+    private static final int USUAL_MILLIS = 1_200;
 
-    private static final int KNOWN_OBJECT_MILLIS = 1_000;
-    private static final int TIMEOUT_MILLIS = 3_600;
+    private static final int SLOW_MILLIS = 3_600;
+    private static final int TIMEOUT_MILLIS = 6_000;
     private static final int GRACE_MILLIS = 6_000;
     private static final int[] BATCHES = {0, 7_000, 14_000, 21_000};
     private static final int LAST_BATCH = 28_000;
-    private static final int TERM_AFTER_BATCH = 300;
+    private static final int TERM_AFTER_BATCH = 1_000;
 
     private final Bed bed;
     private final AtomicInteger ids = new AtomicInteger();
-    private final Set<String> seenObjects = ConcurrentHashMap.newKeySet();
-    /** When a server began to work on a request, and when it ended or lost its connection. */
+    /** When a server began to work on a request. */
     private final Map<String, Long> began = new ConcurrentHashMap<>();
 
     private final AtomicInteger served = new AtomicInteger();
@@ -56,18 +53,18 @@
     }
 
     private int run() throws Exception {
-        // Figures of the site nesso-uvwatch.
-        bed.bounds.put("config_apply", "\"2500ms\"");
-        bed.bounds.put("drain", "\"2500ms\"");
-        bed.bounds.put("budget_slack", "120");
+        // Figures of the site caju-lb-grown.
+        bed.bounds.put("config_apply", "\"3000ms\"");
+        bed.bounds.put("drain", "\"3000ms\"");
+        bed.bounds.put("budget_slack", "220");
         for (int i = 0; i < SERVERS; i++) {
             String name = "i-" + i;
             InetSocketAddress address = bed.listen("127.0.2." + (i + 1), socket -> serve(socket, name));
-            bed.putServer(name, "bulletin", address, SLOTS, "ready", 1);
+            bed.putServer(name, "carteira", address, SLOTS, "ready", 1);
         }
-        String route = Bed.route("r-outlook", "idempotent", "/outlook/", "bulletin", TIMEOUT_MILLIS + "ms");
+        String route = Bed.route("r-saldo", "idempotent", "/saldo/", "carteira", TIMEOUT_MILLIS + "ms");
         bed.put("op/config", Bed.config(7, "15000ms",
-                List.of(route.replace("\"session_affinity\":false", "\"session_affinity\":true")), List.of("bulletin")));
+                List.of(route.replace("\"session_affinity\":false", "\"session_affinity\":true")), List.of("carteira")));
         edge = bed.new Edge("edge-1", "127.0.1.1", bed.store.address());
         edge.start();
         edge.awaitReady();
@@ -103,21 +100,20 @@
         try (Socket socket = bed.connect(edge.front)) {
             socket.setSoTimeout(12_000);
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            // Each client asks for its object once before the batches, so that it isn't new in them.
             for (int batch : BATCHES) {
                 Bed.sleep(Math.max(0, start + batch - bed.now()));
-                request(socket, in, "known-" + number);
+                request(socket, in, "usual-" + number);
             }
             Bed.sleep(Math.max(0, start + LAST_BATCH - bed.now()));
-            request(socket, in, "new-" + number);
+            request(socket, in, "slow-" + number);
         }
     }
 
     private void request(Socket socket, InputStream in, String object) throws IOException {
         String id = String.format("%016x", 0x51000000L + ids.incrementAndGet());
         long sent = bed.now();
-        Bed.write(socket.getOutputStream(), "GET /outlook/" + object + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id
-                + "\r\nX-Affinity-Key: " + object + "\r\nX-Deadline-Ms: 12000\r\n\r\n");
+        Bed.write(socket.getOutputStream(), "GET /saldo/" + object + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id
+                + "\r\nX-Affinity-Key: " + object + "\r\nX-Deadline-Ms: 6249\r\n\r\n");
         Bed.Answer answer = Bed.readAnswer(in);
         long end = bed.now();
         boolean whole = answer.complete && answer.head.status() == 200;
@@ -125,7 +121,7 @@
         String status = answer.head == null ? answer.end : "" + answer.head.status();
         boolean ownAnswer = answer.head == null || !answer.head.fields().containsKey("x-server-seal");
         Long workBegan = began.get(id);
-        boolean atWork = workBegan != null && end < workBegan + NEW_OBJECT_MILLIS;
+        boolean atWork = workBegan != null && end < workBegan + SLOW_MILLIS;
         boolean timeoutReached = end - sent >= TIMEOUT_MILLIS;
         boolean lastSixth = end >= termMillis + GRACE_MILLIS * 5 / 6;
         boolean afterTerm = end >= termMillis && end <= termMillis + GRACE_MILLIS + 1000;
@@ -140,8 +136,7 @@
         for (Bed.Head head = Bed.readHead(in); head != null; head = Bed.readHead(in)) {
             String id = head.fields().get("x-request-id");
             String object = head.fields().get("x-affinity-key");
-            boolean known = object.startsWith("known-") || !seenObjects.add(name + " " + object);
-            int work = known ? KNOWN_OBJECT_MILLIS : NEW_OBJECT_MILLIS;
+            int work = object.startsWith("slow-") ? SLOW_MILLIS : USUAL_MILLIS;
             began.put(id, bed.now());
             bed.note("server " + name + " id=" + id + " begins, " + work + " ms of work");
             long end = bed.now() + work;
