--- a/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
@@ -220,6 +220,8 @@
                 .option(ChannelOption.TCP_NODELAY, true)
                 // A failed write must not discard a response that was received before it.
                 .option(ChannelOption.AUTO_CLOSE, false)
+                // Tells the upstream's end of input from an error and from a close by this host.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
--- a/src/main/java/org/arbutusfield/proxy/upstream/StrictResponseDecoder.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/StrictResponseDecoder.java
@@ -1,9 +1,13 @@
 package org.arbutusfield.proxy.upstream;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.List;
 
 /**
  * Decodes responses, takes into account the method of the request, and reports whether bytes beyond the response were
@@ -15,6 +19,8 @@
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
     private boolean headRequest;
+    private boolean inputEnded;
+    private boolean endedByConnection;
 
     private StrictResponseDecoder(HttpDecoderConfig config) {
         super(config);
@@ -37,6 +43,29 @@
         return actualReadableBytes();
     }
 
+    /** True once the upstream's end of input was read, which an error or a close by this host is not. */
+    boolean inputEnded() {
+        return inputEnded;
+    }
+
+    /** True once a response was ended by the end of its connection, because it has neither a length nor chunks. */
+    boolean endedByConnection() {
+        return endedByConnection;
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+        inputEnded |= event instanceof ChannelInputShutdownEvent;
+        super.userEventTriggered(ctx, event);
+    }
+
+    @Override
+    protected void decodeLast(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+        int before = out.size();
+        super.decodeLast(ctx, in, out);
+        endedByConnection |= out.size() > before;
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return headRequest || super.isContentAlwaysEmpty(message);
--- a/src/main/java/org/arbutusfield/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/UpstreamConnection.java
@@ -6,6 +6,8 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -19,6 +21,8 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.arbutusfield.proxy.upstream.UpstreamResponseListener.Loss;
 
 /**
@@ -34,7 +38,9 @@
  * upstream keeps the connection open, and the decoder holds no bytes. A byte that arrives while the connection is idle
  * closes it. If the response ends before the request was sent completely, the connection is closed after the response.
  * After {@link #abandon} or a loss the listener is not called again. Only the request that the connection carries can
- * abandon it.
+ * abandon it. A response is complete only if something proves it: its length, its last chunk or, where it has neither,
+ * the upstream's end of input on a connection on which no write has failed. A socket reports a reset once, so if a
+ * write fails, the next read sees an end of input that the upstream may not have sent.
  *
  * <p>Example: the upstream sends the same response twice. The first copy goes to the listener. If the second copy is in
  * the same read, the decoder still holds its bytes when the first copy ends, and the connection is closed. If it
@@ -44,6 +50,7 @@
  * request id in its response allows that to be detected, see {@link #requestIdEchoed()}.
  */
 public final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+    private static final Logger LOG = LogManager.getLogger(UpstreamConnection.class);
     private static final String REQUEST_ID = "x-request-id";
     /** Upstreams close connections that were idle for longer than this without any change. */
     private static final Duration RECENT_USE = Duration.ofSeconds(2);
@@ -216,6 +223,14 @@
         }
     }
 
+    /** The end of the upstream's input, after the decoder has seen it. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            channel.close();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         boolean inUse = responseListener != null || System.nanoTime() - lastReadNanos < RECENT_USE.toNanos();
@@ -291,6 +306,17 @@
             close();
             return;
         }
+        if (content instanceof LastHttpContent && decoder.endedByConnection() && !endedInOrder()) {
+            content.release();
+            LOG.warn(
+                    "event=answer_end_unproven upstream={} input_ended={} write_failed={}",
+                    channel.remoteAddress(),
+                    decoder.inputEnded(),
+                    outputFailed);
+            reportLoss(Loss.CLOSED);
+            channel.close();
+            return;
+        }
         UpstreamResponseListener listener = responseListener;
         if (content instanceof LastHttpContent) {
             responseListener = null;
@@ -299,8 +325,15 @@
         listener.responseContent(content);
     }
 
+    /** True if the upstream has ended its output, and nothing has failed on the connection. */
+    private boolean endedInOrder() {
+        boolean outputShutDown = channel instanceof DuplexChannel duplex && duplex.isOutputShutdown();
+        return decoder.inputEnded() && !outputFailed && !outputShutDown;
+    }
+
     private void finishExchange() {
-        boolean clean = requestEnded && keepAlive && decoder.undecodedBytes() == 0 && channel.isActive();
+        boolean open = channel.isActive() && !decoder.endedByConnection();
+        boolean clean = requestEnded && keepAlive && decoder.undecodedBytes() == 0 && open;
         if (!clean) {
             close();
             return;
