--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -316,6 +316,10 @@
                 teamLimiter);
         return ProxyServer.bind(group, settings.callerAddress(), components).map(server -> {
             proxyServer = server;
+            Gauge.builder("arbutusfield.buffers.held", server, ProxyServer::bufferedBytes)
+                    .baseUnit("bytes")
+                    .description("memory held for requests and responses in progress")
+                    .register(registry);
             return this;
         });
     }
--- a/src/main/java/org/arbutusfield/proxy/BufferBudget.java
+++ b/src/main/java/org/arbutusfield/proxy/BufferBudget.java
@@ -2,7 +2,17 @@
 
 import java.util.concurrent.atomic.AtomicLong;
 
-/** Counts the bytes that a host buffers for all of its requests, against a limit. Thread-safe. */
+/**
+ * Counts the memory that a host holds for all of its requests, in bytes, against a limit.
+ *
+ * <p>What counts is what is held, not what is carried: the capacity of buffers and the objects around them. Whoever
+ * adds without asking must see afterwards that the budget is {@link #withinLimit}, and otherwise give up what it holds.
+ *
+ * <p>Invariant: however many callers there are and whatever they send, at most the limit is held, and one part of a
+ * message for each event loop.
+ *
+ * <p>Thread-safe.
+ */
 final class BufferBudget {
     private final long limit;
     private final AtomicLong held = new AtomicLong();
@@ -36,6 +46,11 @@
         held.addAndGet(-bytes);
     }
 
+    /** False while more is held than the limit. */
+    boolean withinLimit() {
+        return held.get() <= limit;
+    }
+
     boolean exhausted() {
         return held.get() >= limit;
     }
--- a/src/main/java/org/arbutusfield/proxy/BufferCompaction.java
+++ b/src/main/java/org/arbutusfield/proxy/BufferCompaction.java
@@ -17,18 +17,23 @@
      * {@link #MAX_MEMORY_RATIO} times its bytes.
      */
     static ByteBuf compact(ByteBuf part) {
-        int bytes = part.readableBytes();
-        if (memory(part) <= (long) bytes * MAX_MEMORY_RATIO) {
+        if (isCompact(part)) {
             return part;
         }
+        int bytes = part.readableBytes();
         ByteBuf copy = part.alloc().buffer(bytes, bytes);
         copy.writeBytes(part);
         part.release();
         return copy;
     }
 
-    /** Returns the size of the buffer that the part is a slice of. */
-    private static int memory(ByteBuf part) {
+    /** True if the part holds at most {@link #MAX_MEMORY_RATIO} times its bytes. */
+    static boolean isCompact(ByteBuf part) {
+        return memory(part) <= (long) part.readableBytes() * MAX_MEMORY_RATIO;
+    }
+
+    /** Returns the size, in bytes, of the buffer that the part is a slice of. */
+    static long memory(ByteBuf part) {
         ByteBuf root = part;
         while (root.unwrap() != null) {
             root = root.unwrap();
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -124,14 +124,12 @@
             part.release();
             return;
         }
-        boolean broken = part.decoderResult().isFailure();
-        body.add(part.content());
-        if (part instanceof LastHttpContent && !broken) {
-            body.end();
+        Optional<ErrorCode> fault = body.receive(part, context.limits().bodyBytes());
+        if (body.ended()) {
             streamedBodyEnded();
         }
-        if (broken || body.received() > context.limits().bodyBytes()) {
-            rejectBody(broken ? ErrorCode.REQUEST_MALFORMED : ErrorCode.REQUEST_TOO_LARGE);
+        if (fault.isPresent()) {
+            rejectBody(fault.get());
             return;
         }
         if (stage == Stage.BODY) {
@@ -452,7 +450,7 @@
         } else if (sent) {
             history.addPossibleRun();
             cancelAttempt();
-            fail(Failure.of(ErrorCode.REQUEST_BROKEN, code.name()));
+            fail(Failure.of(code == ErrorCode.OVERLOADED ? code : ErrorCode.REQUEST_BROKEN, code.name()));
         } else {
             fail(Failure.of(code, "body"));
         }
--- a/src/main/java/org/arbutusfield/proxy/LocalExchange.java
+++ b/src/main/java/org/arbutusfield/proxy/LocalExchange.java
@@ -3,9 +3,9 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.vavr.control.Either;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
@@ -82,12 +82,10 @@
             part.release();
             return;
         }
-        boolean broken = part.decoderResult().isFailure();
-        body.add(part.content());
-        if (broken || body.tooLargeToKeep()) {
-            refuse(broken ? ErrorCode.REQUEST_MALFORMED : ErrorCode.REQUEST_TOO_LARGE);
-        } else if (part instanceof LastHttpContent) {
-            body.end();
+        Optional<ErrorCode> fault = body.receive(part, limits.replayBytes());
+        if (fault.isPresent()) {
+            refuse(fault.get());
+        } else if (body.ended()) {
             respond();
         } else {
             caller.demandBody(false);
--- /dev/null
+++ b/src/test/java/org/arbutusfield/proxy/HostBuffersTest.java
@@ -0,0 +1,77 @@
+package org.arbutusfield.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.arbutusfield.proxy.RawCaller.Response;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What all callers of a host together can make it hold. */
+class HostBuffersTest {
+    private static final int CALLERS = 60;
+    private static final int BODY_BYTES = 60_000;
+    private static final long LIMIT_BYTES = 1L << 20;
+    /** The part of a body that is over the limit, before its request is refused. */
+    private static final long ONE_PART_BYTES = 128L << 10;
+
+    private static ProxyLimits limits() {
+        ProxyLimits all = ProxyLimits.defaults();
+        return new ProxyLimits(
+                all.callerConnections(),
+                all.headBytes(),
+                all.bodyBytes(),
+                all.replayBytes(),
+                LIMIT_BYTES,
+                all.hostPendingBytes(),
+                all.headTimeout(),
+                all.bodyTimeout(),
+                all.idleTimeout(),
+                all.lingerTimeout(),
+                all.connectTimeout(),
+                all.progressTimeout(),
+                all.writeTimeout(),
+                all.nonRepeatableReuseLimit(),
+                all.attempts());
+    }
+
+    private static String unfinished(int id) {
+        return "POST /desk/book/1 HTTP/1.1\r\nhost: x\r\nx-request-id: h" + id + "\r\ncontent-length: "
+                + (BODY_BYTES + 1) + "\r\n\r\n" + "x".repeat(BODY_BYTES);
+    }
+
+    /**
+     * Guards against callers whose bodies together fill the heap: each was let in while the buffers had room, and
+     * nothing ended those that went on beyond the limit.
+     */
+    @Test
+    @Timeout(30)
+    void bodiesOfAllCallersTogetherStayWithinTheLimit() throws Exception {
+        List<RawCaller> callers = new ArrayList<>();
+        try (ProxyFixture fixture = ProxyFixture.of(1, 64, all -> all.withLimits(limits()))) {
+            for (int i = 0; i < CALLERS; i++) {
+                callers.add(fixture.caller());
+            }
+            for (int i = 0; i < CALLERS; i++) {
+                callers.get(i).send(unfinished(i).substring(0, 200));
+            }
+            for (int i = 0; i < CALLERS; i++) {
+                callers.get(i).send(unfinished(i).substring(200));
+            }
+            int refused = 0;
+            while (refused < CALLERS - LIMIT_BYTES / BODY_BYTES) {
+                RequestRecord record = fixture.nextRecord();
+                assertThat(record).as("refused until now: %d", refused).isNotNull();
+                assertThat(record.notRun()).isTrue();
+                refused++;
+            }
+            assertThat(fixture.server.peakBufferedBytes()).isLessThan(LIMIT_BYTES + ONE_PART_BYTES);
+            callers.get(0).send("x");
+            Response first = callers.get(0).read(false);
+            assertThat(first.status()).isIn(200, 503);
+        } finally {
+            callers.forEach(RawCaller::close);
+        }
+    }
+}
--- a/src/test/java/org/arbutusfield/proxy/TeamIdentityTest.java
+++ b/src/test/java/org/arbutusfield/proxy/TeamIdentityTest.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.vavr.control.Either;
 import java.net.InetAddress;
 import java.net.UnknownHostException;
@@ -164,7 +165,7 @@
 
     private static List<String> repeats(RequestHead head) throws UnknownHostException {
         RequestBody body = RequestBody.of(1, BufferBudget.of(1));
-        body.end();
+        body.receive(LastHttpContent.EMPTY_LAST_CONTENT, 1);
         return RequestFingerprint.ofRepeats(head, body, InetAddress.getByName("10.0.0.1"));
     }
 
