ConnectionOwnerTest waits until the kept connection can be reused

The test started the other callers when the upstream had read a request, not when the host had its answer. Nothing is asserted less.

--- a/src/test/java/org/arbutusfield/proxy/ConnectionOwnerTest.java
+++ b/src/test/java/org/arbutusfield/proxy/ConnectionOwnerTest.java
@@ -47,6 +47,10 @@
                 RawCaller leaving = fixture.caller()) {
             leaving.send(get("/desk/quote/1", "first") + get("/desk/quote/2", "second"));
             await(asked);
+            // Until the host has read the answer, and its connection can be reused.
+            while (fixture.server.idleUpstreamConnections() == 0) {
+                Thread.onSpinWait();
+            }
             List<RawCaller> others = new ArrayList<>();
             for (int i = 0; i < OTHER_CALLERS; i++) {
                 RawCaller other = fixture.caller();
