--- a/src/main/java/org/arbutusfield/proxy/Attempt.java
+++ b/src/main/java/org/arbutusfield/proxy/Attempt.java
@@ -37,6 +37,9 @@
     /** A new connection costs less than reading more than this of a response that nobody gets. */
     private static final int MAX_DISCARDED_BYTES = 64 << 10;
 
+    /** Less than this of a body waits for what else arrives in the same turn of the event loop. */
+    private static final int MIN_BODY_BYTES_PER_WRITE = 8 << 10;
+
     private static final Duration DISCARD_TIMEOUT = Duration.ofSeconds(1);
 
     private final Exchange exchange;
@@ -51,6 +54,7 @@
     private BooleanSupplier bytesSent = () -> false;
     private long sentNanos;
     private boolean sendingBody;
+    private boolean sendScheduled;
     private boolean bodySent;
     private boolean discarding;
     private int discardedBytes;
@@ -136,6 +140,27 @@
         }
     }
 
+    /**
+     * Called when a part of the body was received: sends it, or waits for more until the turn of the event loop ends. A
+     * write costs the same however short it is.
+     */
+    void bodyReceived() {
+        if (body.ended() || body.unsentBytes() >= MIN_BODY_BYTES_PER_WRITE) {
+            sendPendingBody();
+            return;
+        }
+        if (!sendScheduled) {
+            sendScheduled = true;
+            exchange.loop().execute(() -> {
+                sendScheduled = false;
+                sendPendingBody();
+            });
+        }
+        if (!ended && connection != null && connection.writable()) {
+            exchange.demandBody();
+        }
+    }
+
     /** Sends the buffered body parts while the connection is writable, then requests more from the caller. */
     void sendPendingBody() {
         if (ended || bodySent || connection == null || sendingBody) {
--- a/src/main/java/org/arbutusfield/proxy/CallerRequest.java
+++ b/src/main/java/org/arbutusfield/proxy/CallerRequest.java
@@ -45,6 +45,9 @@
  */
 final class CallerRequest {
     private static final int MAX_HELD_BYTES = 64 << 10;
+    /** Memory of the objects of one write, beside its bytes. */
+    private static final int WRITE_OBJECT_BYTES = 256;
+
     private static final double MILLIS_PER_SECOND = 1000.0;
 
     private final CallerConnection connection;
@@ -270,8 +273,8 @@
             return;
         }
         if (bytes > 0) {
-            pendingBytes += bytes;
-            context.responseBuffers().add(bytes);
+            pendingBytes += bytes + WRITE_OBJECT_BYTES;
+            context.responseBuffers().add(bytes + WRITE_OBJECT_BYTES);
         }
         if (inTurn) {
             send(message, bytes);
@@ -292,10 +295,9 @@
     }
 
     private void bodyWritten(int bytes) {
-        pendingBytes -= bytes;
         writtenBytes += bytes;
         boolean wasExhausted = context.responseBuffers().exhausted();
-        context.responseBuffers().remove(bytes);
+        released(bytes);
         if (wasExhausted && pendingBytes == 0 && !done) {
             handler.writabilityChanged();
         }
@@ -304,12 +306,18 @@
     private void discardHeld() {
         for (HeldWrite write : held) {
             ReferenceCountUtil.release(write.message());
-            pendingBytes -= write.bytes();
-            context.responseBuffers().remove(write.bytes());
+            if (write.bytes() > 0) {
+                released(write.bytes());
+            }
         }
         held.clear();
     }
 
+    private void released(int bytes) {
+        pendingBytes -= bytes + WRITE_OBJECT_BYTES;
+        context.responseBuffers().remove(bytes + WRITE_OBJECT_BYTES);
+    }
+
     private void writeFullResponse(SimpleHttpResponse response, String requestId, Optional<Failure> failure) {
         FullHttpResponse fullResponse = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -139,7 +139,7 @@
                 demandBody();
             }
         } else if (attempt != null) {
-            attempt.sendPendingBody();
+            attempt.bodyReceived();
         }
     }
 
@@ -331,7 +331,9 @@
 
     /** Called when no more of the response is available for now. */
     void responseBatchEnded() {
-        caller.flush();
+        if (relay != null) {
+            relay.batchEnded();
+        }
     }
 
     /** Called when the connection was lost before the response was complete. */
--- a/src/main/java/org/arbutusfield/proxy/ExchangeEnd.java
+++ b/src/main/java/org/arbutusfield/proxy/ExchangeEnd.java
@@ -75,8 +75,10 @@
                 recordBuilder.record(result, code, notRun, history.retries(), body.received(), relayedBytes);
         boolean reusable = body.ended();
         body.release();
-        caller.exchangeDone(reusable);
+        relay.ifPresent(ResponseRelay::release);
         context.components().observer().finished(record);
+        // Last, because the host counts the request as in progress until then.
+        caller.exchangeDone(reusable);
     }
 
     private KeyOutcome keyOutcome(Optional<ResponseRelay> relay) {
--- a/src/main/java/org/arbutusfield/proxy/ProxyServer.java
+++ b/src/main/java/org/arbutusfield/proxy/ProxyServer.java
@@ -20,6 +20,7 @@
 import java.util.function.Supplier;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.http.PacedDecoding;
 import org.arbutusfield.model.Configuration;
 import org.arbutusfield.proxy.upstream.ConnectionPools;
 
@@ -188,6 +189,7 @@
             completeIfDrained();
         });
         child.pipeline()
+                .addLast(PacedDecoding.of(connection.decoder()))
                 .addLast(connection.decoder())
                 .addLast(encoder)
                 .addLast(new FlowControlHandler())
--- a/src/main/java/org/arbutusfield/proxy/RequestBody.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestBody.java
@@ -44,6 +44,7 @@
 
     private long expectedBytes = Long.MAX_VALUE;
     private long received;
+    private long sent;
     private long held;
     private long reserved;
     private boolean ended;
@@ -119,6 +120,11 @@
                 && sentOfBlock < blocks.get(unsentBlock).readableBytes();
     }
 
+    /** Bytes received and not sent. */
+    long unsentBytes() {
+        return received - sent;
+    }
+
     /** Bytes received. */
     long received() {
         return received;
@@ -145,6 +151,7 @@
         int length = block.readableBytes() - sentOfBlock;
         ByteBuf slice = block.retainedSlice(block.readerIndex() + sentOfBlock, length);
         sentOfBlock += length;
+        sent += length;
         skipSentBlocks();
         return slice;
     }
@@ -153,6 +160,7 @@
     void rewind() {
         unsentBlock = 0;
         sentOfBlock = 0;
+        sent = 0;
     }
 
     /** Gives up what is kept for a retry if the host's buffers hold more than their limit; false if they still do. */
--- a/src/main/java/org/arbutusfield/proxy/ResponseRelay.java
+++ b/src/main/java/org/arbutusfield/proxy/ResponseRelay.java
@@ -1,5 +1,6 @@
 package org.arbutusfield.proxy;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -10,6 +11,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.util.Optional;
 import java.util.Set;
 
@@ -19,13 +21,22 @@
  * <p>The response to the caller has the upstream's content length if there is one. Otherwise it is chunked or, for an
  * HTTP/1.0 caller, delimited by closing the connection. An upstream response without a length ends when its connection
  * closes, and counts as complete only if the connection was closed cleanly.
+ *
+ * <p>Short parts that arrive together are written together: each write costs the same, however short it is.
  */
 final class ResponseRelay {
+    /** Parts below this are copied together. */
+    private static final int SHORT_PART_BYTES = 1 << 10;
+
+    private static final int JOINED_BYTES = 8 << 10;
+
     private final CallerRequest caller;
     private final HttpResponse response;
     private final boolean bodiless;
     private final Optional<Resumption> resumption;
     private long relayedBytes;
+    /** Short parts that wait for the end of the batch; null if there are none. */
+    private ByteBuf joined;
 
     private ResponseRelay(CallerRequest caller, RequestHead request, HttpResponse response) {
         this.caller = caller;
@@ -65,10 +76,27 @@
             content.release();
             return true;
         }
-        caller.writeBody(new DefaultHttpContent(content.content()), bytes);
+        if (bytes < SHORT_PART_BYTES) {
+            join(content.content());
+        } else {
+            writeJoined();
+            caller.writeBody(new DefaultHttpContent(content.content()), bytes);
+        }
         return true;
     }
 
+    /** Writes the parts that were joined; called when no more of the response is available for now. */
+    void batchEnded() {
+        writeJoined();
+        caller.flush();
+    }
+
+    /** Releases what wasn't written. */
+    void release() {
+        ReferenceCountUtil.release(joined);
+        joined = null;
+    }
+
     /** Relays the last part; returns false if the length of the body differs from the declared one. */
     boolean relayLast(LastHttpContent last) {
         int bytes = last.content().readableBytes();
@@ -78,6 +106,7 @@
             return false;
         }
         relayedBytes += bytes;
+        writeJoined();
         caller.writeEnd(last, bytes);
         return true;
     }
@@ -92,6 +121,26 @@
                 .filter(Resumption::incomplete);
     }
 
+    private void join(ByteBuf part) {
+        if (joined != null && joined.writableBytes() < part.readableBytes()) {
+            writeJoined();
+        }
+        if (joined == null) {
+            joined = part.alloc().buffer(JOINED_BYTES, JOINED_BYTES);
+        }
+        joined.writeBytes(part);
+        part.release();
+    }
+
+    private void writeJoined() {
+        if (joined == null) {
+            return;
+        }
+        ByteBuf parts = BufferCompaction.compact(joined);
+        joined = null;
+        caller.writeBody(new DefaultHttpContent(parts), parts.readableBytes());
+    }
+
     private long declaredBytes() {
         return bodiless || !HttpUtil.isContentLengthSet(response)
                 ? Long.MAX_VALUE
--- a/src/main/java/org/arbutusfield/proxy/StrictRequestDecoder.java
+++ b/src/main/java/org/arbutusfield/proxy/StrictRequestDecoder.java
@@ -9,12 +9,13 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
+import org.arbutusfield.http.PacedDecoding;
 
 /**
  * Decodes requests and rejects heads that another HTTP implementation might frame differently: both Content-Length and
  * Transfer-Encoding, a repeated Content-Length, folded header lines, whitespace before the colon of a header field.
  */
-final class StrictRequestDecoder extends HttpRequestDecoder {
+final class StrictRequestDecoder extends HttpRequestDecoder implements PacedDecoding.Decoder {
     private static final int MAX_CHUNK_BYTES = 64 << 10;
     private static final byte LF = '\n';
     private static final byte CR = '\r';
@@ -23,9 +24,11 @@
     private boolean inHead = true;
     private boolean receivingHead;
     private int heads;
+    private long decodedMessages;
 
     private StrictRequestDecoder(HttpDecoderConfig config, Runnable headStarted) {
         super(config);
+        setSingleDecode(true);
         this.headStarted = headStarted;
     }
 
@@ -56,7 +59,17 @@
 
     /** True if bytes were received after the last message that was decoded. */
     boolean holdsBytes() {
-        return actualReadableBytes() > 0;
+        return undecodedBytes() > 0;
+    }
+
+    @Override
+    public int undecodedBytes() {
+        return actualReadableBytes();
+    }
+
+    @Override
+    public long decodedMessages() {
+        return decodedMessages;
     }
 
     @Override
@@ -70,6 +83,7 @@
         }
         int before = out.size();
         super.decode(ctx, buffer, out);
+        decodedMessages += out.size() - before;
         if (out.size() > before) {
             receivingHead = false;
             heads += out.get(before) instanceof HttpRequest ? 1 : 0;
--- a/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
@@ -28,6 +28,7 @@
 import java.util.function.Predicate;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.http.PacedDecoding;
 
 /**
  * The connections of this host to one address. The pool's state is guarded by its own lock. Each connection stays on
@@ -218,6 +219,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.AUTO_READ, false)
                 // A failed write must not discard a response that was received before it.
                 .option(ChannelOption.AUTO_CLOSE, false)
                 // Tells the upstream's end of input from an error and from a close by this host.
@@ -227,6 +229,7 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
+                                .addLast(PacedDecoding.of(decoder))
                                 .addLast(decoder)
                                 .addLast(new HttpRequestEncoder())
                                 .addLast(connection);
--- a/src/main/java/org/arbutusfield/proxy/upstream/StrictResponseDecoder.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/StrictResponseDecoder.java
@@ -8,22 +8,25 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.List;
+import org.arbutusfield.http.PacedDecoding;
 
 /**
  * Decodes responses, takes into account the method of the request, and reports whether bytes beyond the response were
  * received.
  */
-final class StrictResponseDecoder extends HttpResponseDecoder {
+final class StrictResponseDecoder extends HttpResponseDecoder implements PacedDecoding.Decoder {
     private static final int MAX_LINE_BYTES = 8 << 10;
     private static final int MAX_HEADER_BYTES = 32 << 10;
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
     private boolean headRequest;
+    private long decodedMessages;
     private boolean inputEnded;
     private boolean endedByConnection;
 
     private StrictResponseDecoder(HttpDecoderConfig config) {
         super(config);
+        setSingleDecode(true);
     }
 
     static StrictResponseDecoder create() {
@@ -38,11 +41,16 @@
         headRequest = method.equals(HttpMethod.HEAD);
     }
 
-    /** Bytes received and not yet decoded. */
-    int undecodedBytes() {
+    @Override
+    public int undecodedBytes() {
         return actualReadableBytes();
     }
 
+    @Override
+    public long decodedMessages() {
+        return decodedMessages;
+    }
+
     /** True once the upstream's end of input was read, which an error or a close by this host is not. */
     boolean inputEnded() {
         return inputEnded;
@@ -59,6 +67,13 @@
         super.userEventTriggered(ctx, event);
     }
 
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+        int before = out.size();
+        super.decode(ctx, in, out);
+        decodedMessages += out.size() - before;
+    }
+
     @Override
     protected void decodeLast(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
         int before = out.size();
--- a/src/main/java/org/arbutusfield/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/UpstreamConnection.java
@@ -56,18 +56,22 @@
     private static final Duration RECENT_USE = Duration.ofSeconds(2);
     /** The peer of a failed write has closed the connection, so what it had sent before is here or on its way. */
     private static final Duration LAST_RESPONSE_TIMEOUT = Duration.ofMillis(200);
+    /** More than an upstream in order sends before one answer; without a limit they may come without end. */
+    private static final int MAX_INTERIM_RESPONSES = 32;
 
     private final ChannelFutureListener writeListener = this::written;
     private final ConnectionPool pool;
     private final StrictResponseDecoder decoder;
     private Channel channel;
     private UpstreamResponseListener responseListener;
+    private boolean reading = true;
     private boolean closedHere;
     private boolean reused;
     private boolean requestEnded;
     private boolean outputFailed;
     private boolean keepAlive;
     private boolean informational;
+    private int interimResponses;
     private boolean requestIdEchoed;
     private long lastReadNanos;
     private volatile long idleSinceNanos;
@@ -111,6 +115,7 @@
         responseListener = listener;
         requestEnded = false;
         keepAlive = true;
+        interimResponses = 0;
         decoder.expectResponseTo(head.method());
         WriteProgress headProgress = new WriteProgress(channel);
         headProgress.addListener(writeListener);
@@ -147,9 +152,17 @@
     }
 
     private void setReading(boolean wanted) {
-        if (channel.config().isAutoRead() != wanted) {
-            channel.config().setAutoRead(wanted);
-            lastReadNanos = System.nanoTime();
+        if (reading == wanted) {
+            return;
+        }
+        reading = wanted;
+        lastReadNanos = System.nanoTime();
+        readNext();
+    }
+
+    private void readNext() {
+        if (reading && channel.isActive()) {
+            channel.read();
         }
     }
 
@@ -189,9 +202,19 @@
         lastReadNanos = System.nanoTime();
     }
 
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        readNext();
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         lastReadNanos = System.nanoTime();
+        received(message);
+        readNext();
+    }
+
+    private void received(Object message) {
         if (responseListener == null) {
             ReferenceCountUtil.release(message);
             keepAlive = false;
@@ -274,12 +297,13 @@
     }
 
     private void responseHead(HttpResponse head) {
-        if (head.decoderResult().isFailure()) {
+        informational = head.status().code() / 100 == 1 && head.status().code() != 101;
+        interimResponses += informational ? 1 : 0;
+        if (head.decoderResult().isFailure() || interimResponses > MAX_INTERIM_RESPONSES) {
             reportLoss(Loss.MALFORMED);
             close();
             return;
         }
-        informational = head.status().code() / 100 == 1 && head.status().code() != 101;
         if (informational) {
             return;
         }
