--- a/src/main/java/org/arbutusfield/proxy/AttemptHistory.java
+++ b/src/main/java/org/arbutusfield/proxy/AttemptHistory.java
@@ -83,14 +83,27 @@
 
     /** Acquires the right to retry the whole request; returns false if it must not be retried. */
     boolean acquireRetry(boolean notRun, RequestBody body) {
-        return attempts < maxAttempts
-                && runs < maxRuns()
+        return runs < maxRuns()
                 && lostRuns < MAX_LOST_RUNS
-                && (notRun || head.requestClass().repeatable())
-                && body.replayable()
+                && mayRetry(notRun, body)
                 && (!mayHaveReachedUpstream() || retryLimiter.tryAcquire(head.service()));
     }
 
+    /**
+     * Acquires the right to retry the whole request in place of the current attempt, which was sent and will count as a
+     * lost run; returns false if it must not be retried.
+     */
+    boolean acquireRetryInPlaceOfAttempt(RequestBody body) {
+        return runs + 1 < maxRuns()
+                && lostRuns + 1 < MAX_LOST_RUNS
+                && mayRetry(false, body)
+                && retryLimiter.tryAcquire(head.service());
+    }
+
+    private boolean mayRetry(boolean notRun, RequestBody body) {
+        return attempts < maxAttempts && (notRun || head.requestClass().repeatable()) && body.replayable();
+    }
+
     /** False if the last attempt certainly brought no request to an upstream, so that another adds none either. */
     private boolean mayHaveReachedUpstream() {
         return lastFailure
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -54,6 +54,7 @@
     private final ResponseWait responseWait;
     private final ExchangeDeadline deadline;
     private final StopCheck stopCheck;
+    private final RetryCheck retryCheck;
     private final ExchangeEnd end;
     private Stage stage = Stage.BODY;
     private Attempt attempt;
@@ -69,6 +70,7 @@
         crashCheck = CrashCheck.of(context, caller, head, body);
         deadline = ExchangeDeadline.of(caller.timer(), startNanos, head.deadline(), context::stop);
         stopCheck = StopCheck.of(context, head, deadline);
+        retryCheck = RetryCheck.of(context, head, body, deadline, history, crashCheck, stopCheck);
         progress = ResponseProgress.of(caller, context, deadline);
         responseWait = ResponseWait.of(deadline, context, head, body);
         recordBuilder = RequestRecordBuilder.of(head, startNanos);
@@ -125,8 +127,8 @@
             return;
         }
         Optional<ErrorCode> fault = body.receive(part, context.limits().bodyBytes());
-        if (body.ended()) {
-            streamedBodyEnded();
+        if (body.ended() && stage == Stage.SENT) {
+            responseWait.start(attempt);
         }
         if (fault.isPresent()) {
             rejectBody(fault.get());
@@ -268,15 +270,10 @@
 
     /** Called when an attempt ended without a response to relay. */
     void attemptFailed(Attempt from, Failure failure) {
-        boolean notRun = failure.notRun();
-        history.attemptFailed(from, failure, notRun);
-        admission.requestCount().attemptFailed(from.target(), failure, from.sent());
-        context.components()
-                .observer()
-                .attemptFailed(head.requestId(), from.target().name(), failure, notRun);
+        end.attemptFailed(from, failure);
         if (relay != null) {
             resumeOrAbort();
-        } else if (acquireRetry(notRun)) {
+        } else if (retryCheck.acquireAfterFailure(failure.notRun())) {
             retry();
         } else {
             fail(failure);
@@ -362,12 +359,11 @@
     }
 
     private void resumeOrAbort() {
-        resumption = relay.remainder();
-        boolean mayResume = resumption.isPresent() && crashCheck.mayRepeat() && history.acquireResumption();
-        if (!mayResume) {
-            abortResponse();
-            return;
-        }
+        retryCheck.acquireResumption(relay).ifPresentOrElse(this::resume, this::abortResponse);
+    }
+
+    private void resume(Resumption rest) {
+        resumption = Optional.of(rest);
         deadline.awaitEnd();
         place();
     }
@@ -385,19 +381,6 @@
         place();
     }
 
-    private boolean acquireRetry(boolean notRun) {
-        return !remaining().isZero()
-                && (notRun || crashCheck.mayRepeat())
-                && stopCheck.refusal().isEmpty()
-                && history.acquireRetry(notRun, body);
-    }
-
-    private void streamedBodyEnded() {
-        if (stage == Stage.SENT) {
-            responseWait.start(attempt);
-        }
-    }
-
     private void sentTimerExpired(ResponseWait.State state) {
         Attempt from = attempt;
         switch (state) {
@@ -409,9 +392,27 @@
         }
     }
 
+    /** Asks for a retry first, because the upstream may be at work; without one it has until the deadline. */
     private void connectionSilent(Attempt from, Failure failure) {
+        if (!retryCheck.acquireInPlaceOf(from)) {
+            deadline.awaitEnd();
+            return;
+        }
         from.closeSilentConnections();
-        attemptFailed(from, failure);
+        end.attemptFailed(from, failure);
+        retry();
+    }
+
+    /** The same while the response is on its way. */
+    private void responseSilent() {
+        Optional<Resumption> rest = retryCheck.acquireResumptionInPlaceOf(attempt, relay);
+        if (rest.isEmpty()) {
+            deadline.awaitEnd();
+            return;
+        }
+        attempt.closeSilentConnections();
+        history.requireNewConnection();
+        resume(rest.get());
     }
 
     private void sentRequestEnds(Attempt from) {
@@ -431,11 +432,7 @@
                 stopCheck.countIfCut();
                 abortResponse();
             }
-            case UPSTREAM_SILENT -> {
-                attempt.closeSilentConnections();
-                history.requireNewConnection();
-                resumeOrAbort();
-            }
+            case UPSTREAM_SILENT -> responseSilent();
             case CALLER_STALLED -> {
                 LOG.info("event=caller_stalled id={}", LogValue.of(head.requestId()));
                 caller.reset();
--- a/src/main/java/org/arbutusfield/proxy/ExchangeEnd.java
+++ b/src/main/java/org/arbutusfield/proxy/ExchangeEnd.java
@@ -5,9 +5,9 @@
 import org.arbutusfield.error.Failure;
 
 /**
- * The end of one exchange: the problem document that a caller gets in place of a response, and the record and release
- * of all that the exchange holds. Knows whether the request certainly had no effect. Confined to the request's event
- * loop.
+ * The failed attempts and the end of one exchange: the problem document that a caller gets in place of a response, and
+ * the record and release of all that the exchange holds. Knows whether the request certainly had no effect. Confined to
+ * the request's event loop.
  */
 final class ExchangeEnd {
     private final CallerRequest caller;
@@ -52,6 +52,14 @@
         notRun = certainlyNotRun;
     }
 
+    /** Records an attempt that ended without a response to relay. */
+    void attemptFailed(Attempt attempt, Failure failure) {
+        String target = attempt.target().name();
+        history.attemptFailed(attempt, failure, failure.notRun());
+        admission.requestCount().attemptFailed(attempt.target(), failure, attempt.sent());
+        context.components().observer().attemptFailed(head.requestId(), target, failure, failure.notRun());
+    }
+
     /** Writes the problem document of a failure, and returns the failure that it names. */
     Failure writeProblem(Failure failure) {
         Failure reported = history.failureForCaller(failure);
--- a/src/main/java/org/arbutusfield/proxy/ResponseProgress.java
+++ b/src/main/java/org/arbutusfield/proxy/ResponseProgress.java
@@ -56,8 +56,8 @@
         if (!caller.acceptsMore()) {
             return callerState();
         }
-        if (deadline.endsWithHost()) {
-            // Nothing is left to gain from another upstream.
+        if (context.stop().isPresent()) {
+            // No other upstream is asked any more.
             deadline.awaitEnd();
             return State.CONTINUES;
         }
--- a/src/main/java/org/arbutusfield/proxy/ResponseWait.java
+++ b/src/main/java/org/arbutusfield/proxy/ResponseWait.java
@@ -2,8 +2,8 @@
 
 /**
  * Sets the timer of a request that was sent and has no response yet: while the body is on its way, for the next part of
- * the body; then until the deadline, or until another upstream should be asked, unless the host ends too soon for that.
- * Confined to the request's event loop.
+ * the body; then until the deadline, or until another upstream should be asked, unless the host stops. Confined to the
+ * request's event loop.
  */
 final class ResponseWait {
     private static final int MIN_BODY_BYTES_PER_TIMEOUT = 1 << 10;
@@ -53,7 +53,7 @@
         boolean leaveTimeForRetry = attempt.onReusedConnection()
                 && head.requestClass().repeatable()
                 && body.replayable()
-                && !deadline.endsWithHost();
+                && context.stop().isEmpty();
         if (!leaveTimeForRetry) {
             deadline.awaitEnd();
             return;
@@ -61,11 +61,9 @@
         deadline.await(context.responseTimes().patience(head, deadline.remaining(), System.nanoTime()));
     }
 
-    /** Called when the host stops: a retry that was still possible may no longer be. */
+    /** Called when the host stops: no other upstream is asked any more, and the exchange may end sooner. */
     void hostStops(Attempt attempt) {
-        if (deadline.endsWithHost()) {
-            start(attempt);
-        }
+        start(attempt);
     }
 
     /** Called when the timer expired; it is set again if the body goes on arriving. */
