--- a/src/main/java/org/arbutusfield/edge/EdgeHost.java
+++ b/src/main/java/org/arbutusfield/edge/EdgeHost.java
@@ -42,6 +42,7 @@
 import org.arbutusfield.reach.PeerForwarding;
 import org.arbutusfield.reach.PortReports;
 import org.arbutusfield.reach.RestartedUpstreams;
+import org.arbutusfield.reach.SilenceEvidence;
 import org.arbutusfield.reach.UpstreamReach;
 import org.arbutusfield.route.RouteTable;
 import org.arbutusfield.share.ShareClient;
@@ -266,7 +267,12 @@
                 (start, open) -> restarts.portReported(start, open),
                 timer,
                 new SplittableRandom());
-        restarts = RestartedUpstreams.create(probe, reports, timer, this::install);
+        SilenceEvidence evidence = new SilenceEvidence(
+                (address, openedBefore, receivedAfter) ->
+                        proxyServer != null && proxyServer.connectionSpans(address, openedBefore, receivedAfter),
+                () -> reach != null && !reach.reachesAny(),
+                () -> watcher != null && !watcher.storeUnavailable());
+        restarts = RestartedUpstreams.create(probe, evidence, reports, timer, this::install);
         reports.register(handlers);
     }
 
--- a/src/main/java/org/arbutusfield/proxy/ProxyServer.java
+++ b/src/main/java/org/arbutusfield/proxy/ProxyServer.java
@@ -102,6 +102,14 @@
         return context.pools().open();
     }
 
+    /**
+     * Returns true if a connection to an upstream, which is still open, was opened before a monotonic time and has
+     * received bytes after another one.
+     */
+    public boolean connectionSpans(InetSocketAddress upstream, long openedBeforeNanos, long receivedAfterNanos) {
+        return context.pools().connectionSpans(upstream, openedBeforeNanos, receivedAfterNanos);
+    }
+
     /** Idle connections to upstreams and other hosts. */
     public int idleUpstreamConnections() {
         return context.pools().idle();
--- a/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
@@ -155,6 +155,13 @@
         });
     }
 
+    /** True if an open connection was opened before a monotonic time and has received bytes after another one. */
+    boolean connectionSpans(long openedBeforeNanos, long receivedAfterNanos) {
+        synchronized (lock) {
+            return connected.stream().anyMatch(c -> c.spans(openedBeforeNanos, receivedAfterNanos));
+        }
+    }
+
     void release(UpstreamConnection connection) {
         connection.markIdle(System.nanoTime());
         boolean kept;
--- a/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPools.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPools.java
@@ -63,6 +63,15 @@
                         address, key -> new ConnectionPool(key, source, connectTimeout, restartListener));
     }
 
+    /**
+     * Returns true if a connection to the address, which is still open, was opened before a monotonic time and has
+     * received bytes after another one.
+     */
+    public boolean connectionSpans(InetSocketAddress address, long openedBeforeNanos, long receivedAfterNanos) {
+        ConnectionPool pool = pools.get(address);
+        return pool != null && pool.connectionSpans(openedBeforeNanos, receivedAfterNanos);
+    }
+
     /** Connections to all addresses that are open or being opened. */
     public int open() {
         return pools.values().stream().mapToInt(ConnectionPool::open).sum();
--- a/src/main/java/org/arbutusfield/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/UpstreamConnection.java
@@ -74,6 +74,8 @@
     private int interimResponses;
     private boolean requestIdEchoed;
     private long lastReadNanos;
+    private long openedNanos;
+    private volatile long lastByteNanos;
     private volatile long idleSinceNanos;
 
     UpstreamConnection(ConnectionPool pool, StrictResponseDecoder decoder) {
@@ -200,6 +202,8 @@
     public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
         lastReadNanos = System.nanoTime();
+        openedNanos = lastReadNanos;
+        lastByteNanos = lastReadNanos;
     }
 
     @Override
@@ -210,6 +214,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         lastReadNanos = System.nanoTime();
+        lastByteNanos = lastReadNanos;
         received(message);
         readNext();
     }
@@ -267,6 +272,11 @@
         channel.close();
     }
 
+    /** True if the connection was opened before a monotonic time and has received bytes after another one. */
+    boolean spans(long openedBeforeNanos, long receivedAfterNanos) {
+        return openedNanos - openedBeforeNanos < 0 && lastByteNanos - receivedAfterNanos > 0;
+    }
+
     Channel channel() {
         return channel;
     }
--- a/src/main/java/org/arbutusfield/reach/RestartedUpstreams.java
+++ b/src/main/java/org/arbutusfield/reach/RestartedUpstreams.java
@@ -31,8 +31,14 @@
  * until the cold period of its service has passed after that. It tells the other hosts what it finds, since those that
  * have no connection to lose see nothing.
  *
- * <p>Invariants: an upstream whose port no host found closed is never taken for cold, whatever happens to connections.
- * What was found holds for one start of the upstream; a new entry replaces it.
+ * <p>A port that doesn't answer tells less: the upstream may be restarting, or a link is cut. The host goes on trying.
+ * When the port accepts again, a connection that has outlived the silence proves that the upstream didn't restart, and
+ * so does a store that answers and still has the same start. Without either the upstream is taken for cold: a wrong
+ * guess costs one cold period at one upstream, the other one the upstream.
+ *
+ * <p>Invariants: while the store answers, an upstream whose port no host found closed is never taken for cold, whatever
+ * happens to connections; nor is one for its silence alone while this host reaches no upstream at all, or while a
+ * connection to it goes on. What was found holds for one start of the upstream; a new entry replaces it.
  *
  * <p>Example: the store is away. Upstream 3 crashes, this host loses a connection, and the port is closed. A second
  * later the port accepts: for three seconds upstream 3 gets from this host only its part of the cold rate.
@@ -46,10 +52,16 @@
     /** Longer than any outage of the store; replaced as soon as the upstream is back. */
     private static final Duration WHILE_CLOSED = Duration.ofDays(1);
 
+    /** How often it is looked whether an upstream that was silent has restarted. */
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(200);
+    /** The store has answered for long enough to have the entry of a new start. */
+    private static final int CONFIRMING_CHECKS = 5;
+
     /** Reports are repeated while a port stays closed, in less than this. */
     private static final Duration REPORT_VALIDITY = Duration.ofSeconds(10);
 
     private final UpstreamProbe probe;
+    private final SilenceEvidence evidence;
     private final PortListener listener;
     private final TimerService timer;
     private final Consumer<SteeringState> subscriber;
@@ -59,12 +71,21 @@
     private final Set<UpstreamStart> probing = new HashSet<>();
     /** Starts whose port was closed when last looked at. */
     private final Set<UpstreamStart> closed = new HashSet<>();
+    /** Starts whose port gave no answer when last looked at. */
+    private final Map<UpstreamStart, Silence> silent = new HashMap<>();
+    /** The next probe of each upstream that is looked at again. */
+    private final Map<UpstreamStart, TimerService.ScheduledTask> nextProbe = new HashMap<>();
 
     private SteeringState stored = SteeringState.empty();
 
     private RestartedUpstreams(
-            UpstreamProbe probe, PortListener listener, TimerService timer, Consumer<SteeringState> subscriber) {
+            UpstreamProbe probe,
+            SilenceEvidence evidence,
+            PortListener listener,
+            TimerService timer,
+            Consumer<SteeringState> subscriber) {
         this.probe = probe;
+        this.evidence = evidence;
         this.listener = listener;
         this.timer = timer;
         this.subscriber = subscriber;
@@ -74,13 +95,18 @@
      * Creates an instance that knows of no restart.
      *
      * @param probe tries to connect to an upstream
+     * @param evidence what else is known of an upstream that doesn't answer
      * @param listener gets what this host finds of ports
      * @param timer clock and scheduler
      * @param subscriber gets the state with what this host has found, each time that either changes
      */
     public static RestartedUpstreams create(
-            UpstreamProbe probe, PortListener listener, TimerService timer, Consumer<SteeringState> subscriber) {
-        return new RestartedUpstreams(probe, listener, timer, subscriber);
+            UpstreamProbe probe,
+            SilenceEvidence evidence,
+            PortListener listener,
+            TimerService timer,
+            Consumer<SteeringState> subscriber) {
+        return new RestartedUpstreams(probe, evidence, listener, timer, subscriber);
     }
 
     /** Takes a new state of the store into account. */
@@ -90,6 +116,7 @@
         next.upstreams().values().forEach(list -> list.forEach(upstream -> starts.add(upstream.start())));
         long now = timer.nowNanos();
         closed.retainAll(starts);
+        silent.keySet().retainAll(starts);
         coldUntilByStart.entrySet().removeIf(known -> !starts.contains(known.getKey()) || known.getValue() - now <= 0);
         publish();
     }
@@ -97,35 +124,133 @@
     /** Called when connections to an address were lost, can't be opened, or can be opened again. */
     public void mayHaveRestarted(InetSocketAddress address) {
         for (LiveUpstream upstream : upstreamsAt(address)) {
-            if (!coldPeriod(upstream).isZero() && probing.add(upstream.start())) {
+            if (coldPeriod(upstream).isZero()) {
+                continue;
+            }
+            if (probing.add(upstream.start())) {
                 probe(upstream, FIRST_PROBE_DELAY);
+            } else {
+                hastenProbe(upstream);
             }
         }
     }
 
+    /** An upstream that was silent may be back, and must not wait for its next probe. */
+    private void hastenProbe(LiveUpstream upstream) {
+        Silence silence = silent.get(upstream.start());
+        boolean due = silence != null
+                && timer.nowNanos() - silence.unansweredNanos() >= FIRST_PROBE_DELAY.toNanos()
+                && nextProbe.containsKey(upstream.start());
+        if (due) {
+            nextProbe.remove(upstream.start()).cancel();
+            probe(upstream, FIRST_PROBE_DELAY);
+        }
+    }
+
     private void probe(LiveUpstream upstream, Duration nextDelay) {
-        probe.connect(addressOf(upstream)).thenAccept(result -> onProbe(upstream, result, nextDelay));
+        long begunNanos = timer.nowNanos();
+        probe.connect(addressOf(upstream)).thenAccept(result -> onProbe(upstream, result, nextDelay, begunNanos));
     }
 
-    private void onProbe(LiveUpstream upstream, UpstreamProbe.Result result, Duration nextDelay) {
+    private void onProbe(LiveUpstream upstream, UpstreamProbe.Result result, Duration nextDelay, long begunNanos) {
         UpstreamStart start = upstream.start();
-        if (result == UpstreamProbe.Result.REFUSED) {
-            foundClosed(upstream);
-        } else if (result == UpstreamProbe.Result.ACCEPTED && closed.remove(start)) {
+        switch (result) {
+            case REFUSED -> foundClosed(upstream);
+            case ACCEPTED -> foundOpen(upstream);
+            default -> foundSilent(upstream, begunNanos);
+        }
+        if (closed.contains(start) || silent.containsKey(start)) {
+            nextProbe.put(start, timer.after(nextDelay, () -> probeAgain(upstream, nextDelay)));
+        } else {
+            probing.remove(start);
+        }
+    }
+
+    private void foundOpen(LiveUpstream upstream) {
+        UpstreamStart start = upstream.start();
+        Silence silence = silent.remove(start);
+        if (closed.remove(start)) {
             Duration cold = coldPeriod(upstream);
             LOG.info("event=upstream_started_again id={} cold_ms={}", upstream.name(), cold.toMillis());
             setColdFor(start, cold);
             listener.found(start, true);
+        } else if (silence != null) {
+            long coldUntil = timer.nowNanos() + coldPeriod(upstream).toNanos();
+            LOG.info(
+                    "event=upstream_answers_again id={} silent_ms={} store_answers={}",
+                    upstream.name(),
+                    Duration.ofNanos(timer.nowNanos() - silence.sinceNanos()).toMillis(),
+                    evidence.storeAnswers().getAsBoolean());
+            if (coldUntilByStart.replace(start, coldUntil) != null) {
+                publish();
+            }
+            checkRestarted(upstream, silence, coldUntil, 0);
         }
+    }
+
+    /** Takes an upstream for silent unless its port was closed, or the silence has another reason. */
+    private void foundSilent(LiveUpstream upstream, long begunNanos) {
+        UpstreamStart start = upstream.start();
         if (closed.contains(start)) {
-            timer.after(nextDelay, () -> probeAgain(upstream, nextDelay));
-        } else {
-            probing.remove(start);
+            return;
+        }
+        boolean goesOn = evidence.witness().survives(addressOf(upstream), begunNanos, begunNanos);
+        if (goesOn || evidence.cutOff().getAsBoolean()) {
+            if (silent.remove(start) != null) {
+                forgetCold(start);
+            }
+            return;
+        }
+        long now = timer.nowNanos();
+        Silence known = silent.get(start);
+        silent.put(start, new Silence(known == null ? begunNanos : known.sinceNanos(), now));
+        if (known == null) {
+            LOG.info("event=upstream_port_silent id={} start={}", upstream.name(), start.startMillis());
+        }
+        if (!evidence.storeAnswers().getAsBoolean()) {
+            setColdFor(start, WHILE_CLOSED);
+        }
+    }
+
+    /**
+     * Takes an upstream that was silent for cold, unless something proves that it didn't restart. Repeated until that
+     * is known, or until it would be warm in any case.
+     *
+     * @param storeAnswers number of checks in a row at which the store answered
+     */
+    private void checkRestarted(LiveUpstream upstream, Silence silence, long coldUntil, int storeAnswers) {
+        UpstreamStart start = upstream.start();
+        boolean decided = closed.contains(start)
+                || silent.containsKey(start)
+                || current(start).isEmpty();
+        if (decided || coldUntil - timer.nowNanos() <= 0) {
+            return;
+        }
+        boolean survived =
+                evidence.witness().survives(addressOf(upstream), silence.sinceNanos(), silence.unansweredNanos());
+        if (survived || storeAnswers >= CONFIRMING_CHECKS) {
+            LOG.info("event=upstream_not_restarted id={} by={}", upstream.name(), survived ? "connection" : "store");
+            forgetCold(start);
+            return;
+        }
+        boolean answers = evidence.storeAnswers().getAsBoolean();
+        if (!answers && !coldUntilByStart.containsKey(start)) {
+            LOG.info("event=upstream_taken_for_restarted id={}", upstream.name());
+            setColdFor(start, Duration.ofNanos(coldUntil - timer.nowNanos()));
+        }
+        int answersInARow = answers ? storeAnswers + 1 : 0;
+        timer.after(CHECK_INTERVAL, () -> checkRestarted(upstream, silence, coldUntil, answersInARow));
+    }
+
+    private void forgetCold(UpstreamStart start) {
+        if (coldUntilByStart.remove(start) != null) {
+            publish();
         }
     }
 
     private void foundClosed(LiveUpstream upstream) {
         UpstreamStart start = upstream.start();
+        silent.remove(start);
         if (closed.add(start)) {
             LOG.info("event=upstream_ended id={} start={}", upstream.name(), upstream.startMillis());
             setColdFor(start, WHILE_CLOSED);
@@ -160,12 +285,14 @@
     }
 
     private void probeAgain(LiveUpstream upstream, Duration delay) {
+        nextProbe.remove(upstream.start());
         boolean current = stored.upstream(upstream.upstream().service(), upstream.name())
                 .filter(live -> live.startMillis() == upstream.startMillis())
                 .isPresent();
         if (!current) {
             probing.remove(upstream.start());
             closed.remove(upstream.start());
+            silent.remove(upstream.start());
             return;
         }
         Duration doubled = delay.multipliedBy(2);
@@ -207,4 +334,12 @@
                 .map(ServicePolicy::coldPeriod)
                 .orElse(Duration.ZERO);
     }
+
+    /**
+     * A silence of an upstream.
+     *
+     * @param sinceNanos monotonic time at which the first probe was begun that got no answer
+     * @param unansweredNanos monotonic time at which the last one was given up
+     */
+    private record Silence(long sinceNanos, long unansweredNanos) {}
 }
