--- a/src/main/java/org/arbutusfield/affinity/HomeResolver.java
+++ b/src/main/java/org/arbutusfield/affinity/HomeResolver.java
@@ -132,7 +132,7 @@
                 .thenApply(done -> usableHome(group.service(), key));
         if (!result.isDone()) {
             pendingQueries.put(key, result);
-            result.thenAccept(home -> pendingQueries.remove(key));
+            result.whenComplete((home, error) -> pendingQueries.remove(key));
         }
         return result;
     }
--- a/src/main/java/org/arbutusfield/affinity/HomeStoreWriter.java
+++ b/src/main/java/org/arbutusfield/affinity/HomeStoreWriter.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.state.HomesCodec;
 import org.arbutusfield.state.SteeringState;
 import org.arbutusfield.store.StoreRevision;
@@ -74,7 +75,7 @@
 
     private void write(String service, Map<Long, String> homes) {
         store.put(HomesCodec.key(service), HomesCodec.encode(homes), NO_LEASE)
-                .thenAccept(done -> done.peekLeft(failure -> {
+                .whenComplete(Handled.by(done -> done.peekLeft(failure -> {
                             LOG.warn("event=homes_not_written service={} code={}", service, failure.code());
                             lastWritten.remove(service);
                         })
@@ -82,7 +83,7 @@
                                 "event=homes_written service={} objects={} revision={}",
                                 service,
                                 homes.size(),
-                                revision.number())));
+                                revision.number()))));
     }
 
     private static boolean enoughChanged(Map<Long, String> homes, Map<Long, String> last) {
--- a/src/main/java/org/arbutusfield/claim/ClaimShardWriter.java
+++ b/src/main/java/org/arbutusfield/claim/ClaimShardWriter.java
@@ -8,6 +8,7 @@
 import java.util.function.LongSupplier;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.store.Store;
 import org.arbutusfield.store.VersionedValue;
 import org.arbutusfield.timer.TimerService;
@@ -141,7 +142,7 @@
     }
 
     private void readShard(Round round) {
-        store.read(storeKey).thenAccept(read -> {
+        store.read(storeKey).whenComplete(Handled.by(read -> {
             Either<Failure, ShardState> decoded = read.flatMap(ClaimShardWriter::decode);
             if (decoded.isLeft()) {
                 failRound(round);
@@ -150,7 +151,7 @@
             recordRead(decoded.get());
             round.shardWasRead = true;
             applyChanges(round);
-        });
+        }));
     }
 
     private void applyChanges(Round round) {
@@ -166,7 +167,7 @@
     }
 
     private void write(Round round, ShardState before, ClaimShard.Result result, int attempt) {
-        store.compareAndSwap(storeKey, before.version, result.shard().encode()).thenAccept(response -> {
+        store.compareAndSwap(storeKey, before.version, result.shard().encode()).whenComplete(Handled.by(response -> {
             if (response.isRight()) {
                 setLastKnown(new ShardState(response.get(), result.shard()));
                 completeRound(round, result);
@@ -184,7 +185,7 @@
             } else {
                 failRound(round);
             }
-        });
+        }));
     }
 
     private void completeRound(Round round, ClaimShard.Result result) {
--- a/src/main/java/org/arbutusfield/dispatch/RegionalPlacement.java
+++ b/src/main/java/org/arbutusfield/dispatch/RegionalPlacement.java
@@ -15,6 +15,7 @@
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.member.Member;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.model.Configuration;
 import org.arbutusfield.model.Kind;
 import org.arbutusfield.model.MoveRule;
@@ -87,14 +88,18 @@
         }
         CompletableFuture<Either<Failure, PlacementTarget>> result = new CompletableFuture<>();
         SlotRequest slotRequest = slotRequest(request);
-        admissionService.requestSlot(slotRequest).thenAccept(slotResult -> {
-            Either<Failure, PlacementTarget> placed = slotResult.fold(
-                    failure -> placeInOtherRegion(request, failure),
-                    upstream -> placeAtUpstream(request, slotRequest.requestId(), upstream));
-            if (!result.complete(placed) && placed.isRight()) {
-                placed.get().permit().release(AttemptOutcome.CANCELLED, 0);
-            }
-        });
+        admissionService
+                .requestSlot(slotRequest)
+                .whenComplete(Handled.by(
+                        slotResult -> {
+                            Either<Failure, PlacementTarget> placed = slotResult.fold(
+                                    failure -> placeInOtherRegion(request, failure),
+                                    upstream -> placeAtUpstream(request, slotRequest.requestId(), upstream));
+                            if (!result.complete(placed) && placed.isRight()) {
+                                placed.get().permit().release(AttemptOutcome.CANCELLED, 0);
+                            }
+                        },
+                        result::completeExceptionally));
         result.whenComplete((placed, error) -> {
             if (result.isCancelled()) {
                 admissionService.cancelRequest(request.service().name(), slotRequest.requestId());
--- a/src/main/java/org/arbutusfield/distribution/ConfigurationDistributor.java
+++ b/src/main/java/org/arbutusfield/distribution/ConfigurationDistributor.java
@@ -11,6 +11,7 @@
 import org.arbutusfield.member.Member;
 import org.arbutusfield.member.MembershipService;
 import org.arbutusfield.member.RevisionAnnouncement;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.timer.TimerService;
 import org.arbutusfield.wire.ControlHandlers;
 import org.arbutusfield.wire.ControlTransport;
@@ -163,7 +164,7 @@
     private void readFrom(PullPlan.Holder holder, boolean full) {
         Optional<Snapshot> current = running.current();
         SnapshotReader.start(transport, holder.peer().controlAddress(), current, holder.revisionId(), full)
-                .thenAccept(result -> {
+                .whenComplete(Handled.by(result -> {
                     Either<Failure, Boolean> installed =
                             result.flatMap(received -> install(received.snapshot(), Origin.PEER, received.delta()));
                     boolean deltaFailed = !full && installed.isLeft() && isDamaged(installed.getLeft());
@@ -174,7 +175,7 @@
                         return;
                     }
                     onReadFinished(holder, !behind, installed);
-                });
+                }));
     }
 
     private static boolean isDamaged(Failure failure) {
@@ -217,13 +218,13 @@
             watchStartedNanos = timer.nowNanos();
             lastStored = storedRevisionId;
         }
-        source.watch(lastStored, WATCH_WAIT).thenAccept(result -> {
+        source.watch(lastStored, WATCH_WAIT).whenComplete(Handled.by(result -> {
             synchronized (lock) {
                 watching = false;
             }
             result.peek(this::onStoredRevision)
                     .peekLeft(failure -> LOG.warn("event=store_unwatched code={}", failure.code()));
-        });
+        }));
     }
 
     private void onStoredRevision(Optional<RevisionId> latest) {
@@ -250,16 +251,19 @@
             return;
         }
         repair.restore(inForce, token.get())
-                .thenAccept(result -> result.peek(revisionId -> recordStored(Optional.of(revisionId)))
-                        .peekLeft(failure -> LOG.warn("event=store_unrepaired code={}", failure.code())));
+                .whenComplete(Handled.by(result -> result.peek(revisionId -> recordStored(Optional.of(revisionId)))
+                        .peekLeft(failure -> LOG.warn("event=store_unrepaired code={}", failure.code()))));
     }
 
     private void load(RevisionId revisionId) {
         source.load(revisionId)
-                .thenAccept(result -> result.flatMap(snapshot -> install(snapshot, Origin.STORE, Optional.empty()))
-                        .peek(installed -> recordStored(Optional.of(revisionId)))
-                        .peekLeft(failure -> LOG.warn(
-                                "event=revision_unloaded revision={} code={}", revisionId.revision(), failure.code())));
+                .whenComplete(Handled.by(
+                        result -> result.flatMap(snapshot -> install(snapshot, Origin.STORE, Optional.empty()))
+                                .peek(installed -> recordStored(Optional.of(revisionId)))
+                                .peekLeft(failure -> LOG.warn(
+                                        "event=revision_unloaded revision={} code={}",
+                                        revisionId.revision(),
+                                        failure.code()))));
     }
 
     private void resolveConflict(RevisionId other) {
@@ -275,10 +279,10 @@
                 running.announcement().digest(),
                 other.digest());
         source.latest()
-                .thenAccept(result -> result.peek(latest -> latest.filter(revisionId ->
+                .whenComplete(Handled.by(result -> result.peek(latest -> latest.filter(revisionId ->
                                 revisionId.revision() >= running.announcement().revision())
                         .filter(revisionId -> !revisionId.announcement().equals(running.announcement()))
-                        .ifPresent(this::load)));
+                        .ifPresent(this::load))));
     }
 
     /**
--- a/src/main/java/org/arbutusfield/distribution/DomainLeader.java
+++ b/src/main/java/org/arbutusfield/distribution/DomainLeader.java
@@ -8,6 +8,7 @@
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.store.Lease;
 import org.arbutusfield.store.Store;
 import org.arbutusfield.timer.TimerService;
@@ -121,7 +122,8 @@
             requestPending = true;
             requestedNanos = sentNanos;
         }
-        store.acquireLease(key, holder, settings.length()).thenAccept(response -> onResponse(response, sentNanos));
+        store.acquireLease(key, holder, settings.length())
+                .whenComplete(Handled.by(response -> onResponse(response, sentNanos)));
     }
 
     private void onResponse(Either<Failure, Lease> response, long sentNanos) {
--- a/src/main/java/org/arbutusfield/edge/HostRegistrar.java
+++ b/src/main/java/org/arbutusfield/edge/HostRegistrar.java
@@ -8,6 +8,7 @@
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.state.HeldRegistration;
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.HostEntryCodec;
@@ -115,8 +116,10 @@
     private void writeAgain(StoreLease held) {
         HostEntry written = self;
         putEntry(written, held)
-                .thenAccept(done -> done.peek(revision -> onWrittenAgain(held, revision))
-                        .peekLeft(failure -> onNotWrittenAgain(held, written, failure)));
+                .whenComplete(Handled.by(
+                        done -> done.peek(revision -> onWrittenAgain(held, revision))
+                                .peekLeft(failure -> onNotWrittenAgain(held, written, failure)),
+                        error -> onNotWrittenAgain(held, written, brokeOff(error))));
     }
 
     private void onWrittenAgain(StoreLease held, StoreRevision revision) {
@@ -161,8 +164,8 @@
     void leave() {
         leaving = true;
         lease.ifPresent(held -> store.endLease(held.id())
-                .thenAccept(done ->
-                        done.peekLeft(failure -> LOG.warn("event=deregistration_failed code={}", failure.code()))));
+                .whenComplete(Handled.by(done ->
+                        done.peekLeft(failure -> LOG.warn("event=deregistration_failed code={}", failure.code())))));
     }
 
     private void registrationLost(String reason, StoreRevision revision) {
@@ -184,8 +187,10 @@
         registering = true;
         long calledNanos = timer.nowNanos();
         store.grantLease(LEASE_DURATION)
-                .thenAccept(granted ->
-                        granted.peek(lease -> write(lease, calledNanos)).peekLeft(this::onFailure));
+                .whenComplete(Handled.by(
+                        granted ->
+                                granted.peek(lease -> write(lease, calledNanos)).peekLeft(this::onFailure),
+                        error -> onFailure(brokeOff(error))));
     }
 
     private void write(StoreLease grantedLease, long calledNanos) {
@@ -197,8 +202,10 @@
         }
         HostEntry written = self;
         putEntry(written, grantedLease)
-                .thenAccept(done -> done.peek(revision -> onWritten(grantedLease, written, revision))
-                        .peekLeft(this::onFailure));
+                .whenComplete(Handled.by(
+                        done -> done.peek(revision -> onWritten(grantedLease, written, revision))
+                                .peekLeft(this::onFailure),
+                        error -> onFailure(brokeOff(error))));
     }
 
     /** Returns the end of a lease that the store granted or renewed in answer to a call. */
@@ -237,10 +244,18 @@
     private void renew(StoreLease held) {
         if (!leaving && registered && isHeld(held)) {
             long calledNanos = timer.nowNanos();
-            store.renewLease(held.id()).thenAccept(result -> onRenewed(held, calledNanos, result));
+            store.renewLease(held.id())
+                    .whenComplete(Handled.by(
+                            result -> onRenewed(held, calledNanos, result),
+                            error -> onRenewed(held, calledNanos, Either.left(brokeOff(error)))));
         }
     }
 
+    /** Returns the failure of a call that ended with an error, after which the host goes on as after any failure. */
+    private static Failure brokeOff(Throwable error) {
+        return Failure.of(ErrorCode.STORE_PROTOCOL, "", error.toString());
+    }
+
     private boolean isHeld(StoreLease other) {
         return lease.isPresent() && lease.get().equals(other);
     }
--- a/src/main/java/org/arbutusfield/http/HttpClient.java
+++ b/src/main/java/org/arbutusfield/http/HttpClient.java
@@ -21,6 +21,7 @@
 import jdk.net.ExtendedSocketOptions;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.Handled;
 
 /**
  * Sends small HTTP requests, each on a new connection or on one that has already carried a response.
@@ -79,15 +80,15 @@
         }
         CompletableFuture<Either<Failure, SimpleHttpResponse>> result = new CompletableFuture<>();
         long start = System.nanoTime();
-        send(idleConnection, address, request, timeout).thenAccept(response -> {
+        send(idleConnection, address, request, timeout).whenComplete(Handled.by(response -> {
             Duration remaining = timeout.minusNanos(System.nanoTime() - start);
             boolean connectionClosed = response.isLeft() && response.getLeft().code() == ErrorCode.PEER_PROTOCOL;
             if (connectionClosed && request.method().equals("GET") && !remaining.isNegative()) {
-                callOnNewConnection(address, request, remaining).thenAccept(result::complete);
+                callOnNewConnection(address, request, remaining).whenComplete(Handled.by(result::complete));
             } else {
                 result.complete(response);
             }
-        });
+        }));
         return result;
     }
 
@@ -112,7 +113,7 @@
                 .connect(address)
                 .addListener((ChannelFuture connected) -> {
                     if (connected.isSuccess()) {
-                        send(connection, address, request, timeout).thenAccept(result::complete);
+                        send(connection, address, request, timeout).whenComplete(Handled.by(result::complete));
                     } else {
                         result.complete(Either.left(Failure.of(ErrorCode.PEER_UNREACHABLE, address.toString())));
                     }
--- a/src/main/java/org/arbutusfield/member/MembershipService.java
+++ b/src/main/java/org/arbutusfield/member/MembershipService.java
@@ -13,6 +13,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.timer.TimerService;
 import org.arbutusfield.wire.ControlHandlers;
 import org.arbutusfield.wire.ControlTransport;
@@ -151,9 +152,9 @@
             return;
         }
         hostList.current()
-                .thenAccept(list -> list.peek(
+                .whenComplete(Handled.by(list -> list.peek(
                                 members -> apply(current -> current.onHostList(members, timer.nowNanos())))
-                        .peekLeft(failure -> LOG.warn("event=host_list_unread code={}", failure.code())));
+                        .peekLeft(failure -> LOG.warn("event=host_list_unread code={}", failure.code()))));
     }
 
     private MembershipTransition apply(Function<MembershipView, MembershipTransition> input) {
@@ -180,10 +181,11 @@
     private void send(PeerAddress peer, Heartbeat heartbeat) {
         transport
                 .call(peer, HeartbeatCodec.encode(heartbeat), settings.limits().interval())
-                .thenAccept(result -> result.flatMap(HeartbeatCodec::decode).peek(response -> {
-                    apply(current -> current.onResponse(response, timer.nowNanos()));
-                    notifyAnnouncement(response);
-                }));
+                .whenComplete(Handled.by(result -> result.flatMap(HeartbeatCodec::decode)
+                        .peek(response -> {
+                            apply(current -> current.onResponse(response, timer.nowNanos()));
+                            notifyAnnouncement(response);
+                        })));
     }
 
     private void joinSeed(PeerAddress seed) {
@@ -199,11 +201,12 @@
                         seed,
                         HeartbeatCodec.encode(introduction),
                         settings.limits().interval())
-                .thenAccept(result -> result.flatMap(HeartbeatCodec::decode).peek(response -> {
-                    apply(current -> current.onResponse(response, timer.nowNanos()));
-                    notifyAnnouncement(response);
-                    sync(seed, SYNC_ROUNDS);
-                }));
+                .whenComplete(Handled.by(result -> result.flatMap(HeartbeatCodec::decode)
+                        .peek(response -> {
+                            apply(current -> current.onResponse(response, timer.nowNanos()));
+                            notifyAnnouncement(response);
+                            sync(seed, SYNC_ROUNDS);
+                        })));
     }
 
     private void sync(PeerAddress peer, int roundsLeft) {
@@ -215,7 +218,7 @@
                         peer,
                         ControlMessage.tableRequest(request),
                         settings.limits().interval())
-                .thenAccept(result -> result.flatMap(HeartbeatCodec::decodeTable)
+                .whenComplete(Handled.by(result -> result.flatMap(HeartbeatCodec::decodeTable)
                         .peek(rumours -> {
                             MembershipTransition transition =
                                     apply(current -> current.onTable(rumours, timer.nowNanos()));
@@ -223,7 +226,7 @@
                             if (advanced && roundsLeft > 1) {
                                 sync(peer, roundsLeft - 1);
                             }
-                        }));
+                        })));
     }
 
     private CompletableFuture<Either<Failure, ControlMessage>> onHeartbeat(ControlMessage message) {
--- a/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
@@ -29,6 +29,7 @@
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.http.PacedDecoding;
+import org.arbutusfield.misc.Handled;
 
 /**
  * The connections of this host to one address. The pool's state is guarded by its own lock. Each connection stays on
@@ -146,13 +147,13 @@
      * @param callback receives true if the upstream has ended
      */
     public void checkEnded(EventLoop loop, Consumer<Boolean> callback) {
-        PortProbe.of(loop, connectTimeout).connect(address).thenAccept(result -> {
+        PortProbe.of(loop, connectTimeout).connect(address).whenComplete(Handled.by(result -> {
             boolean othersOpen;
             synchronized (lock) {
                 othersOpen = !connected.isEmpty();
             }
             callback.accept(result == UpstreamProbe.Result.REFUSED && !othersOpen);
-        });
+        }));
     }
 
     /** True if an open connection was opened before a monotonic time and has received bytes after another one. */
--- a/src/main/java/org/arbutusfield/quarantine/RequestQuarantine.java
+++ b/src/main/java/org/arbutusfield/quarantine/RequestQuarantine.java
@@ -14,6 +14,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.misc.LogValue;
 import org.arbutusfield.proxy.CrashGuard;
 import org.arbutusfield.proxy.InterruptedRun;
@@ -324,7 +325,7 @@
             HostEntry host, Supplier<ControlMessage> message, Consumer<List<SuspectRequest>> onReply, int tries) {
         transport
                 .call(PeerAddress.parse(host.controlAddress()), message.get(), REPORT_TIMEOUT)
-                .thenAccept(response -> {
+                .whenComplete(Handled.by(response -> {
                     if (response.isRight() && response.get().isSetSuspectList()) {
                         onReply.accept(CrashMessages.suspects(response.get().getSuspectList()));
                     } else if (tries > 1) {
@@ -335,7 +336,7 @@
                                 host.name(),
                                 response.fold(failure -> failure.code().name(), other -> "MESSAGE_UNKNOWN"));
                     }
-                });
+                }));
     }
 
     private static CompletableFuture<Either<Failure, ControlMessage>> reply(List<SuspectRequest> suspects) {
--- a/src/main/java/org/arbutusfield/quarantine/SuspectPublisher.java
+++ b/src/main/java/org/arbutusfield/quarantine/SuspectPublisher.java
@@ -9,6 +9,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.reach.HostBroadcast;
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.SteeringState;
@@ -135,8 +136,8 @@
     private void withdrawNow(String fingerprint) {
         tellHosts(new SuspectRequest(fingerprint, List.of()), Duration.ZERO);
         store.remove(SuspectCodec.key(fingerprint))
-                .thenAccept(done -> done.peekLeft(failure ->
-                        LOG.warn("event=suspect_not_removed request={} code={}", fingerprint, failure.code())));
+                .whenComplete(Handled.by(done -> done.peekLeft(failure ->
+                        LOG.warn("event=suspect_not_removed request={} code={}", fingerprint, failure.code()))));
     }
 
     private int turn(String fingerprint) {
@@ -185,13 +186,13 @@
 
     private void write(SuspectRequest suspect) {
         store.put(SuspectCodec.key(suspect.fingerprint()), SuspectCodec.encode(suspect), NO_LEASE)
-                .thenAccept(done -> done.peekLeft(failure -> {
+                .whenComplete(Handled.by(done -> done.peekLeft(failure -> {
                     LOG.warn("event=suspect_not_written request={} code={}", suspect.fingerprint(), failure.code());
                     timer.after(STORE_RETRY_DELAY, () -> {
                         if (isCurrent(suspect) && !isStored(suspect)) {
                             write(suspect);
                         }
                     });
-                }));
+                })));
     }
 }
--- a/src/main/java/org/arbutusfield/quota/Leadership.java
+++ b/src/main/java/org/arbutusfield/quota/Leadership.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.state.HeldRegistration;
 import org.arbutusfield.state.SettledEraCodec;
 import org.arbutusfield.state.SteeringState;
@@ -139,8 +140,8 @@
             return;
         }
         store.put(SettledEraCodec.KEY, SettledEraCodec.encode(era), NO_LEASE)
-                .thenAccept(done -> done.peekLeft(
-                        failure -> LOG.warn("event=settled_era_not_written era={} code={}", era, failure.code())));
+                .whenComplete(Handled.by(done -> done.peekLeft(
+                        failure -> LOG.warn("event=settled_era_not_written era={} code={}", era, failure.code()))));
     }
 
     private void startTerm(StoreLease lease) {
--- a/src/main/java/org/arbutusfield/quota/QuotaClient.java
+++ b/src/main/java/org/arbutusfield/quota/QuotaClient.java
@@ -15,6 +15,7 @@
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.RegisteredHost;
 import org.arbutusfield.state.SteeringState;
@@ -173,12 +174,13 @@
         }
         long heardBefore = knowledge.heardCount(report.upstream());
         send(leader.get(), report)
-                .thenAccept(told -> told.peek(limit -> knowledge.told(report.upstream(), limit, heardBefore))
-                        .peekLeft(failure -> LOG.info(
-                                "event=limit_not_reported id={} leader={} code={}",
-                                report.upstream().upstream(),
-                                leader.get().name(),
-                                failure.code())));
+                .whenComplete(Handled.by(
+                        told -> told.peek(limit -> knowledge.told(report.upstream(), limit, heardBefore))
+                                .peekLeft(failure -> LOG.info(
+                                        "event=limit_not_reported id={} leader={} code={}",
+                                        report.upstream().upstream(),
+                                        leader.get().name(),
+                                        failure.code()))));
     }
 
     private CompletableFuture<Either<Failure, UpstreamLimit>> send(HostEntry leader, UpstreamLimit report) {
--- a/src/main/java/org/arbutusfield/reach/HostBroadcast.java
+++ b/src/main/java/org/arbutusfield/reach/HostBroadcast.java
@@ -6,6 +6,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.SteeringState;
 import org.arbutusfield.wire.ControlTransport;
@@ -62,7 +63,7 @@
             if (!host.name().equals(self)) {
                 transport
                         .call(PeerAddress.parse(host.controlAddress()), message, timeout)
-                        .thenAccept(response -> onResponse.accept(host, response));
+                        .whenComplete(Handled.by(response -> onResponse.accept(host, response)));
             }
         }
     }
--- a/src/main/java/org/arbutusfield/reach/PortReports.java
+++ b/src/main/java/org/arbutusfield/reach/PortReports.java
@@ -11,6 +11,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.SteeringState;
 import org.arbutusfield.state.UpstreamStart;
@@ -134,7 +135,7 @@
         }
         transport
                 .call(PeerAddress.parse(relay.controlAddress()), message(report, false), TIMEOUT)
-                .thenAccept(response -> response.peekLeft(failure -> tell(report, relays, index + 1)));
+                .whenComplete(Handled.by(response -> response.peekLeft(failure -> tell(report, relays, index + 1))));
     }
 
     private void receive(PortReport message) {
--- a/src/main/java/org/arbutusfield/reach/RestartedUpstreams.java
+++ b/src/main/java/org/arbutusfield/reach/RestartedUpstreams.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.proxy.upstream.UpstreamProbe;
 import org.arbutusfield.route.ServicePolicy;
 import org.arbutusfield.state.LiveUpstream;
@@ -149,7 +150,8 @@
 
     private void probe(LiveUpstream upstream, Duration nextDelay) {
         long begunNanos = timer.nowNanos();
-        probe.connect(addressOf(upstream)).thenAccept(result -> onProbe(upstream, result, nextDelay, begunNanos));
+        probe.connect(addressOf(upstream))
+                .whenComplete(Handled.by(result -> onProbe(upstream, result, nextDelay, begunNanos)));
     }
 
     private void onProbe(LiveUpstream upstream, UpstreamProbe.Result result, Duration nextDelay, long begunNanos) {
--- a/src/main/java/org/arbutusfield/reach/UpstreamReach.java
+++ b/src/main/java/org/arbutusfield/reach/UpstreamReach.java
@@ -12,6 +12,7 @@
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.proxy.upstream.UpstreamProbe;
 import org.arbutusfield.state.LiveUpstream;
 import org.arbutusfield.state.SteeringState;
@@ -126,7 +127,7 @@
             LiveUpstream upstream = upstreams.remove(random.nextInt(upstreams.size()));
             probe.connect(new InetSocketAddress(
                             upstream.upstream().host(), upstream.upstream().port()))
-                    .thenAccept(result -> onProbe(service, upstream.name(), result));
+                    .whenComplete(Handled.by(result -> onProbe(service, upstream.name(), result)));
         }
         timer.after(PROBE_INTERVAL, () -> {
             if (doubtful(service)) {
--- a/src/main/java/org/arbutusfield/share/ShareClient.java
+++ b/src/main/java/org/arbutusfield/share/ShareClient.java
@@ -14,6 +14,7 @@
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.proxy.TeamLimiter;
 import org.arbutusfield.state.HostEntry;
 import org.arbutusfield.state.RegisteredHost;
@@ -285,8 +286,8 @@
             reports.add(entry.use.allowance().report(number, entry.wanted, now));
         }
         call(leader, report(reports))
-                .thenAccept(answer -> answer.peek(known -> answered(due, number, known))
-                        .peekLeft(failure -> notAnswered(due, number, leader, failure)));
+                .whenComplete(Handled.by(answer -> answer.peek(known -> answered(due, number, known))
+                        .peekLeft(failure -> notAnswered(due, number, leader, failure))));
     }
 
     /**
@@ -300,12 +301,12 @@
         }
         firstReportedTo = name;
         call(leader().orElseThrow(), report(List.of()))
-                .thenAccept(answer -> answer.peekLeft(failure -> {
+                .whenComplete(Handled.by(answer -> answer.peekLeft(failure -> {
                     if (name.equals(firstReportedTo)) {
                         firstReportedTo = Optional.empty();
                         timer.after(FIRST_REPORT_RETRY, this::stateChanged);
                     }
-                }));
+                })));
     }
 
     private HostReport report(List<TeamReport> reports) {
--- a/src/main/java/org/arbutusfield/state/PeerConfiguration.java
+++ b/src/main/java/org/arbutusfield/state/PeerConfiguration.java
@@ -11,6 +11,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.timer.TimerService;
 import org.arbutusfield.wire.ControlHandlers;
 import org.arbutusfield.wire.ControlTransport;
@@ -142,9 +143,9 @@
                         PeerAddress.parse(host.controlAddress()),
                         ControlMessage.configurationRequest(new ConfigurationRequest(version)),
                         TIMEOUT)
-                .thenAccept(result -> result.peek(message -> receive(host, message))
+                .whenComplete(Handled.by(result -> result.peek(message -> receive(host, message))
                         .peekLeft(failure -> LOG.debug(
-                                "event=configuration_not_received host={} code={}", host.name(), failure.code())));
+                                "event=configuration_not_received host={} code={}", host.name(), failure.code()))));
     }
 
     private void receive(HostEntry host, ControlMessage message) {
--- a/src/main/java/org/arbutusfield/state/StoreWatcher.java
+++ b/src/main/java/org/arbutusfield/state/StoreWatcher.java
@@ -12,6 +12,7 @@
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.http.Body;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.store.ItemChanges;
 import org.arbutusfield.store.ItemPage;
 import org.arbutusfield.store.StoreItem;
@@ -27,7 +28,9 @@
  * <p>One watch over all keys is open at a time. {@link StoreHealth} and the keep-alive probes of the connection also
  * detect outages and dead connections. After a watch returns changes, the next one is delayed, so that a burst of
  * changes costs few calls. While the store is unavailable the state stays as it was. Calls are retried with exponential
- * back-off; its maximum is short, because a host must have caught up within a few seconds after an outage.
+ * back-off; its maximum is short, because a host must have caught up within a few seconds after an outage. After any
+ * error, of a call or of what takes the state, and after a watch that isn't answered in time, the store is listed
+ * again: nothing but the end of the process ends the watching.
  *
  * <p>Runs on the timer's thread, on which the store's futures must also complete.
  */
@@ -35,6 +38,8 @@
     private static final Logger LOG = LogManager.getLogger(StoreWatcher.class);
     private static final String ALL_KEYS = "";
     private static final Duration WATCH_WAIT = Duration.ofSeconds(2);
+    /** Longer than a watch waits and its call may take. */
+    private static final Duration WATCH_OVERDUE = Duration.ofSeconds(8);
     /**
      * Divides the time within which a change must be in force; the result is the delay for collecting further changes.
      */
@@ -69,6 +74,8 @@
     private long outageGraceEndNanos;
     private long watchCount;
     private boolean watchPending;
+    /** Runs if the watch isn't answered in time. */
+    private TimerService.ScheduledTask overdue = () -> {};
 
     private StoreWatcher(
             WatchableStore store,
@@ -116,7 +123,8 @@
     }
 
     private void listPage(String after) {
-        store.list(ALL_KEYS, after).thenAccept(result -> listPageDone(after, result));
+        store.list(ALL_KEYS, after)
+                .whenComplete(Handled.by(result -> listPageDone(after, result), error -> brokeOff("list", error)));
     }
 
     private void listPageDone(String after, Either<Failure, ItemPage> result) {
@@ -155,12 +163,36 @@
         watchCount++;
         watchPending = true;
         long number = watchCount;
-        store.watch(ALL_KEYS, revision, WATCH_WAIT).thenAccept(result -> {
-            if (number == watchCount) {
-                watchPending = false;
-                watchDone(result);
-            }
-        });
+        overdue.cancel();
+        overdue = timer.after(WATCH_OVERDUE, () -> watchOverdue(number));
+        store.watch(ALL_KEYS, revision, WATCH_WAIT)
+                .whenComplete(Handled.by(
+                        result -> {
+                            if (number == watchCount) {
+                                watchPending = false;
+                                overdue.cancel();
+                                watchDone(result);
+                            }
+                        },
+                        error -> brokeOff("watch", error)));
+    }
+
+    /** Lists the store again after an error of a call, or of what takes its result. */
+    private void brokeOff(String call, Throwable error) {
+        watchPending = false;
+        overdue.cancel();
+        onFailure(call, Failure.of(ErrorCode.STORE_PROTOCOL, call, error.toString()), this::list);
+    }
+
+    private void watchOverdue(long number) {
+        if (number != watchCount || !watchPending) {
+            return;
+        }
+        LOG.warn("event=watch_overdue revision={}", revision.number());
+        watchPending = false;
+        // An answer that still comes belongs to no watch.
+        watchCount++;
+        onFailure("watch", Failure.of(ErrorCode.STORE_TIMEOUT), this::list);
     }
 
     /** Starts a new watch after an outage that other calls detected, because the store may have lost the open one. */
--- a/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
+++ b/src/main/java/org/arbutusfield/steering/SteeringPlacement.java
@@ -14,6 +14,7 @@
 import org.arbutusfield.affinity.ObjectGroup;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
+import org.arbutusfield.misc.Handled;
 import org.arbutusfield.proxy.AttemptOutcome;
 import org.arbutusfield.proxy.Permit;
 import org.arbutusfield.proxy.Placement;
@@ -125,12 +126,8 @@
         CompletableFuture<Either<Failure, PlacementTarget>> result = new CompletableFuture<>();
         homeOf(object)
                 .thenCompose(home -> place(request, object, home, MAX_QUESTIONS))
-                .thenAccept(placed -> complete(result, placed))
-                .exceptionally(error -> {
-                    // Otherwise the request would wait for a placement until its deadline.
-                    result.completeExceptionally(error);
-                    return null;
-                });
+                // Otherwise the request would wait for a placement until its deadline.
+                .whenComplete(Handled.by(placed -> complete(result, placed), result::completeExceptionally));
         return result;
     }
 
--- a/src/test/java/org/arbutusfield/state/StoreWatcherTest.java
+++ b/src/test/java/org/arbutusfield/state/StoreWatcherTest.java
@@ -34,6 +34,7 @@
     private final ScriptedStore store = new ScriptedStore();
     private final StoreHealth health = StoreHealth.create();
     private SteeringState state = SteeringState.empty();
+    private boolean subscriberFails;
     private StoreWatcher watcher;
 
     /** A store whose responses the test controls; a watch stays open until the test completes it. */
@@ -120,10 +121,17 @@
             store.items.add(item(key));
         }
         StateCache cache = StateCache.create(StoreWatcherTest::decode, Map.of("gulf-a", "gulf"));
-        watcher = StoreWatcher.start(store, timer, cache, MAX_PROPAGATION_DELAY, health, next -> state = next);
+        watcher = StoreWatcher.start(store, timer, cache, MAX_PROPAGATION_DELAY, health, this::accept);
         timer.advance(Duration.ofMillis(1));
     }
 
+    private void accept(SteeringState next) {
+        if (subscriberFails) {
+            throw new IllegalStateException("test");
+        }
+        state = next;
+    }
+
     private List<String> names() {
         return state.upstreams("desk").stream().map(LiveUpstream::name).toList();
     }
@@ -293,4 +301,46 @@
         assertThat(store.listCount).isEqualTo(1);
         assertThat(state.revision().number()).isEqualTo(10);
     }
+
+    /** Guards against a host that follows the store no more, for good and without a log line, after one error. */
+    @Test
+    void watchGoesOnAfterACallThatBrokeOff() {
+        start("a");
+        store.items.add(item("b"));
+        store.watches.get(0).completeExceptionally(new OutOfMemoryError("test"));
+        timer.advance(Duration.ofSeconds(2));
+        assertThat(names()).containsExactly("a", "b");
+        assertThat(store.watches).hasSize(2);
+    }
+
+    /** The same after an error in what takes the new state. */
+    @Test
+    void watchGoesOnAfterAnErrorOfItsSubscriber() {
+        start("a");
+        subscriberFails = true;
+        store.completeWatch(removed("a"));
+        subscriberFails = false;
+        store.items.clear();
+        store.items.add(item("b"));
+        timer.advance(Duration.ofSeconds(2));
+        assertThat(names()).containsExactly("b");
+    }
+
+    /** The same after a call that never completes, although each call has a timeout. */
+    @Test
+    void watchThatIsOverdueIsBegunAgain() {
+        start("a");
+        store.items.add(item("b"));
+        timer.advance(Duration.ofSeconds(9));
+        assertThat(store.watches).hasSizeGreaterThan(1);
+        assertThat(names()).containsExactly("a", "b");
+    }
+
+    /** The other side: a watch that waits for a change isn't begun again before its time. */
+    @Test
+    void watchThatWaitsIsLeftAlone() {
+        start("a");
+        timer.advance(Duration.ofSeconds(4));
+        assertThat(store.watches).hasSize(1);
+    }
 }
