Heads of requests in progress count towards the host's buffers; floods in the fuzz

Change: the memory of heads is reserved from a budget of its own, a quarter of that of bodies; where it has no room, the request is refused, not run. An upload that has reserved its share isn't ended by others' bytes. ExchangeFuzzTest gains two kinds of answer: interim responses without end, and chunks of one byte.

--- a/src/main/java/org/arbutusfield/proxy/BufferBudget.java
+++ b/src/main/java/org/arbutusfield/proxy/BufferBudget.java
@@ -9,7 +9,8 @@
  * adds without asking must see afterwards that the budget is {@link #withinLimit}, and otherwise give up what it holds.
  *
  * <p>Invariant: however many callers there are and whatever they send, at most the limit is held, and one part of a
- * message for each event loop.
+ * message for each event loop and for each upload that has reserved its share. Not counted are the bytes of one read
+ * that a connection holds before they are decoded, and the head of a request that waits for its turn.
  *
  * <p>Thread-safe.
  */
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -84,7 +84,7 @@
 
     /** Starts to receive the body, or claims and places the request immediately if the body is too large to keep. */
     void start() {
-        if (!body.acquireBuffers(head)) {
+        if (!end.acquireBuffers()) {
             fail(Failure.of(ErrorCode.OVERLOADED, "buffers"));
             return;
         }
--- a/src/main/java/org/arbutusfield/proxy/ExchangeEnd.java
+++ b/src/main/java/org/arbutusfield/proxy/ExchangeEnd.java
@@ -17,6 +17,7 @@
     private final AttemptHistory history;
     private final RequestAdmission admission;
     private final RequestRecordBuilder recordBuilder;
+    private long reservedForHead;
     private boolean notRun;
 
     private ExchangeEnd(
@@ -52,6 +53,16 @@
         notRun = certainlyNotRun;
     }
 
+    /** Reserves what the request holds until the end; returns false if the host's buffers have no room for it. */
+    boolean acquireBuffers() {
+        long bytes = HeadMemory.of(head.headers());
+        if (!context.headBuffers().tryAdd(bytes)) {
+            return false;
+        }
+        reservedForHead = bytes;
+        return body.acquireBuffers(head);
+    }
+
     /** Records an attempt that ended without a response to relay. */
     void attemptFailed(Attempt attempt, Failure failure) {
         String target = attempt.target().name();
@@ -83,6 +94,7 @@
                 recordBuilder.record(result, code, notRun, history.retries(), body.received(), relayedBytes);
         boolean reusable = body.ended();
         body.release();
+        context.headBuffers().remove(reservedForHead);
         relay.ifPresent(ResponseRelay::release);
         context.components().observer().finished(record);
         // Last, because the host counts the request as in progress until then.
--- a/src/main/java/org/arbutusfield/proxy/ProxyContext.java
+++ b/src/main/java/org/arbutusfield/proxy/ProxyContext.java
@@ -13,7 +13,11 @@
 final class ProxyContext {
     private final ProxyComponents components;
     private final ConnectionPools pools;
+    /** Part of the limit on request bodies that the heads of requests may hold beside them, as a divisor. */
+    private static final int HEAD_BUFFERS_DIVISOR = 4;
+
     private final BufferBudget requestBuffers;
+    private final BufferBudget headBuffers;
     private final BufferBudget responseBuffers;
     private final AtomicInteger inFlight = new AtomicInteger();
     private final AtomicInteger callerConnections = new AtomicInteger();
@@ -27,6 +31,7 @@
         this.components = components;
         this.pools = pools;
         requestBuffers = BufferBudget.of(components.limits().get().hostReplayBytes());
+        headBuffers = BufferBudget.of(components.limits().get().hostReplayBytes() / HEAD_BUFFERS_DIVISOR);
         responseBuffers = BufferBudget.of(components.limits().get().hostPendingBytes());
     }
 
@@ -61,6 +66,11 @@
         return requestBuffers;
     }
 
+    /** Budget for the heads of requests in progress. */
+    BufferBudget headBuffers() {
+        return headBuffers;
+    }
+
     /** Budget for response bytes that wait for callers. */
     BufferBudget responseBuffers() {
         return responseBuffers;
--- a/src/main/java/org/arbutusfield/proxy/ProxyServer.java
+++ b/src/main/java/org/arbutusfield/proxy/ProxyServer.java
@@ -117,12 +117,16 @@
 
     /** Bytes currently buffered for requests and responses. */
     public long bufferedBytes() {
-        return context.requestBuffers().held() + context.responseBuffers().held();
+        return context.headBuffers().held()
+                + context.requestBuffers().held()
+                + context.responseBuffers().held();
     }
 
-    /** Sum of the peak bytes buffered for requests and the peak bytes buffered for responses. */
+    /** Sum of the peak bytes buffered for heads, for requests and for responses. */
     public long peakBufferedBytes() {
-        return context.requestBuffers().peak() + context.responseBuffers().peak();
+        return context.headBuffers().peak()
+                + context.requestBuffers().peak()
+                + context.responseBuffers().peak();
     }
 
     /**
--- a/src/main/java/org/arbutusfield/proxy/RequestBody.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestBody.java
@@ -163,13 +163,17 @@
         sent = 0;
     }
 
-    /** Gives up what is kept for a retry if the host's buffers hold more than their limit; false if they still do. */
+    /**
+     * Gives up what is kept for a retry if the host's buffers hold more than their limit.
+     *
+     * @return false if they still do, and the body has no reservation of its own
+     */
     private boolean relieveBuffers() {
         if (budget.withinLimit()) {
             return true;
         }
         dropSentBlocks();
-        return budget.withinLimit();
+        return reserved > 0 || budget.withinLimit();
     }
 
     /** A copy of all bytes received; the body must be {@link #fullyKept}. */
--- a/src/test/java/org/arbutusfield/proxy/FuzzedUpstream.java
+++ b/src/test/java/org/arbutusfield/proxy/FuzzedUpstream.java
@@ -10,10 +10,13 @@
 
 /**
  * Answers requests in all the ways in which an upstream may fail, at random: whole, cut or hung at any byte, twice,
- * with another's id, with an earlier refusal, with what is no response. Remembers which requests it has run.
+ * with another's id, with an earlier refusal, with what is no response, in chunks of one byte, with a flood. Remembers
+ * which requests it has run.
  */
 final class FuzzedUpstream implements ScriptedUpstream.Script {
     private static final int MAX_REPEATS = 400;
+    private static final int FLOOD = 20_000;
+    private static final String INTERIM = "HTTP/1.1 102 Processing\r\n\r\n";
     private static final String REFUSAL =
             "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\ncontent-length: 0\r\n%s\r\n";
 
@@ -72,6 +75,8 @@
             case 10 -> Reply.keep(whole + "HTT");
             case 11 -> Reply.thenClose("");
             case 12 -> Reply.thenClose(success(id, id, 3));
+            case 18 -> Reply.thenClose(INTERIM.repeat(FLOOD));
+            case 19 -> Reply.keep(success(id, id, 4));
             default -> Reply.keep(whole);
         };
     }
@@ -88,6 +93,9 @@
                 head + "transfer-encoding: chunked\r\n\r\n"
                         + Integer.toHexString(body.length()).toUpperCase(Locale.ROOT) + "\r\n" + body + "\r\n0\r\n\r\n";
             case 3 -> head + "connection: close\r\n\r\n" + body;
+            case 4 ->
+                INTERIM + head + "transfer-encoding: chunked\r\n\r\n" + body.replaceAll("(.)", "1\r\n$1\r\n")
+                        + "0\r\n\r\n";
             default -> head + "content-length: " + body.length() + "\r\n\r\n" + body;
         };
     }
--- a/src/test/java/org/arbutusfield/proxy/HostBuffersTest.java
+++ b/src/test/java/org/arbutusfield/proxy/HostBuffersTest.java
@@ -74,4 +74,39 @@
             callers.forEach(RawCaller::close);
         }
     }
+
+    private static String withLargeHead(int id) {
+        String field = "x-field-%d: " + "x".repeat(1_000) + "\r\n";
+        StringBuilder fields = new StringBuilder();
+        for (int i = 0; i < 10; i++) {
+            fields.append(field.formatted(i));
+        }
+        return "GET /desk/x HTTP/1.1\r\nhost: x\r\nx-request-id: l" + id + "\r\n" + fields + "\r\n";
+    }
+
+    /** Guards against callers whose heads together fill the heap while their requests wait for an upstream. */
+    @Test
+    @Timeout(30)
+    void headsOfAllCallersTogetherStayWithinTheLimit() throws Exception {
+        List<RawCaller> callers = new ArrayList<>();
+        try (ProxyFixture fixture = ProxyFixture.of(1, 64, all -> all.withLimits(limits()))) {
+            fixture.upstream().holdResponses(request -> true);
+            for (int i = 0; i < CALLERS; i++) {
+                callers.add(fixture.caller().send(withLargeHead(i)));
+            }
+            for (int refused = 0; refused < CALLERS - LIMIT_BYTES / 4 / 10_000; refused++) {
+                RequestRecord record = fixture.nextRecord();
+                assertThat(record).as("refused until now: %d", refused).isNotNull();
+                assertThat(record.notRun()).isTrue();
+            }
+            assertThat(fixture.server.bufferedBytes()).isLessThan(LIMIT_BYTES / 4);
+            fixture.upstream().releaseHeldResponses();
+            while (fixture.server.inFlight() > 0) {
+                Thread.onSpinWait();
+            }
+            assertThat(fixture.server.bufferedBytes()).isZero();
+        } finally {
+            callers.forEach(RawCaller::close);
+        }
+    }
 }
