--- a/src/test/java/org/arbutusfield/proxy/ConnectionReuseTest.java
+++ b/src/test/java/org/arbutusfield/proxy/ConnectionReuseTest.java
@@ -110,7 +110,7 @@
                         0,
                         0,
                         all -> all.withPlacement(ScriptedUpstream.inTurn(upstream))
-                                .withLimits(withoutReuse()));
+                                .withLimits(TestLimits.withNonRepeatableReuseLimit(Duration.ZERO)));
                 RawCaller caller = fixture.caller()) {
             for (int i = 0; i < 20; i++) {
                 assertThat(caller.call(get("/desk/quote/" + i, "q" + i)).status())
@@ -121,26 +121,6 @@
         }
     }
 
-    private static ProxyLimits withoutReuse() {
-        ProxyLimits all = ProxyLimits.defaults();
-        return new ProxyLimits(
-                all.callerConnections(),
-                all.headBytes(),
-                all.bodyBytes(),
-                all.replayBytes(),
-                all.hostReplayBytes(),
-                all.hostPendingBytes(),
-                all.headTimeout(),
-                all.bodyTimeout(),
-                all.idleTimeout(),
-                all.lingerTimeout(),
-                all.connectTimeout(),
-                all.progressTimeout(),
-                all.writeTimeout(),
-                Duration.ZERO,
-                all.attempts());
-    }
-
     /**
      * Open connections stop delivering data, as after a middlebox lost its state, while a new connection to the same
      * upstream works. The request is retried on a new connection, and no failed attempt is reported for the upstream.
--- a/src/test/java/org/arbutusfield/proxy/HostBuffersTest.java
+++ b/src/test/java/org/arbutusfield/proxy/HostBuffersTest.java
@@ -17,23 +17,7 @@
     private static final long ONE_PART_BYTES = 128L << 10;
 
     private static ProxyLimits limits() {
-        ProxyLimits all = ProxyLimits.defaults();
-        return new ProxyLimits(
-                all.callerConnections(),
-                all.headBytes(),
-                all.bodyBytes(),
-                all.replayBytes(),
-                LIMIT_BYTES,
-                all.hostPendingBytes(),
-                all.headTimeout(),
-                all.bodyTimeout(),
-                all.idleTimeout(),
-                all.lingerTimeout(),
-                all.connectTimeout(),
-                all.progressTimeout(),
-                all.writeTimeout(),
-                all.nonRepeatableReuseLimit(),
-                all.attempts());
+        return TestLimits.withReplayBytes(ProxyLimits.defaults().replayBytes(), LIMIT_BYTES);
     }
 
     private static String unfinished(int id) {
--- a/src/test/java/org/arbutusfield/proxy/SilentUpstreamTest.java
+++ b/src/test/java/org/arbutusfield/proxy/SilentUpstreamTest.java
@@ -103,23 +103,7 @@
     @Test
     void answerThatPausesIsNotCutIfNothingCanContinueIt() {
         Duration silenceLimit = Duration.ofMillis(200);
-        ProxyLimits all = ProxyLimits.defaults();
-        ProxyLimits limits = new ProxyLimits(
-                all.callerConnections(),
-                all.headBytes(),
-                all.bodyBytes(),
-                all.replayBytes(),
-                all.hostReplayBytes(),
-                all.hostPendingBytes(),
-                all.headTimeout(),
-                all.bodyTimeout(),
-                all.idleTimeout(),
-                all.lingerTimeout(),
-                all.connectTimeout(),
-                silenceLimit,
-                all.writeTimeout(),
-                all.nonRepeatableReuseLimit(),
-                all.attempts());
+        ProxyLimits limits = TestLimits.withProgressTimeout(silenceLimit);
         try (PausingUpstream upstream = PausingUpstream.start(LATE);
                 ProxyFixture fixture = ProxyFixture.of(
                         0,
--- a/src/test/java/org/arbutusfield/proxy/UploadTest.java
+++ b/src/test/java/org/arbutusfield/proxy/UploadTest.java
@@ -85,7 +85,8 @@
     @Timeout(20)
     void uploadsReserveTheirBuffersBeforeTheirBodiesArrive() {
         Placement waiting = request -> new CompletableFuture<>();
-        try (ProxyFixture fixture = ProxyFixture.of(1, 64, all -> uploads(all, waiting, twoBodies()));
+        try (ProxyFixture fixture = ProxyFixture.of(
+                        1, 64, all -> uploads(all, waiting, TestLimits.withReplayBytes(64 << 10, 128 << 10)));
                 RawCaller first = fixture.caller();
                 RawCaller second = fixture.caller();
                 RawCaller third = fixture.caller()) {
@@ -105,24 +106,4 @@
             }
         }
     }
-
-    private static ProxyLimits twoBodies() {
-        ProxyLimits all = ProxyLimits.defaults();
-        return new ProxyLimits(
-                all.callerConnections(),
-                all.headBytes(),
-                all.bodyBytes(),
-                64 << 10,
-                128 << 10,
-                all.hostPendingBytes(),
-                all.headTimeout(),
-                all.bodyTimeout(),
-                all.idleTimeout(),
-                all.lingerTimeout(),
-                all.connectTimeout(),
-                all.progressTimeout(),
-                all.writeTimeout(),
-                all.nonRepeatableReuseLimit(),
-                all.attempts());
-    }
 }
