What follows a rejected head is dropped, not kept (report of others: bytes without end)

Cause: the check for folded lines throws before the bytes are consumed. While an earlier request on the connection was in progress, reading went on, and all that came was kept and checked again with each read.

Change: after a rejection the decoder skips what it gets, as it does after other malformed heads.

Evidence: StrictRequestDecoderTest failed before (each further read threw again, with all bytes kept) and passes.

--- a/src/main/java/org/arbutusfield/proxy/StrictRequestDecoder.java
+++ b/src/main/java/org/arbutusfield/proxy/StrictRequestDecoder.java
@@ -23,6 +23,9 @@
     private final Runnable headStarted;
     private boolean inHead = true;
     private boolean receivingHead;
+    /** True once a head was rejected; what follows can't be told from the rest of it. */
+    private boolean rejected;
+
     private int heads;
     private long decodedMessages;
 
@@ -74,6 +77,10 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+        if (rejected) {
+            buffer.skipBytes(buffer.readableBytes());
+            return;
+        }
         if (inHead) {
             if (!receivingHead && buffer.isReadable()) {
                 receivingHead = true;
@@ -105,12 +112,14 @@
         return message;
     }
 
-    private static void rejectFoldedLines(ByteBuf buffer) {
+    private void rejectFoldedLines(ByteBuf buffer) {
         int lineStart = buffer.readerIndex();
         int end = buffer.writerIndex();
         while (lineStart < end) {
             byte first = buffer.getByte(lineStart);
             if (first == ' ' || first == '\t') {
+                rejected = true;
+                buffer.skipBytes(buffer.readableBytes());
                 throw new IllegalArgumentException("a line of the request head begins with whitespace");
             }
             int lineEnd = buffer.indexOf(lineStart, end, LF);
