A harmless silence doesn't take back a restart that was seen

Cause, found by reading the change: what silence alone suggests and what was found of a port stood in one map, so a connection that outlived a later silence ended the cold period of a restart that this host, or another one, had seen.

Change: the assumption has a map of its own, and only it is taken back.

--- a/src/main/java/org/arbutusfield/reach/RestartedUpstreams.java
+++ b/src/main/java/org/arbutusfield/reach/RestartedUpstreams.java
@@ -69,6 +69,9 @@
     /** Monotonic time until which an upstream counts as cold, by its start. */
     private final Map<UpstreamStart, Long> coldUntilByStart = new HashMap<>();
 
+    /** The same for upstreams that may have restarted behind a silence; taken back if they didn't. */
+    private final Map<UpstreamStart, Long> assumedColdUntilByStart = new HashMap<>();
+
     private final Set<UpstreamStart> probing = new HashSet<>();
     /** Starts whose port was closed when last looked at. */
     private final Set<UpstreamStart> closed = new HashSet<>();
@@ -118,10 +121,15 @@
         long now = timer.nowNanos();
         closed.retainAll(starts);
         silent.keySet().retainAll(starts);
-        coldUntilByStart.entrySet().removeIf(known -> !starts.contains(known.getKey()) || known.getValue() - now <= 0);
+        removeOver(coldUntilByStart, starts, now);
+        removeOver(assumedColdUntilByStart, starts, now);
         publish();
     }
 
+    private static void removeOver(Map<UpstreamStart, Long> untilByStart, Set<UpstreamStart> starts, long now) {
+        untilByStart.entrySet().removeIf(known -> !starts.contains(known.getKey()) || known.getValue() - now <= 0);
+    }
+
     /** Called when connections to an address were lost, can't be opened, or can be opened again. */
     public void mayHaveRestarted(InetSocketAddress address) {
         for (LiveUpstream upstream : upstreamsAt(address)) {
@@ -183,7 +191,7 @@
                     upstream.name(),
                     Duration.ofNanos(timer.nowNanos() - silence.sinceNanos()).toMillis(),
                     evidence.storeAnswers().getAsBoolean());
-            if (coldUntilByStart.replace(start, coldUntil) != null) {
+            if (assumedColdUntilByStart.replace(start, coldUntil) != null) {
                 publish();
             }
             checkRestarted(upstream, silence, coldUntil, 0);
@@ -198,9 +206,8 @@
         }
         boolean goesOn = evidence.witness().survives(addressOf(upstream), begunNanos, begunNanos);
         if (goesOn || evidence.cutOff().getAsBoolean()) {
-            if (silent.remove(start) != null) {
-                forgetCold(start);
-            }
+            silent.remove(start);
+            forgetAssumption(start);
             return;
         }
         long now = timer.nowNanos();
@@ -210,7 +217,7 @@
             LOG.info("event=upstream_port_silent id={} start={}", upstream.name(), start.startMillis());
         }
         if (!evidence.storeAnswers().getAsBoolean()) {
-            setColdFor(start, WHILE_CLOSED);
+            assumeColdUntil(start, now + WHILE_CLOSED.toNanos());
         }
     }
 
@@ -232,20 +239,26 @@
                 evidence.witness().survives(addressOf(upstream), silence.sinceNanos(), silence.unansweredNanos());
         if (survived || storeAnswers >= CONFIRMING_CHECKS) {
             LOG.info("event=upstream_not_restarted id={} by={}", upstream.name(), survived ? "connection" : "store");
-            forgetCold(start);
+            forgetAssumption(start);
             return;
         }
         boolean answers = evidence.storeAnswers().getAsBoolean();
-        if (!answers && !coldUntilByStart.containsKey(start)) {
+        if (!answers && !assumedColdUntilByStart.containsKey(start)) {
             LOG.info("event=upstream_taken_for_restarted id={}", upstream.name());
-            setColdFor(start, Duration.ofNanos(coldUntil - timer.nowNanos()));
+            assumeColdUntil(start, coldUntil);
         }
         int answersInARow = answers ? storeAnswers + 1 : 0;
         timer.after(CHECK_INTERVAL, () -> checkRestarted(upstream, silence, coldUntil, answersInARow));
     }
 
-    private void forgetCold(UpstreamStart start) {
-        if (coldUntilByStart.remove(start) != null) {
+    private void assumeColdUntil(UpstreamStart start, long nanos) {
+        assumedColdUntilByStart.put(start, nanos);
+        publish();
+    }
+
+    /** What was found of the upstream's port stays. */
+    private void forgetAssumption(UpstreamStart start) {
+        if (assumedColdUntilByStart.remove(start) != null) {
             publish();
         }
     }
@@ -253,6 +266,7 @@
     private void foundClosed(LiveUpstream upstream) {
         UpstreamStart start = upstream.start();
         silent.remove(start);
+        assumedColdUntilByStart.remove(start);
         if (closed.add(start)) {
             LOG.info("event=upstream_ended id={} start={}", upstream.name(), upstream.startMillis());
             setColdFor(start, WHILE_CLOSED);
@@ -307,11 +321,17 @@
     }
 
     private void publish() {
-        subscriber.accept(coldUntilByStart.isEmpty() ? stored : stored.withUpstreams(this::withRestart));
+        boolean unchanged = coldUntilByStart.isEmpty() && assumedColdUntilByStart.isEmpty();
+        subscriber.accept(unchanged ? stored : stored.withUpstreams(this::withRestart));
     }
 
     private LiveUpstream withRestart(LiveUpstream upstream) {
-        Long coldUntil = coldUntilByStart.get(upstream.start());
+        LiveUpstream found = withColdUntil(upstream, coldUntilByStart.get(upstream.start()));
+        return withColdUntil(found, assumedColdUntilByStart.get(upstream.start()));
+    }
+
+    /** Returns the upstream, cold until a time if that is later than the one that it has; null is no time. */
+    private static LiveUpstream withColdUntil(LiveUpstream upstream, Long coldUntil) {
         boolean longer = coldUntil != null && coldUntil - upstream.coldUntilNanos() > 0;
         return longer ? upstream.withColdUntil(coldUntil) : upstream;
     }
--- a/src/test/java/org/arbutusfield/reach/RestartedUpstreamsTest.java
+++ b/src/test/java/org/arbutusfield/reach/RestartedUpstreamsTest.java
@@ -208,6 +208,22 @@
         assertThat(cold("u1")).isFalse();
     }
 
+    /** Guards against a restart that was seen and is forgotten, because a later silence turns out to be harmless. */
+    @Test
+    void restartThatWasSeenIsNotForgottenAfterAHarmlessSilence() {
+        storeAnswers = false;
+        restart();
+        connectionOpenedNanos = timer.nowNanos();
+        timer.advance(MILLISECOND);
+        silence(Duration.ofMillis(300));
+        timer.advance(Duration.ofMillis(200));
+        connectionReceivedNanos = timer.nowNanos();
+        timer.advance(Duration.ofMillis(200));
+        assertThat(cold("u1")).as("in the cold period of its restart").isTrue();
+        timer.advance(COLD_PERIOD);
+        assertThat(cold("u1")).isFalse();
+    }
+
     /** While the port is silent, many signs cause few probes. */
     @Test
     void probesOfASilentPortAreLimited() {
