--- a/src/main/java/org/arbutusfield/proxy/CallerRequest.java
+++ b/src/main/java/org/arbutusfield/proxy/CallerRequest.java
@@ -272,10 +272,8 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        if (bytes > 0) {
-            pendingBytes += bytes + WRITE_OBJECT_BYTES;
-            context.responseBuffers().add(bytes + WRITE_OBJECT_BYTES);
-        }
+        pendingBytes += memory(bytes);
+        context.responseBuffers().add(memory(bytes));
         if (inTurn) {
             send(message, bytes);
         } else {
@@ -306,16 +304,19 @@
     private void discardHeld() {
         for (HeldWrite write : held) {
             ReferenceCountUtil.release(write.message());
-            if (write.bytes() > 0) {
-                released(write.bytes());
-            }
+            released(write.bytes());
         }
         held.clear();
     }
 
     private void released(int bytes) {
-        pendingBytes -= bytes + WRITE_OBJECT_BYTES;
-        context.responseBuffers().remove(bytes + WRITE_OBJECT_BYTES);
+        pendingBytes -= memory(bytes);
+        context.responseBuffers().remove(memory(bytes));
+    }
+
+    /** Memory that a write holds until it has reached the socket; one without body bytes isn't counted. */
+    private static int memory(int bytes) {
+        return bytes > 0 ? bytes + WRITE_OBJECT_BYTES : 0;
     }
 
     private void writeFullResponse(SimpleHttpResponse response, String requestId, Optional<Failure> failure) {
--- a/src/main/java/org/arbutusfield/proxy/Exchange.java
+++ b/src/main/java/org/arbutusfield/proxy/Exchange.java
@@ -180,7 +180,7 @@
     public void hostStops() {
         switch (stage) {
             case BODY, CLAIM, PLACE, CONNECT -> stopCheck.awaitLatestStart();
-            case SENT -> responseWait.hostStops(attempt);
+            case SENT -> responseWait.start(attempt);
             case RESPONSE -> deadline.bringForward();
             default -> {} // The response is complete; the caller may read it until the host ends.
         }
--- a/src/main/java/org/arbutusfield/proxy/RequestBody.java
+++ b/src/main/java/org/arbutusfield/proxy/RequestBody.java
@@ -44,7 +44,7 @@
 
     private long expectedBytes = Long.MAX_VALUE;
     private long received;
-    private long sent;
+    private long sentBytes;
     private long held;
     private long reserved;
     private boolean ended;
@@ -122,7 +122,7 @@
 
     /** Bytes received and not sent. */
     long unsentBytes() {
-        return received - sent;
+        return received - sentBytes;
     }
 
     /** Bytes received. */
@@ -151,7 +151,7 @@
         int length = block.readableBytes() - sentOfBlock;
         ByteBuf slice = block.retainedSlice(block.readerIndex() + sentOfBlock, length);
         sentOfBlock += length;
-        sent += length;
+        sentBytes += length;
         skipSentBlocks();
         return slice;
     }
@@ -160,7 +160,7 @@
     void rewind() {
         unsentBlock = 0;
         sentOfBlock = 0;
-        sent = 0;
+        sentBytes = 0;
     }
 
     /**
@@ -241,12 +241,12 @@
 
     private void dropSentBlocks() {
         replayable &= unsentBlock == 0 && sentOfBlock == 0;
-        List<ByteBuf> sent = blocks.subList(0, unsentBlock);
-        for (ByteBuf block : sent) {
+        List<ByteBuf> sentBlocks = blocks.subList(0, unsentBlock);
+        for (ByteBuf block : sentBlocks) {
             addHeld(-memory(block));
             block.release();
         }
-        sent.clear();
+        sentBlocks.clear();
         unsentBlock = 0;
     }
 
--- a/src/main/java/org/arbutusfield/proxy/ResponseWait.java
+++ b/src/main/java/org/arbutusfield/proxy/ResponseWait.java
@@ -40,7 +40,8 @@
     }
 
     /**
-     * Starts to wait.
+     * Starts to wait, and again when the host stops: no other upstream is asked any more then, and the exchange may end
+     * sooner.
      *
      * @param attempt the attempt that sent the request
      */
@@ -61,11 +62,6 @@
         deadline.await(context.responseTimes().patience(head, deadline.remaining(), System.nanoTime()));
     }
 
-    /** Called when the host stops: no other upstream is asked any more, and the exchange may end sooner. */
-    void hostStops(Attempt attempt) {
-        start(attempt);
-    }
-
     /** Called when the timer expired; it is set again if the body goes on arriving. */
     State state(Attempt attempt) {
         if (deadline.passed()) {
--- a/src/main/java/org/arbutusfield/proxy/RetryCheck.java
+++ b/src/main/java/org/arbutusfield/proxy/RetryCheck.java
@@ -9,7 +9,7 @@
  * Decides whether one request may be sent once more, and acquires the right to it.
  *
  * <p>Problem: an upstream that is silent may have been lost without notice, or may be at work. Who closes its
- * connection first and asks for a retry afterwards loses the work for nothing where the retry is denied.
+ * connection first and asks for a retry afterwards loses the response for nothing where the retry is denied.
  *
  * <p>Idea: a retry in place of an attempt that may still succeed is acquired before that attempt is given up. Where it
  * isn't allowed, the upstream keeps the time that is left.
@@ -18,7 +18,7 @@
  * caller would get this host's answer in place of the upstream's.
  *
  * <p>Example: an upstream has been silent for half of the time, and the host's retries are used up. The request waits,
- * and its answer comes a second later.
+ * and its response comes a second later.
  *
  * <p>Confined to the request's event loop.
  */
--- a/src/main/java/org/arbutusfield/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/UpstreamConnection.java
@@ -56,7 +56,7 @@
     private static final Duration RECENT_USE = Duration.ofSeconds(2);
     /** The peer of a failed write has closed the connection, so what it had sent before is here or on its way. */
     private static final Duration LAST_RESPONSE_TIMEOUT = Duration.ofMillis(200);
-    /** More than an upstream in order sends before one answer; without a limit they may come without end. */
+    /** More than an upstream in order sends before one response; without a limit they may come without end. */
     private static final int MAX_INTERIM_RESPONSES = 32;
 
     private final ChannelFutureListener writeListener = this::written;
@@ -75,7 +75,9 @@
     private boolean requestIdEchoed;
     private long lastReadNanos;
     private long openedNanos;
+    /** Unlike the time of the last read, not changed when reading is resumed. */
     private volatile long lastByteNanos;
+
     private volatile long idleSinceNanos;
 
     UpstreamConnection(ConnectionPool pool, StrictResponseDecoder decoder) {
--- a/src/main/java/org/arbutusfield/reach/RestartedUpstreams.java
+++ b/src/main/java/org/arbutusfield/reach/RestartedUpstreams.java
@@ -34,8 +34,8 @@
  *
  * <p>A port that doesn't answer tells less: the upstream may be restarting, or a link is cut. The host goes on trying.
  * When the port accepts again, a connection that has outlived the silence proves that the upstream didn't restart, and
- * so does a store that answers and still has the same start. Without either the upstream is taken for cold: a wrong
- * guess costs one cold period at one upstream, the other one the upstream.
+ * so does a store that answers and still has the same start. Without either the upstream is taken for cold: if that is
+ * wrong, one upstream gets few requests for a cold period; if it were taken for warm wrongly, it might crash.
  *
  * <p>Invariants: while the store answers, an upstream whose port no host found closed is never taken for cold, whatever
  * happens to connections; nor is one for its silence alone while this host reaches no upstream at all, or while a
--- a/src/test/java/org/arbutusfield/proxy/PausingUpstream.java
+++ b/src/test/java/org/arbutusfield/proxy/PausingUpstream.java
@@ -1,6 +1,5 @@
 package org.arbutusfield.proxy;
 
-import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -8,9 +7,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.arbutusfield.model.Upstream;
 
 /** An upstream that pauses in the middle of each of its answers. */
 final class PausingUpstream implements AutoCloseable {
@@ -40,9 +37,7 @@
     }
 
     Placement placement() {
-        Upstream upstream = new Upstream("pausing", "desk", "gulf-a", "127.0.0.1", listener.getLocalPort(), 64, 64);
-        return request -> CompletableFuture.completedFuture(
-                Either.right(new PlacementTarget.UpstreamTarget(upstream, Permit.NONE)));
+        return ProxyFixture.alwaysAt(listener.getLocalPort());
     }
 
     private void accept() {
--- a/src/test/java/org/arbutusfield/proxy/ProxyFixture.java
+++ b/src/test/java/org/arbutusfield/proxy/ProxyFixture.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.vavr.control.Either;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -9,6 +10,7 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -79,6 +81,13 @@
                 List.of());
     }
 
+    /** A placement that chooses the upstream at a port of this machine for each request. */
+    static Placement alwaysAt(int port) {
+        Upstream upstream = new Upstream("at-" + port, "desk", "gulf-a", "127.0.0.1", port, 64, 64);
+        return request -> CompletableFuture.completedFuture(
+                Either.right(new PlacementTarget.UpstreamTarget(upstream, Permit.NONE)));
+    }
+
     RawCaller caller() {
         return RawCaller.connect(server.address());
     }
--- a/src/test/java/org/arbutusfield/proxy/ResetAnswerTest.java
+++ b/src/test/java/org/arbutusfield/proxy/ResetAnswerTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
@@ -10,10 +9,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.arbutusfield.model.Upstream;
 import org.arbutusfield.proxy.RawCaller.Response;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -87,9 +84,7 @@
         }
 
         private Placement placement() {
-            Upstream upstream = new Upstream("r", "desk", "gulf-a", "127.0.0.1", listener.getLocalPort(), 64, 64);
-            return request -> CompletableFuture.completedFuture(
-                    Either.right(new PlacementTarget.UpstreamTarget(upstream, Permit.NONE)));
+            return ProxyFixture.alwaysAt(listener.getLocalPort());
         }
 
         @Override
--- a/src/test/java/org/arbutusfield/proxy/SilentUpstreamTest.java
+++ b/src/test/java/org/arbutusfield/proxy/SilentUpstreamTest.java
@@ -34,6 +34,11 @@
         }
     }
 
+    private static ProxyFixture fixture(ScriptedUpstream upstream, RetryLimiter limiter) {
+        Placement placement = ScriptedUpstream.inTurn(upstream);
+        return ProxyFixture.of(0, 0, all -> all.withPlacement(placement).withRetryLimiter(limiter));
+    }
+
     /** Answers the first request of a connection at once, and the others when the latch is down. */
     private static ScriptedUpstream slowAfterTheFirst(CountDownLatch done) {
         return ScriptedUpstream.start((number, id) -> {
@@ -55,11 +60,7 @@
             return false;
         };
         try (ScriptedUpstream upstream = slowAfterTheFirst(denied);
-                ProxyFixture fixture = ProxyFixture.of(
-                        0,
-                        0,
-                        all -> all.withPlacement(ScriptedUpstream.inTurn(upstream))
-                                .withRetryLimiter(none));
+                ProxyFixture fixture = fixture(upstream, none);
                 RawCaller caller = fixture.caller()) {
             assertThat(caller.call(slowGet("first")).status()).isEqualTo(200);
             Response response = caller.call(slowGet("second"));
@@ -79,11 +80,7 @@
             return true;
         };
         try (ScriptedUpstream upstream = slowAfterTheFirst(done);
-                ProxyFixture fixture = ProxyFixture.of(
-                        0,
-                        0,
-                        all -> all.withPlacement(ScriptedUpstream.inTurn(upstream))
-                                .withRetryLimiter(counting));
+                ProxyFixture fixture = fixture(upstream, counting);
                 RawCaller caller = fixture.caller()) {
             assertThat(caller.call(slowGet("first")).status()).isEqualTo(200);
             caller.send(slowGet("second"));
