--- a/src/main/java/org/arbutusfield/http/ClientConnection.java
+++ b/src/main/java/org/arbutusfield/http/ClientConnection.java
@@ -70,7 +70,8 @@
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse message) {
         if (message.decoderResult().isFailure()) {
             peerKeepsAlive = false;
-            pending.complete(Either.left(Failure.of(ErrorCode.PEER_PROTOCOL)));
+            String reason = message.decoderResult().cause().toString();
+            pending.complete(Either.left(Failure.of(ErrorCode.PEER_PROTOCOL, "", reason)));
             return;
         }
         peerKeepsAlive = HttpUtil.isKeepAlive(message);
--- a/src/main/java/org/arbutusfield/http/HttpClient.java
+++ b/src/main/java/org/arbutusfield/http/HttpClient.java
@@ -8,8 +8,8 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -105,7 +105,8 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
-                                .addLast(new HttpClientCodec())
+                                .addLast(new HttpRequestEncoder())
+                                .addLast(StrictResponseDecoder.create())
                                 .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
                                 .addLast(connection);
                     }
--- a/src/main/java/org/arbutusfield/proxy/Attempt.java
+++ b/src/main/java/org/arbutusfield/proxy/Attempt.java
@@ -284,7 +284,7 @@
     }
 
     @Override
-    public void lost(Loss cause) {
+    public void lost(Loss cause, String detail) {
         if (discarding) {
             discardTimeout.cancel(false);
         }
@@ -298,7 +298,7 @@
         }
         release(onReusedConnection() ? AttemptOutcome.CANCELLED : AttemptOutcome.FAILED);
         ErrorCode code = cause == Loss.MALFORMED ? ErrorCode.UPSTREAM_PROTOCOL : ErrorCode.UPSTREAM_LOST;
-        exchange.responseLost(this, failure(code, ""));
+        exchange.responseLost(this, failure(code, detail));
     }
 
     private void noticed(UpstreamNotice notice) {
--- a/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/ConnectionPool.java
@@ -220,7 +220,7 @@
     }
 
     private void connect(EventLoop loop, Consumer<Either<Failure, UpstreamConnection>> callback) {
-        StrictResponseDecoder decoder = StrictResponseDecoder.create();
+        UpstreamResponseDecoder decoder = UpstreamResponseDecoder.create();
         UpstreamConnection connection = new UpstreamConnection(this, decoder);
         ChannelFuture opened = new Bootstrap()
                 .group(loop)
--- a/src/main/java/org/arbutusfield/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/UpstreamConnection.java
@@ -23,6 +23,7 @@
 import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.arbutusfield.http.HeadLine;
 import org.arbutusfield.proxy.upstream.UpstreamResponseListener.Loss;
 
 /**
@@ -61,7 +62,7 @@
 
     private final ChannelFutureListener writeListener = this::written;
     private final ConnectionPool pool;
-    private final StrictResponseDecoder decoder;
+    private final UpstreamResponseDecoder decoder;
     private Channel channel;
     private UpstreamResponseListener responseListener;
     private boolean reading = true;
@@ -80,7 +81,7 @@
 
     private volatile long idleSinceNanos;
 
-    UpstreamConnection(ConnectionPool pool, StrictResponseDecoder decoder) {
+    UpstreamConnection(ConnectionPool pool, UpstreamResponseDecoder decoder) {
         this.pool = pool;
         this.decoder = decoder;
     }
@@ -265,12 +266,12 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         boolean inUse = responseListener != null || System.nanoTime() - lastReadNanos < RECENT_USE.toNanos();
         pool.closed(this, inUse && !closedHere);
-        reportLoss(Loss.CLOSED);
+        reportLoss(Loss.CLOSED, "");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        reportLoss(Loss.CLOSED);
+        reportLoss(Loss.CLOSED, "");
         channel.close();
     }
 
@@ -311,9 +312,12 @@
     private void responseHead(HttpResponse head) {
         informational = head.status().code() / 100 == 1 && head.status().code() != 101;
         interimResponses += informational ? 1 : 0;
-        if (head.decoderResult().isFailure() || interimResponses > MAX_INTERIM_RESPONSES) {
-            reportLoss(Loss.MALFORMED);
-            close();
+        if (head.decoderResult().isFailure()) {
+            rejectResponse(decoder.malformedLine().map(HeadLine::name).orElse("HEAD"));
+            return;
+        }
+        if (interimResponses > MAX_INTERIM_RESPONSES) {
+            rejectResponse("INTERIM_RESPONSES");
             return;
         }
         if (informational) {
@@ -323,8 +327,7 @@
         requestIdEchoed = head.headers().contains(REQUEST_ID);
         if (HttpUtil.isContentLengthSet(head)
                 && head.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).size() > 1) {
-            reportLoss(Loss.MALFORMED);
-            close();
+            rejectResponse("CONTENT_LENGTH");
             return;
         }
         responseListener.responseHead(head);
@@ -338,8 +341,7 @@
         }
         if (content.decoderResult().isFailure()) {
             content.release();
-            reportLoss(Loss.MALFORMED);
-            close();
+            rejectResponse("BODY");
             return;
         }
         if (content instanceof LastHttpContent && decoder.endedByConnection() && !endedInOrder()) {
@@ -349,7 +351,7 @@
                     channel.remoteAddress(),
                     decoder.inputEnded(),
                     outputFailed);
-            reportLoss(Loss.CLOSED);
+            reportLoss(Loss.CLOSED, "");
             channel.close();
             return;
         }
@@ -379,11 +381,17 @@
         pool.release(this);
     }
 
-    private void reportLoss(Loss loss) {
+    /** Gives up a response that isn't one of HTTP, with the part of it that is malformed. */
+    private void rejectResponse(String part) {
+        reportLoss(Loss.MALFORMED, part);
+        close();
+    }
+
+    private void reportLoss(Loss loss, String detail) {
         UpstreamResponseListener listener = responseListener;
         responseListener = null;
         if (listener != null) {
-            listener.lost(loss);
+            listener.lost(loss, detail);
         }
     }
 }
--- a/src/main/java/org/arbutusfield/proxy/upstream/StrictResponseDecoder.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/UpstreamResponseDecoder.java
@@ -6,15 +6,15 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.List;
 import org.arbutusfield.http.PacedDecoding;
+import org.arbutusfield.http.StrictResponseDecoder;
 
 /**
- * Decodes responses, takes into account the method of the request, and reports whether bytes beyond the response were
- * received.
+ * Decodes the responses of an upstream one message at a time, takes into account the method of the request, and reports
+ * whether bytes beyond the response were received.
  */
-final class StrictResponseDecoder extends HttpResponseDecoder implements PacedDecoding.Decoder {
+final class UpstreamResponseDecoder extends StrictResponseDecoder implements PacedDecoding.Decoder {
     private static final int MAX_LINE_BYTES = 8 << 10;
     private static final int MAX_HEADER_BYTES = 32 << 10;
     private static final int MAX_CHUNK_BYTES = 64 << 10;
@@ -24,13 +24,13 @@
     private boolean inputEnded;
     private boolean endedByConnection;
 
-    private StrictResponseDecoder(HttpDecoderConfig config) {
+    private UpstreamResponseDecoder(HttpDecoderConfig config) {
         super(config);
         setSingleDecode(true);
     }
 
-    static StrictResponseDecoder create() {
-        return new StrictResponseDecoder(new HttpDecoderConfig()
+    static UpstreamResponseDecoder create() {
+        return new UpstreamResponseDecoder(new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_LINE_BYTES)
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setMaxChunkSize(MAX_CHUNK_BYTES));
--- a/src/main/java/org/arbutusfield/proxy/upstream/UpstreamResponseListener.java
+++ b/src/main/java/org/arbutusfield/proxy/upstream/UpstreamResponseListener.java
@@ -21,8 +21,9 @@
      * Called when the connection was lost before the response was complete; no other method is called afterwards.
      *
      * @param cause reason for the loss
+     * @param detail the malformed part of the response, for logs; empty if there is none
      */
-    void lost(Loss cause);
+    void lost(Loss cause, String detail);
 
     /** Why a response is incomplete. */
     enum Loss {
--- a/src/test/java/org/arbutusfield/http/HttpClientTest.java
+++ b/src/test/java/org/arbutusfield/http/HttpClientTest.java
@@ -53,6 +53,10 @@
 
     /** Answers the given number of requests on each connection, then closes it or stops responding. */
     private void serve(int responses, boolean silent, String connectionHeader) {
+        serve(responses, silent, "HTTP/1.1 200 OK\r\n", connectionHeader);
+    }
+
+    private void serve(int responses, boolean silent, String start, String fields) {
         Thread peer = new Thread(() -> {
             try {
                 while (true) {
@@ -61,7 +65,7 @@
                     connections.incrementAndGet();
                     for (int i = 0; i < responses; i++) {
                         readHead(socket);
-                        String response = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + connectionHeader + "\r\nx";
+                        String response = start + "Content-Length: 1\r\n" + fields + "\r\nx";
                         socket.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
                     }
                     if (!silent) {
@@ -129,4 +133,24 @@
         assertThat(connections).hasValue(connectionsUsed);
         assertThat(call("GET", LONG_TIMEOUT).isRight()).isTrue();
     }
+
+    /**
+     * Guards against an answer of the store or of another host whose head is broken, and on which a decision is based.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "HTTP/1.1 000 OK, x-sound: 1",
+        "HTTP/1.1 99 OK, x-sound: 1",
+        "HTTP/1.1 +200 OK, x-sound: 1",
+        "HTTP/2.0 200 OK, x-sound: 1",
+        "HTTP/1.1 200 OK, x broken: 1",
+        "HTTP/1.1 200 OK, x-broken : 1",
+        "HTTP/1.1 200 OK, x\u0001broken: 1",
+    })
+    void answerWithABrokenHeadIsAFailure(String statusLine, String field) {
+        serve(100, false, statusLine + "\r\n", field + "\r\n");
+        Either<Failure, SimpleHttpResponse> response = call("POST", LONG_TIMEOUT);
+        assertThat(response.isLeft()).isTrue();
+        assertThat(response.getLeft().code()).isEqualTo(ErrorCode.PEER_PROTOCOL);
+    }
 }
--- /dev/null
+++ b/src/test/java/org/arbutusfield/proxy/BrokenHeadTest.java
@@ -0,0 +1,128 @@
+package org.arbutusfield.proxy;
+
+import static org.arbutusfield.proxy.ProxyFixture.get;
+import static org.arbutusfield.proxy.ProxyFixture.post;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.arbutusfield.proxy.RawCaller.Response;
+import org.arbutusfield.proxy.ScriptedUpstream.Reply;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** An upstream in trouble writes a head that isn't one of HTTP. */
+class BrokenHeadTest {
+    private static final String FRAMING = "content-length: 4\r\nx-request-id: a\r\n";
+
+    private static void assertNeverPassedOn(String text) {
+        for (String request : new String[] {get("/desk/quote/1", "a"), post("/desk/book/1", "a", "hall")}) {
+            try (ScriptedUpstream upstream = ScriptedUpstream.start((number, id) -> Reply.thenClose(text));
+                    ProxyFixture fixture = upstream.fixture();
+                    RawCaller caller = fixture.caller()) {
+                Response response = caller.call(request);
+                assertThat(response.status()).isEqualTo(502);
+                assertThat(response.code()).isEqualTo("UPSTREAM_PROTOCOL");
+                assertThat(response.statesNotRun()).isFalse();
+                assertThat(response.text()).doesNotContain("half");
+            }
+        }
+    }
+
+    /** Guards against a status that is none, which callers got as an answer. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 OK",
+                "HTTP/1.1 000",
+                "HTTP/1.1 0 OK",
+                "HTTP/1.1 99 OK",
+                "HTTP/1.1 099 OK",
+                "HTTP/1.1 0200 OK",
+                "HTTP/1.1 +200 OK",
+                "HTTP/1.1 -200 OK",
+                "HTTP/1.1 2000 OK",
+                "HTTP/1.1 600 OK",
+                "HTTP/1.1 999 OK",
+                "HTTP/1.1 2OO OK",
+                "HTTP/1.1 200OK",
+                "HTTP/1.1\t200 OK",
+                "HTTP/1.1  200 OK",
+                "HTTP/1.1",
+                "HTTP/2.0 200 OK",
+                "HTTP/0.9 200 OK",
+                "http/1.1 200 OK",
+                "ICY/1.1 200 OK",
+                "\0HTTP/1.1 200 OK",
+                " HTTP/1.1 200 OK",
+                "HTTP/1.1 200 O\0K",
+                "HTTP/1.1 200 O\rK",
+                "HTTP/1.1 200 O\u007fK",
+            })
+    void answerWithABrokenStatusLineIsNotPassedOn(String statusLine) {
+        assertNeverPassedOn(statusLine + "\r\n" + FRAMING + "\r\nhalf");
+    }
+
+    /** Guards against a broken field that is passed on, or that decides which bytes are the body. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "x bad: 1",
+                "x-bad : 1",
+                "x-bad\t: 1",
+                "x\tbad: 1",
+                " x-bad: 1",
+                "\tx-bad: 1",
+                "x\0bad: 1",
+                "x\u0001bad: 1",
+                "x\u000bbad: 1",
+                "x\fbad: 1",
+                "x\rbad: 1",
+                "x\u001fbad: 1",
+                "x\u007fbad: 1",
+                "x\u0080bad: 1",
+                "x\u00a0bad: 1",
+                "x(bad): 1",
+                ": 1",
+                "x-bad",
+                "x-bad: 1\0",
+                "x-bad: 1\r2",
+                "x-bad: \u0001",
+                "content-length x: 2",
+                "content-length : 2",
+                "transfer-encoding x: chunked",
+                "transfer-encoding : chunked",
+                "content-encoding x: gzip",
+                "x-not-run : true",
+            })
+    void answerWithABrokenFieldIsNotPassedOn(String field) {
+        String afterOthers = "HTTP/1.1 200 OK\r\n" + FRAMING + "x-other: 1\r\n" + field + "\r\n\r\nhalf";
+        assertNeverPassedOn(afterOthers);
+        String first = "HTTP/1.1 200 OK\r\n" + field + "\r\nx-request-id: a\r\n\r\nhalf";
+        assertNeverPassedOn(first);
+    }
+
+    /** The other side: what HTTP allows is passed on, unusual or not. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\n" + FRAMING,
+                "HTTP/1.1 200 \r\n" + FRAMING,
+                "HTTP/1.1 200\r\n" + FRAMING,
+                "HTTP/1.0 200 OK\r\n" + FRAMING,
+                "HTTP/1.1 200 All  is\twell \u00e9\r\n" + FRAMING,
+                "HTTP/1.1 200 OK\r\n" + FRAMING + "!#$%&'*+-.^_`|~09azAZ: 1\r\n",
+                "HTTP/1.1 200 OK\r\n" + FRAMING + "x-empty:\r\nx-tab:\t1\t2 \r\nx-latin: \u00e9:\u00ff\r\n",
+                "HTTP/1.1 200 OK\ncontent-length: 4\nx-request-id: a\n",
+                "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n" + FRAMING,
+            })
+    void answerWithASoundHeadIsPassedOn(String head) {
+        String text = head + (head.contains("\r") ? "\r\n" : "\n") + "half";
+        try (ScriptedUpstream upstream = ScriptedUpstream.start((number, id) -> Reply.keep(text));
+                ProxyFixture fixture = upstream.fixture();
+                RawCaller caller = fixture.caller()) {
+            Response response = caller.call(get("/desk/quote/1", "a"));
+            assertThat(response.status()).isEqualTo(200);
+            assertThat(response.text()).isEqualTo("half");
+            assertThat(response.complete()).isTrue();
+        }
+    }
+}
--- a/src/test/java/org/arbutusfield/proxy/ExchangeFuzzTest.java
+++ b/src/test/java/org/arbutusfield/proxy/ExchangeFuzzTest.java
@@ -159,6 +159,9 @@
         if (millis > DEADLINE_MILLIS + SLACK.toMillis()) {
             faults.add("ended after " + millis + " ms: " + request.id());
         }
+        if (response.equals(Response.BROKEN)) {
+            faults.add("no response in the protocol: " + request.id());
+        }
         if (!response.complete()) {
             return false;
         }
--- a/src/test/java/org/arbutusfield/proxy/FuzzedUpstream.java
+++ b/src/test/java/org/arbutusfield/proxy/FuzzedUpstream.java
@@ -10,8 +10,8 @@
 
 /**
  * Answers requests in all the ways in which an upstream may fail, at random: whole, cut or hung at any byte, twice,
- * with another's id, with an earlier refusal, with what is no response, in chunks of one byte, with a flood. Remembers
- * which requests it has run.
+ * with another's id, with an earlier refusal, with what is no response, with a broken head, in chunks of one byte, with
+ * a flood. Remembers which requests it has run.
  */
 final class FuzzedUpstream implements ScriptedUpstream.Script {
     private static final int MAX_REPEATS = 400;
@@ -75,12 +75,24 @@
             case 10 -> Reply.keep(whole + "HTT");
             case 11 -> Reply.thenClose("");
             case 12 -> Reply.thenClose(success(id, id, 3));
+            case 17 -> Reply.keep(breakHead(whole));
             case 18 -> Reply.thenClose(INTERIM.repeat(FLOOD));
             case 19 -> Reply.keep(success(id, id, 4));
             default -> Reply.keep(whole);
         };
     }
 
+    /** Breaks the status, or puts a blank or a control byte into the name of the first field. */
+    private String breakHead(String whole) {
+        if (random.nextBoolean()) {
+            return whole.replaceFirst("200", random.nextBoolean() ? "000" : "99");
+        }
+        String name = "x-request-id";
+        int at = 1 + random.nextInt(name.length());
+        char broken = random.nextBoolean() ? ' ' : (char) random.nextInt(' ');
+        return whole.replaceFirst(name, name.substring(0, at) + broken + name.substring(at));
+    }
+
     private String prefix(String text) {
         return text.substring(0, random.nextInt(text.length()));
     }
--- a/src/test/java/org/arbutusfield/proxy/RawCaller.java
+++ b/src/test/java/org/arbutusfield/proxy/RawCaller.java
@@ -12,11 +12,14 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.arbutusfield.http.Body;
 
 /** A blocking HTTP client that sends arbitrary bytes and parses responses strictly. */
 final class RawCaller implements AutoCloseable {
     private static final int TIMEOUT_MILLIS = 20_000;
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.1 ([1-5][0-9]{2})( .*)?");
 
     private final Socket socket;
     private final InputStream in;
@@ -48,6 +51,8 @@
     /** A response as the caller receives it; {@code complete} is false if the connection broke before its end. */
     record Response(int status, Map<String, String> headers, Body content, boolean complete) {
         static final Response NONE = new Response(0, Map.of(), Body.empty(), false);
+        /** What the caller gets when the status line isn't one of HTTP. */
+        static final Response BROKEN = new Response(-1, Map.of(), Body.empty(), false);
 
         String text() {
             return content.text();
@@ -94,8 +99,11 @@
 
     Response read(boolean head) {
         try {
-            String statusLine = readLine();
-            int status = Integer.parseInt(statusLine.substring(9, 12));
+            Matcher statusLine = STATUS_LINE.matcher(readLine());
+            if (!statusLine.matches()) {
+                return Response.BROKEN;
+            }
+            int status = Integer.parseInt(statusLine.group(1));
             Map<String, String> headers = readHeaders();
             if (status == 100) {
                 return new Response(status, headers, Body.empty(), true);
--- a/src/test/java/org/arbutusfield/proxy/upstream/AnswerEndTest.java
+++ b/src/test/java/org/arbutusfield/proxy/upstream/AnswerEndTest.java
@@ -58,7 +58,7 @@
         public void writabilityChanged() {}
 
         @Override
-        public void lost(Loss cause) {
+        public void lost(Loss cause, String detail) {
             lost = true;
         }
     }
@@ -81,7 +81,7 @@
     private EmbeddedChannel channel() {
         ConnectionPool pool = new ConnectionPool(
                 InetSocketAddress.createUnresolved("u", 1), Optional.empty(), Duration.ofSeconds(1), address -> {});
-        StrictResponseDecoder decoder = StrictResponseDecoder.create();
+        UpstreamResponseDecoder decoder = UpstreamResponseDecoder.create();
         UpstreamConnection connection = new UpstreamConnection(pool, decoder);
         EmbeddedChannel created =
                 new EmbeddedChannel(output, PacedDecoding.of(decoder), decoder, new HttpRequestEncoder(), connection);
