An interim response of the store or of another host is not its answer

After a 100, 102 or 103 the client of the store and of control messages completed the call with it, kept the connection, and could take the answer that followed for that of the next request.

Cause: each message that was decoded completed the call.

Change: interim responses are skipped. The call's timeout bounds them.

Evidence: HttpClientTest#interimResponseIsNotTheAnswer, 3 of 3 failed on, none after.

--- a/src/main/java/org/arbutusfield/http/ClientConnection.java
+++ b/src/main/java/org/arbutusfield/http/ClientConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.vavr.control.Either;
@@ -74,6 +75,10 @@
             pending.complete(Either.left(Failure.of(ErrorCode.PEER_PROTOCOL, "", reason)));
             return;
         }
+        if (message.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            // The answer follows.
+            return;
+        }
         peerKeepsAlive = HttpUtil.isKeepAlive(message);
         lastResponseNanos = System.nanoTime();
         SimpleHttpResponse response = new SimpleHttpResponse(
--- a/src/test/java/org/arbutusfield/http/HttpClientTest.java
+++ b/src/test/java/org/arbutusfield/http/HttpClientTest.java
@@ -153,4 +153,17 @@
         assertThat(response.isLeft()).isTrue();
         assertThat(response.getLeft().code()).isEqualTo(ErrorCode.PEER_PROTOCOL);
     }
+
+    /** Guards against an interim response that is taken for the answer, and the answer for that of a later request. */
+    @ParameterizedTest
+    @CsvSource({"100 Continue", "102 Processing", "103 Early Hints"})
+    void interimResponseIsNotTheAnswer(String status) {
+        serve(100, false, "HTTP/1.1 " + status + "\r\n\r\nHTTP/1.1 200 OK\r\n", "");
+        for (int i = 0; i < 5; i++) {
+            SimpleHttpResponse response = call("POST", LONG_TIMEOUT).get();
+            assertThat(response.status()).isEqualTo(200);
+            assertThat(response.text()).isEqualTo("x");
+        }
+        assertThat(connections).hasValue(1);
+    }
 }
