--- a/review/src-3/Store.java
+++ b/review/src-3/Store.java
@@ -21,10 +21,12 @@
 final class Store {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int PAGE_ITEMS = 500;
+    private static final int PAGE_BYTES = 1_000_000;
+    private static final long HISTORY_NANOS = 20_000_000_000L;
 
     private record Item(String key, byte[] value, long revision, long created, long lease) {}
 
-    private record Event(String key, long revision, Item item) {}
+    private record Event(String key, long revision, Item item, long nanos) {}
 
     private static final class Lease {
         private final long millis;
@@ -49,6 +51,9 @@
     /** While true, no call is answered. */
     volatile boolean silent;
     volatile int watchesCut;
+    /** Revision of the last change that the history no longer has. */
+    private long droppedRevision;
+
     private long revision = 1;
     private long nextLease = 1;
 
@@ -84,14 +89,14 @@
         Item before = items.get(key);
         Item item = new Item(key, value, revision, before == null ? revision : before.created, lease);
         items.put(key, item);
-        history.add(new Event(key, revision, item));
+        history.add(new Event(key, revision, item, System.nanoTime()));
         notifyAll();
     }
 
     private void delete(String key) {
         if (items.remove(key) != null) {
             revision++;
-            history.add(new Event(key, revision, null));
+            history.add(new Event(key, revision, null, System.nanoTime()));
             notifyAll();
         }
     }
@@ -106,6 +111,9 @@
                         .map(Map.Entry::getKey)
                         .toList();
                 ended.forEach(this::end);
+                while (!history.isEmpty() && now - history.get(0).nanos > HISTORY_NANOS) {
+                    droppedRevision = history.remove(0).revision;
+                }
             }
         }
     }
@@ -207,15 +215,18 @@
         ObjectNode body = JSON.createObjectNode();
         ArrayNode rows = body.putArray("items");
         boolean more = false;
+        int bytes = 0;
         for (Item item : items.values()) {
             boolean fits = item.key.startsWith(query.getOrDefault("prefix", ""))
                     && item.key.compareTo(query.getOrDefault("after", "")) > 0;
-            if (fits && rows.size() == PAGE_ITEMS) {
+            boolean full = rows.size() == PAGE_ITEMS || (!rows.isEmpty() && bytes + item.value.length > PAGE_BYTES);
+            if (fits && full) {
                 more = true;
                 break;
             }
             if (fits) {
                 rows.add(json(item));
+                bytes += item.value.length;
             }
         }
         return new Answer(200, body.put("has_more", more).put("at", revision).toString());
@@ -228,6 +239,9 @@
         long end = begun + Long.parseLong(query.getOrDefault("wait_ms", "0")) * 1_000_000;
         synchronized (this) {
             while (true) {
+                if (after < droppedRevision) {
+                    return new Answer(410, "{}");
+                }
                 ObjectNode body = JSON.createObjectNode();
                 ArrayNode rows = body.putArray("events");
                 for (int i = history.size() - 1; i >= 0 && history.get(i).revision > after; i--) {
