--- a/review/src-3/SlowHeads.java
+++ b/review/src-3/SlowHeads.java
@@ -9,11 +9,14 @@
 public final class SlowHeads extends Case {
     private static final int ROUTE_TIMEOUT_MILLIS = 4000;
     private static final int LATE_MILLIS = 500;
-    private static final int CLIENTS = 200;
+    /** 68 a second, for 3 s. */
+    private static final int CLIENTS = 204;
+
+    private static final int BURST_MILLIS = 3000;
     /** Below max_header_bytes, which is 16,384. */
-    private static final int HEAD_BYTES = 16_000;
+    private static final int HEAD_BYTES = 16_300;
     /** Below header_timeout, which is 3 s. */
-    private static final int HEAD_MILLIS = 2500;
+    private static final int HEAD_MILLIS = 2800;
 
     private final AtomicInteger answered = new AtomicInteger();
 
@@ -36,11 +39,14 @@
         load.start("GET", "/view0/a", "", 20, hosts, ROUTE_TIMEOUT_MILLIS + 2000);
         Threads.sleep(3000);
         if (trouble) {
-            journal.say(CLIENTS + " clients come at once to " + hosts.get(0).name + ", with heads of " + HEAD_BYTES
+            journal.say(CLIENTS + " clients come within three seconds to " + hosts.get(0).name + ", with heads of " + HEAD_BYTES
                     + " bytes that take " + HEAD_MILLIS + " ms");
+            long begun = System.nanoTime();
             for (int i = 0; i < CLIENTS; i++) {
                 String id = String.format("%016x", 0x10000 + i);
                 Threads.start("crowd", () -> comeSlowly(hosts.get(0), id));
+                long next = begun + (i + 1) * BURST_MILLIS * 1_000_000L / CLIENTS;
+                Threads.sleep((next - System.nanoTime()) / 1_000_000);
             }
         }
         Threads.sleep(10_000);
--- a/review/src-3/Store.java
+++ b/review/src-3/Store.java
@@ -48,8 +48,7 @@
     private final ServerSocket listener;
     /** Longest time for which a watch waits before its connection is cut; 0 for never. */
     volatile long watchCutMillis;
-    /** While true, no call is answered. */
-    volatile boolean silent;
+    private volatile boolean silent;
     volatile int watchesCut;
     /** Revision of the last change that the history no longer has. */
     private long droppedRevision;
@@ -80,8 +79,10 @@
         return System.nanoTime();
     }
 
-    synchronized long count(String prefix) {
-        return items.keySet().stream().filter(key -> key.startsWith(prefix)).count();
+    /** While the store is silent no call is answered, and leases pause. */
+    synchronized void setSilent(boolean wanted) {
+        silent = wanted;
+        leases.values().forEach(Lease::renew);
     }
 
     private void write(String key, byte[] value, long lease) {
@@ -104,6 +105,9 @@
     private void expire() {
         while (true) {
             Threads.sleep(20);
+            if (silent) {
+                continue;
+            }
             synchronized (this) {
                 long now = System.nanoTime();
                 List<Long> ended = leases.entrySet().stream()
@@ -146,11 +150,12 @@
         try (socket) {
             BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
             for (Http.Message call = Http.readRequest(in); call != null; call = Http.readRequest(in)) {
+                Answer answer = silent ? null : answer(call);
                 if (silent) {
+                    // The connection returns nothing further.
                     Threads.sleep(60_000);
                     return;
                 }
-                Answer answer = answer(call);
                 if (answer == null) {
                     return;
                 }
