--- a/review/src-3/Case.java
+++ b/review/src-3/Case.java
@@ -21,6 +21,8 @@
     /** Runs the case and ends the process with its result; whatever happens, all hosts are ended. */
     final void run(Path folder) throws IOException {
         files = Files.createTempDirectory("review-3-");
+        // Also when the run is broken off.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> List.copyOf(hosts).forEach(Edge::kill)));
         int result = NOT_RUN;
         try {
             store = new Store();
