--- a/src/main/java/org/arbutusfield/error/ErrorCode.java
+++ b/src/main/java/org/arbutusfield/error/ErrorCode.java
@@ -38,6 +38,8 @@
     STORE_CONFLICT(Severity.NOTICE, 409, Execution.NOT_RUN, "the value changed since it was read"),
     STORE_VALUE_TOO_LARGE(Severity.ERROR, 413, Execution.NOT_RUN, "the value exceeds the store's limit"),
     STORE_PROTOCOL(Severity.ERROR, 502, Execution.UNKNOWN, "the store's answer is not understood"),
+    STORE_ANSWER_UNUSABLE(
+            Severity.WARNING, 502, Execution.UNKNOWN, "the store's answer is not whole or not understood"),
     STORE_CORRUPT(Severity.ERROR, 502, Execution.NOT_RUN, "a segment's content does not match its digest"),
     STORE_HISTORY_GONE(Severity.NOTICE, 410, Execution.NOT_RUN, "the store no longer knows the changes asked for"),
     ITEM_UNREADABLE(Severity.WARNING, 422, Execution.NOT_RUN, "an item of the store cannot be read"),
@@ -111,6 +113,7 @@
     PEER_TIMEOUT(Severity.WARNING, 504, Execution.UNKNOWN, "the peer did not answer in time"),
     PEER_PROTOCOL(Severity.WARNING, 502, Execution.UNKNOWN, "the peer's message is not understood"),
     FRAME_TOO_LARGE(Severity.WARNING, 413, Execution.NOT_RUN, "a frame exceeds the size limit"),
+    PEER_INCOMPLETE(Severity.WARNING, 502, Execution.UNKNOWN, "the peer's answer began and did not arrive whole"),
     PEER_LOST(Severity.WARNING, 502, Execution.UNKNOWN, "the connection to the peer was lost; the outcome is unknown"),
     PEER_BUSY(Severity.NOTICE, 503, Execution.NOT_RUN, "too many messages wait for the peer"),
     MESSAGE_UNKNOWN(Severity.NOTICE, 501, Execution.NOT_RUN, "the peer does not know this type of message"),
--- a/src/main/java/org/arbutusfield/http/ClientConnection.java
+++ b/src/main/java/org/arbutusfield/http/ClientConnection.java
@@ -1,21 +1,24 @@
 package org.arbutusfield.http;
 
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -23,12 +26,13 @@
 import org.arbutusfield.error.Failure;
 
 /** One connection of an {@link HttpClient}, which carries one request at a time. */
-final class ClientConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
+final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
     private final StrictResponseDecoder decoder;
     private volatile Channel channel;
-    private volatile CompletableFuture<Either<Failure, SimpleHttpResponse>> pending = new CompletableFuture<>();
+    private volatile ClientCall<?> call = ClientCall.of(WholeResponse.create());
     private volatile boolean peerKeepsAlive;
     private volatile long lastResponseNanos;
+    private boolean informational;
 
     private ClientConnection(StrictResponseDecoder decoder) {
         this.decoder = decoder;
@@ -45,20 +49,27 @@
     }
 
     /** Sends a request; the future never fails, and completes on the channel's event loop. */
-    CompletableFuture<Either<Failure, SimpleHttpResponse>> send(
-            InetSocketAddress address, SimpleHttpRequest request, Duration timeout, boolean keepAlive) {
-        CompletableFuture<Either<Failure, SimpleHttpResponse>> result = new CompletableFuture<>();
-        pending = result;
-        Failure timedOut = Failure.of(ErrorCode.PEER_TIMEOUT, address.toString());
+    <T> CompletableFuture<Either<Failure, T>> send(
+            InetSocketAddress address,
+            SimpleHttpRequest request,
+            ResponseReader<T> reader,
+            Duration timeout,
+            boolean keepAlive) {
+        ClientCall<T> sent = ClientCall.of(reader);
+        call = sent;
+        peerKeepsAlive = false;
         Future<?> timer = channel.eventLoop()
-                .schedule(() -> result.complete(Either.left(timedOut)), timeout.toMillis(), TimeUnit.MILLISECONDS);
+                .schedule(
+                        () -> sent.fail(ErrorCode.PEER_TIMEOUT, address.toString(), "no whole answer in time"),
+                        timeout.toMillis(),
+                        TimeUnit.MILLISECONDS);
         decoder.expectResponseTo(HttpMethod.valueOf(request.method()));
         channel.writeAndFlush(encode(address, request, keepAlive)).addListener(written -> {
             if (!written.isSuccess()) {
-                failPending();
+                connectionLost();
             }
         });
-        return result.thenApply(response -> {
+        return sent.result().thenApply(response -> {
             timer.cancel(false);
             return response;
         });
@@ -79,45 +90,62 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse message) {
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+        if (call.done()) {
+            // No request is waiting for it: the request timed out, or the peer sent an unsolicited response.
+            ctx.close();
+            return;
+        }
         if (message.decoderResult().isFailure()) {
-            peerKeepsAlive = false;
-            String reason = message.decoderResult().cause().toString();
-            pending.complete(Either.left(Failure.of(ErrorCode.PEER_PROTOCOL, "", reason)));
+            call.fail(
+                    ErrorCode.PEER_PROTOCOL, "", message.decoderResult().cause().toString());
             return;
         }
-        if (message.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+        if (message instanceof HttpResponse head) {
+            head(head);
+        }
+        if (message instanceof HttpContent part) {
+            body(part);
+        }
+    }
+
+    private void head(HttpResponse head) {
+        informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (informational) {
             // The final response follows.
             return;
         }
-        peerKeepsAlive = HttpUtil.isKeepAlive(message);
-        lastResponseNanos = System.nanoTime();
-        SimpleHttpResponse response = new SimpleHttpResponse(
-                message.status().code(),
-                message.headers().entries().stream()
-                        .map(e -> Header.of(e.getKey(), e.getValue()))
-                        .toList(),
-                Body.of(ByteBufUtil.getBytes(message.content())));
-        if (!pending.complete(Either.right(response))) {
-            // No request is waiting for it: the request timed out, or the peer sent an unsolicited response.
-            ctx.close();
+        peerKeepsAlive = HttpUtil.isKeepAlive(head);
+        List<Header> headers = head.headers().entries().stream()
+                .map(e -> Header.of(e.getKey(), e.getValue()))
+                .toList();
+        call.head(head.status().code(), headers);
+    }
+
+    private void body(HttpContent part) {
+        if (informational) {
+            return;
+        }
+        call.body(part.content());
+        if (part instanceof LastHttpContent) {
+            lastResponseNanos = System.nanoTime();
+            call.end();
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        failPending();
+        connectionLost();
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        pending.complete(Either.left(Failure.of(ErrorCode.PEER_PROTOCOL, "", cause.toString())));
+        call.fail(ErrorCode.PEER_PROTOCOL, "", cause.toString());
         ctx.close();
     }
 
-    private void failPending() {
-        pending.complete(Either.left(
-                Failure.of(ErrorCode.PEER_PROTOCOL, "", "connection closed before the response was complete")));
+    private void connectionLost() {
+        call.fail(ErrorCode.PEER_PROTOCOL, "", "connection closed before the response was complete");
     }
 
     private static FullHttpRequest encode(InetSocketAddress address, SimpleHttpRequest request, boolean keepAlive) {
--- a/src/main/java/org/arbutusfield/http/Header.java
+++ b/src/main/java/org/arbutusfield/http/Header.java
@@ -1,5 +1,8 @@
 package org.arbutusfield.http;
 
+import java.util.List;
+import java.util.Optional;
+
 /**
  * One HTTP header field.
  *
@@ -11,4 +14,12 @@
     public static Header of(String name, String value) {
         return new Header(name, value);
     }
+
+    /** First value of a field among others. */
+    public static Optional<String> first(List<Header> headers, String name) {
+        return headers.stream()
+                .filter(header -> header.name().equalsIgnoreCase(name))
+                .map(Header::value)
+                .findFirst();
+    }
 }
--- a/src/main/java/org/arbutusfield/http/HttpClient.java
+++ b/src/main/java/org/arbutusfield/http/HttpClient.java
@@ -8,7 +8,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
@@ -18,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.function.Supplier;
 import jdk.net.ExtendedSocketOptions;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
@@ -30,10 +30,9 @@
  * response in time is closed. If the peer had closed a reused connection, a {@code GET} is retried once on a new one.
  *
  * <p>Errors: {@code PEER_UNREACHABLE} if no connection could be established (not run); {@code PEER_TIMEOUT} and
- * {@code PEER_PROTOCOL} after that (outcome unknown).
+ * {@code PEER_PROTOCOL} after that, {@code PEER_INCOMPLETE} once the response has begun (outcome unknown).
  */
 public final class HttpClient {
-    private static final int MAX_RESPONSE_BYTES = 64 << 20;
     private static final int KEEPALIVE_PROBE_SECONDS = 1;
     private static final int KEEPALIVE_PROBES = 1;
 
@@ -74,17 +73,34 @@
      */
     public CompletableFuture<Either<Failure, SimpleHttpResponse>> call(
             InetSocketAddress address, SimpleHttpRequest request, Duration timeout) {
+        return call(address, request, WholeResponse::create, timeout);
+    }
+
+    /**
+     * Sends the request and reads the response while it arrives.
+     *
+     * @param address address of the server
+     * @param request request to send
+     * @param readers creates the reader of a response; asked again if the request is retried
+     * @param timeout maximum time until the last byte of the response
+     * @return future that never completes exceptionally
+     */
+    public <T> CompletableFuture<Either<Failure, T>> call(
+            InetSocketAddress address,
+            SimpleHttpRequest request,
+            Supplier<? extends ResponseReader<T>> readers,
+            Duration timeout) {
         ClientConnection idleConnection = takeIdle(address);
         if (idleConnection == null) {
-            return callOnNewConnection(address, request, timeout);
+            return callOnNewConnection(address, request, readers, timeout);
         }
-        CompletableFuture<Either<Failure, SimpleHttpResponse>> result = new CompletableFuture<>();
+        CompletableFuture<Either<Failure, T>> result = new CompletableFuture<>();
         long start = System.nanoTime();
-        send(idleConnection, address, request, timeout).whenComplete(Handled.by(response -> {
+        send(idleConnection, address, request, readers, timeout).whenComplete(Handled.by(response -> {
             Duration remaining = timeout.minusNanos(System.nanoTime() - start);
             boolean connectionClosed = response.isLeft() && response.getLeft().code() == ErrorCode.PEER_PROTOCOL;
             if (connectionClosed && request.method().equals("GET") && !remaining.isNegative()) {
-                callOnNewConnection(address, request, remaining).whenComplete(Handled.by(result::complete));
+                callOnNewConnection(address, request, readers, remaining).whenComplete(Handled.by(result::complete));
             } else {
                 result.complete(response);
             }
@@ -92,9 +108,12 @@
         return result;
     }
 
-    private CompletableFuture<Either<Failure, SimpleHttpResponse>> callOnNewConnection(
-            InetSocketAddress address, SimpleHttpRequest request, Duration timeout) {
-        CompletableFuture<Either<Failure, SimpleHttpResponse>> result = new CompletableFuture<>();
+    private <T> CompletableFuture<Either<Failure, T>> callOnNewConnection(
+            InetSocketAddress address,
+            SimpleHttpRequest request,
+            Supplier<? extends ResponseReader<T>> readers,
+            Duration timeout) {
+        CompletableFuture<Either<Failure, T>> result = new CompletableFuture<>();
         int connectMillis = (int) Math.min(connectTimeout.toMillis(), timeout.toMillis());
         StrictResponseDecoder decoder = StrictResponseDecoder.create();
         ClientConnection connection = ClientConnection.of(decoder);
@@ -108,14 +127,13 @@
                         channel.pipeline()
                                 .addLast(new HttpRequestEncoder())
                                 .addLast(decoder)
-                                .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
                                 .addLast(connection);
                     }
                 })
                 .connect(address)
                 .addListener((ChannelFuture connected) -> {
                     if (connected.isSuccess()) {
-                        send(connection, address, request, timeout).whenComplete(Handled.by(result::complete));
+                        send(connection, address, request, readers, timeout).whenComplete(Handled.by(result::complete));
                     } else {
                         result.complete(Either.left(Failure.of(ErrorCode.PEER_UNREACHABLE, address.toString())));
                     }
@@ -139,18 +157,24 @@
         return bootstrap;
     }
 
-    private CompletableFuture<Either<Failure, SimpleHttpResponse>> send(
-            ClientConnection connection, InetSocketAddress address, SimpleHttpRequest request, Duration timeout) {
+    private <T> CompletableFuture<Either<Failure, T>> send(
+            ClientConnection connection,
+            InetSocketAddress address,
+            SimpleHttpRequest request,
+            Supplier<? extends ResponseReader<T>> readers,
+            Duration timeout) {
         boolean keepAlive = !maxIdle.isZero();
-        return connection.send(address, request, timeout, keepAlive).thenApply(response -> {
-            if (keepAlive && response.isRight() && connection.reusable()) {
-                idle.computeIfAbsent(address, a -> new ConcurrentLinkedDeque<>())
-                        .push(connection);
-            } else {
-                connection.close();
-            }
-            return response;
-        });
+        return connection
+                .send(address, request, readers.get(), timeout, keepAlive)
+                .thenApply(response -> {
+                    if (keepAlive && response.isRight() && connection.reusable()) {
+                        idle.computeIfAbsent(address, a -> new ConcurrentLinkedDeque<>())
+                                .push(connection);
+                    } else {
+                        connection.close();
+                    }
+                    return response;
+                });
     }
 
     private ClientConnection takeIdle(InetSocketAddress address) {
--- a/src/main/java/org/arbutusfield/http/SimpleHttpResponse.java
+++ b/src/main/java/org/arbutusfield/http/SimpleHttpResponse.java
@@ -61,10 +61,7 @@
 
     /** First value of a header field. */
     public Optional<String> header(String name) {
-        return headers.stream()
-                .filter(h -> h.name().equalsIgnoreCase(name))
-                .map(Header::value)
-                .findFirst();
+        return Header.first(headers, name);
     }
 
     /** The body as UTF-8 text. */
--- a/src/main/java/org/arbutusfield/platform/PlatformItemDecoder.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformItemDecoder.java
@@ -84,7 +84,7 @@
     }
 
     /** Tells where the text is invalid, without quoting it: the message of the parser may contain a team's key. */
-    private static String invalidJson(JsonProcessingException e) {
+    static String invalidJson(JsonProcessingException e) {
         JsonLocation location = e.getLocation();
         return location == null
                 ? "invalid JSON"
--- a/src/main/java/org/arbutusfield/platform/PlatformStoreClient.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformStoreClient.java
@@ -9,7 +9,6 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
 import java.util.Optional;
@@ -19,17 +18,14 @@
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
-import org.arbutusfield.http.Body;
 import org.arbutusfield.http.Header;
 import org.arbutusfield.http.HttpClient;
 import org.arbutusfield.http.SimpleHttpRequest;
 import org.arbutusfield.http.SimpleHttpResponse;
 import org.arbutusfield.misc.DurationText;
 import org.arbutusfield.store.ConditionalWrite;
-import org.arbutusfield.store.ItemChange;
-import org.arbutusfield.store.ItemChanges;
-import org.arbutusfield.store.ItemPage;
-import org.arbutusfield.store.StoreItem;
+import org.arbutusfield.store.ItemSink;
+import org.arbutusfield.store.PageEnd;
 import org.arbutusfield.store.StoreLease;
 import org.arbutusfield.store.StoreRevision;
 import org.arbutusfield.store.WatchableStore;
@@ -85,18 +81,36 @@
     }
 
     @Override
-    public CompletableFuture<Either<Failure, ItemPage>> list(String prefix, String after) {
+    public CompletableFuture<Either<Failure, PageEnd>> list(String prefix, String after, ItemSink items) {
         String target = "/kv-range?prefix=" + encode(prefix) + (after.isEmpty() ? "" : "&after=" + encode(after));
-        return send("list", SimpleHttpRequest.of("GET", target), timeout)
-                .thenApply(r -> r.flatMap(response -> body(response).flatMap(node -> page(node, era(response)))));
+        return read("list", target, items, timeout)
+                .thenApply(r -> r.map(answer -> new PageEnd(answer.hasMore(), revision(answer))));
     }
 
     @Override
-    public CompletableFuture<Either<Failure, ItemChanges>> watch(String prefix, StoreRevision after, Duration wait) {
+    public CompletableFuture<Either<Failure, StoreRevision>> watch(
+            String prefix, StoreRevision after, Duration wait, ItemSink changes) {
         String target =
                 "/kv-watch?prefix=" + encode(prefix) + "&after=" + after.number() + "&wait_ms=" + wait.toMillis();
-        return send("watch", SimpleHttpRequest.of("GET", target), timeout.plus(wait))
-                .thenApply(r -> r.flatMap(response -> body(response).flatMap(node -> changes(node, era(response)))));
+        return read("watch", target, changes, timeout.plus(wait)).thenApply(r -> r.map(PlatformStoreClient::revision));
+    }
+
+    private CompletableFuture<Either<Failure, StoreAnswer>> read(
+            String kind, String target, ItemSink items, Duration callTimeout) {
+        return client.call(
+                        address,
+                        SimpleHttpRequest.of("GET", target),
+                        () -> StoreAnswerReader.of(kind, items),
+                        callTimeout)
+                .thenApply(r -> {
+                    counter.count(kind, r.map(StoreAnswer::status).getOrElse(0));
+                    return r.mapLeft(this::storeFailure)
+                            .flatMap(answer -> checkStatus(answer.status()).map(status -> answer));
+                });
+    }
+
+    private static StoreRevision revision(StoreAnswer answer) {
+        return StoreRevision.of(era(answer.headers()), answer.at());
     }
 
     @Override
@@ -189,6 +203,8 @@
 
     private Failure storeFailure(Failure failure) {
         return switch (failure.code()) {
+            case STORE_ANSWER_UNUSABLE -> failure;
+            case PEER_INCOMPLETE -> Failure.of(ErrorCode.STORE_ANSWER_UNUSABLE, address.toString(), failure.detail());
             case PEER_UNREACHABLE -> Failure.of(ErrorCode.STORE_UNAVAILABLE, address.toString());
             case PEER_TIMEOUT -> Failure.of(ErrorCode.STORE_TIMEOUT, address.toString());
             default -> Failure.of(ErrorCode.STORE_PROTOCOL, address.toString(), failure.detail());
@@ -196,9 +212,13 @@
     }
 
     private static Either<Failure, SimpleHttpResponse> checkStatus(SimpleHttpResponse response) {
-        String status = "status " + response.status();
-        return switch (response.status()) {
-            case OK -> Either.right(response);
+        return checkStatus(response.status()).map(status -> response);
+    }
+
+    private static Either<Failure, Integer> checkStatus(int received) {
+        String status = "status " + received;
+        return switch (received) {
+            case OK -> Either.right(received);
             case NOT_FOUND -> Either.left(Failure.of(ErrorCode.LEASE_LAPSED));
             case HISTORY_GONE -> Either.left(Failure.of(ErrorCode.STORE_HISTORY_GONE));
             case CONDITION_FAILED -> Either.left(Failure.of(ErrorCode.STORE_CONFLICT));
@@ -221,7 +241,11 @@
 
     /** Era in which the store responded. An unreadable one counts as not stated. */
     private static long era(SimpleHttpResponse response) {
-        Optional<String> text = response.header(ERA_HEADER);
+        return era(response.headers());
+    }
+
+    private static long era(List<Header> headers) {
+        Optional<String> text = Header.first(headers, ERA_HEADER);
         if (text.isPresent() && !ERA.matcher(text.get()).matches()) {
             LOG.warn("event=store_era_unreadable value={}", text.get());
             return StoreRevision.UNKNOWN_ERA;
@@ -229,45 +253,6 @@
         return text.map(Long::parseLong).orElse(StoreRevision.UNKNOWN_ERA);
     }
 
-    private static Either<Failure, ItemPage> page(JsonNode node, long era) {
-        List<StoreItem> items = new ArrayList<>();
-        for (JsonNode entry : node.path("items")) {
-            Optional<StoreItem> item = item(entry);
-            if (item.isEmpty()) {
-                return malformed("items");
-            }
-            items.add(item.get());
-        }
-        return number(node, "at")
-                .map(at -> new ItemPage(items, node.path("has_more").asBoolean(), StoreRevision.of(era, at)));
-    }
-
-    private static Either<Failure, ItemChanges> changes(JsonNode node, long era) {
-        List<ItemChange> changes = new ArrayList<>();
-        for (JsonNode entry : node.path("events")) {
-            boolean deleted = entry.path("deleted").asBoolean();
-            Optional<StoreItem> item = deleted ? Optional.empty() : item(entry);
-            if (!entry.path("key").isTextual() || (item.isEmpty() && !deleted)) {
-                return malformed("events");
-            }
-            changes.add(new ItemChange(
-                    entry.path("key").asText(), entry.path("revision").asLong(), item));
-        }
-        return number(node, "at").map(at -> new ItemChanges(changes, StoreRevision.of(era, at)));
-    }
-
-    private static Optional<StoreItem> item(JsonNode entry) {
-        try {
-            byte[] value = Base64.getDecoder().decode(entry.path("value").asText());
-            String key = entry.path("key").asText();
-            long revision = entry.path("revision").asLong();
-            long created = entry.path("created").asLong(revision);
-            return Optional.of(new StoreItem(key, Body.of(value), revision, created));
-        } catch (IllegalArgumentException e) {
-            return Optional.empty();
-        }
-    }
-
     private static Either<Failure, Long> number(JsonNode node, String field) {
         return node.path(field).canConvertToLong() && node.path(field).isIntegralNumber()
                 ? Either.right(node.path(field).asLong())
--- a/src/main/java/org/arbutusfield/state/StateCache.java
+++ b/src/main/java/org/arbutusfield/state/StateCache.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -15,7 +16,6 @@
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.http.Body;
 import org.arbutusfield.lookup.WeightedRendezvous;
@@ -23,7 +23,6 @@
 import org.arbutusfield.model.Upstream;
 import org.arbutusfield.route.RouteTable;
 import org.arbutusfield.route.ServicePolicy;
-import org.arbutusfield.store.ItemChange;
 import org.arbutusfield.store.StoreItem;
 import org.arbutusfield.store.StoreRevision;
 import org.arbutusfield.team.TeamDirectory;
@@ -88,15 +87,21 @@
         return new StateCache(decoder, regions);
     }
 
+    /** Creates a batch for items as they arrive from the store. */
+    ItemBatch newBatch() {
+        return ItemBatch.of(decoder);
+    }
+
     /**
      * Updates the content from a full listing.
      *
-     * @param items all items
+     * @param listing all items
      * @param listingEra era of the store that has them
      * @param afterOutage whether the store was unavailable until shortly before
      * @param nowNanos current monotonic time
      */
-    public void applyListing(List<StoreItem> items, long listingEra, boolean afterOutage, long nowNanos) {
+    void applyListing(ItemBatch listing, long listingEra, boolean afterOutage, long nowNanos) {
+        Collection<ReadItem> items = listing.items();
         boolean newEra = StoreRevision.isLaterEra(listingEra, era);
         era = listingEra == StoreRevision.UNKNOWN_ERA ? era : listingEra;
         Set<String> present = new HashSet<>();
@@ -116,17 +121,18 @@
     }
 
     /**
-     * Applies changes in order.
+     * Applies changes.
      *
-     * @param changes the changes
+     * @param changes the newest change of each key
      * @param afterOutage whether the store was unavailable until shortly before
      * @param nowNanos current monotonic time
      */
-    public void applyChanges(List<ItemChange> changes, boolean afterOutage, long nowNanos) {
-        for (ItemChange change : changes) {
-            if (change.item().isPresent()) {
-                putItem(change.item().get(), nowNanos);
-            } else {
+    void applyChanges(ItemBatch changes, boolean afterOutage, long nowNanos) {
+        for (ReadItem change : changes.items()) {
+            if (change.content().isPresent()) {
+                putItem(change, nowNanos);
+            }
+            if (change.removed()) {
                 drains.remove(change.key());
                 missingDrains.remove(change.key());
                 hosts.remove(change.key());
@@ -192,8 +198,9 @@
                 revision);
     }
 
-    private void putItem(StoreItem item, long nowNanos) {
-        decode(item.key(), item.value())
+    private void putItem(ReadItem item, long nowNanos) {
+        item.content()
+                .orElseThrow()
                 .peek(decoded -> apply(item, decoded, nowNanos))
                 .peekLeft(failure -> {
                     LOG.warn(
@@ -204,18 +211,9 @@
                 });
     }
 
-    /** Decodes an item. One that the decoder fails at must not keep the others from being read. */
-    private Either<Failure, StateItem> decode(String key, Body value) {
-        try {
-            return decoder.decode(key, value.bytes());
-        } catch (RuntimeException e) {
-            return Either.left(Failure.of(ErrorCode.ITEM_UNREADABLE, key, e.toString()));
-        }
-    }
-
-    private void apply(StoreItem item, StateItem decoded, long nowNanos) {
+    private void apply(ReadItem item, StateItem decoded, long nowNanos) {
         if (decoded instanceof StateItem.Routes table) {
-            installRoutes(table.routes(), item.key(), item.value());
+            installRoutes(table.routes(), item.key(), item.configuration().orElseThrow());
         } else if (decoded instanceof StateItem.DomainDrain) {
             missingDrains.remove(item.key());
             if (drains.add(item.key())) {
@@ -241,7 +239,10 @@
 
     /** Installs a configuration that another host has read; returns true if it is later than the one in force. */
     boolean installRoutesFromPeer(String key, Body value) {
-        Either<Failure, StateItem> decoded = decode(key, value);
+        ItemBatch batch = newBatch();
+        batch.written(new StoreItem(key, value, 0));
+        Either<Failure, StateItem> decoded =
+                batch.items().iterator().next().content().orElseThrow();
         boolean later = decoded.isRight()
                 && decoded.get() instanceof StateItem.Routes table
                 && table.routes().version() > routes.map(RouteTable::version).orElse(0L);
@@ -275,7 +276,7 @@
         }
     }
 
-    private void putUpstream(StoreItem item, UpstreamEntry entry, long nowNanos) {
+    private void putUpstream(ReadItem item, UpstreamEntry entry, long nowNanos) {
         TrackedUpstream previous = upstreams.get(item.key());
         if (previous != null && isKnown(previous, item, entry)) {
             previous.missing = false;
@@ -308,7 +309,7 @@
      * Returns true if the item tells nothing new: it is unchanged or, in a new era, a copy of what the upstream
      * reported at the same time or earlier.
      */
-    private boolean isKnown(TrackedUpstream previous, StoreItem item, UpstreamEntry entry) {
+    private boolean isKnown(TrackedUpstream previous, ReadItem item, UpstreamEntry entry) {
         if (previous.era == era) {
             return previous.revision == item.revision();
         }
--- a/src/main/java/org/arbutusfield/state/StoreWatcher.java
+++ b/src/main/java/org/arbutusfield/state/StoreWatcher.java
@@ -2,20 +2,18 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.http.Body;
 import org.arbutusfield.misc.Handled;
-import org.arbutusfield.store.ItemChanges;
-import org.arbutusfield.store.ItemPage;
-import org.arbutusfield.store.StoreItem;
+import org.arbutusfield.store.PageEnd;
 import org.arbutusfield.store.StoreRevision;
 import org.arbutusfield.store.WatchableStore;
 import org.arbutusfield.timer.TimerService;
@@ -28,9 +26,11 @@
  * <p>One watch over all keys is open at a time. {@link StoreHealth} and the keep-alive probes of the connection also
  * detect outages and dead connections. After a watch returns changes, the next one is delayed, so that a burst of
  * changes costs few calls. While the store is unavailable the state stays as it was. Calls are retried with exponential
- * back-off; its maximum is short, because a host must have caught up within a few seconds after an outage. After any
- * error, of a call or of what takes the state, and after a watch that isn't answered in time, the store is listed
- * again: nothing but the end of the process ends the watching.
+ * back-off; its maximum is short, because a host must have caught up within a few seconds after an outage.
+ *
+ * <p>After any error, of a call or of what takes the state, and after an answer that can't be used, the store is listed
+ * again: it states each item once, where a history may be too large. One periodic check sees that some next step is due
+ * in time, whatever became of the last one, so nothing but the end of the process ends the watching.
  *
  * <p>Runs on the timer's thread, on which the store's futures must also complete.
  */
@@ -39,7 +39,9 @@
     private static final String ALL_KEYS = "";
     private static final Duration WATCH_WAIT = Duration.ofSeconds(2);
     /** Longer than a watch waits and its call may take. */
-    private static final Duration WATCH_OVERDUE = Duration.ofSeconds(8);
+    private static final Duration CALL_OVERDUE = Duration.ofSeconds(8);
+
+    private static final Duration OVERDUE_CHECK_INTERVAL = Duration.ofMillis(500);
     /**
      * Divides the time within which a change must be in force; the result is the delay for collecting further changes.
      */
@@ -59,11 +61,11 @@
     private final Duration changeDelay;
     private final StoreHealth health;
     private final Consumer<SteeringState> subscriber;
-    private final List<StoreItem> listing = new ArrayList<>();
     private StoreRevision revision = StoreRevision.NONE;
     private StoreRevision listingRevision = StoreRevision.NONE;
-    /** The next watch, while it waits for further changes to collect. */
-    private Optional<TimerService.ScheduledTask> delayedWatch = Optional.empty();
+    private final StepSchedule steps;
+    /** True while the next watch waits for further changes to collect. */
+    private boolean watchDelayed;
 
     private long changeNanos;
     /** Until then the change that a sign has announced is expected. */
@@ -72,10 +74,8 @@
     private Runnable outageListener = () -> {};
     private int failures;
     private long outageGraceEndNanos;
-    private long watchCount;
+    /** True while a watch waits for its answer. */
     private boolean watchPending;
-    /** Runs if the watch isn't answered in time. */
-    private TimerService.ScheduledTask overdue = () -> {};
 
     private StoreWatcher(
             WatchableStore store,
@@ -86,6 +86,7 @@
             Consumer<SteeringState> subscriber) {
         this.store = store;
         this.timer = timer;
+        this.steps = StepSchedule.create(timer, CALL_OVERDUE);
         this.cache = cache;
         this.changeDelay = maxPropagationDelay.dividedBy(CHANGE_DELAY_DIVISOR);
         this.health = health;
@@ -113,27 +114,26 @@
             Consumer<SteeringState> subscriber) {
         StoreWatcher watcher = new StoreWatcher(store, timer, cache, maxPropagationDelay, health, subscriber);
         health.onRecovery(watcher::onStoreRecovered);
-        timer.after(Duration.ZERO, watcher::list);
+        watcher.steps.after(Duration.ZERO, watcher::list);
+        timer.every(OVERDUE_CHECK_INTERVAL, watcher::checkOverdue);
         return watcher;
     }
 
     private void list() {
-        listing.clear();
-        listPage("");
+        listPage(cache.newBatch());
     }
 
-    private void listPage(String after) {
-        store.list(ALL_KEYS, after)
-                .whenComplete(Handled.by(result -> listPageDone(after, result), error -> brokeOff("list", error)));
+    private void listPage(ItemBatch listing) {
+        call("list", () -> store.list(ALL_KEYS, listing.lastKey(), listing), result -> listPageDone(listing, result));
     }
 
-    private void listPageDone(String after, Either<Failure, ItemPage> result) {
+    private void listPageDone(ItemBatch listing, Either<Failure, PageEnd> result) {
         if (result.isLeft()) {
             onFailure("list", result.getLeft(), this::list);
             return;
         }
-        ItemPage page = result.get();
-        if (after.isEmpty()) {
+        PageEnd page = result.get();
+        if (listing.pages() == 0) {
             // Later pages may be newer; a watch from the revision of the first page misses no change.
             listingRevision = page.revision();
         }
@@ -142,9 +142,8 @@
             list();
             return;
         }
-        listing.addAll(page.items());
-        if (page.hasMore() && !page.items().isEmpty()) {
-            listPage(page.items().get(page.items().size() - 1).key());
+        if (page.hasMore() && listing.endPage()) {
+            listPage(listing);
             return;
         }
         health.recordEra(listingRevision.era());
@@ -153,46 +152,51 @@
         }
         revision = listingRevision;
         cache.applyListing(listing, revision.era(), duringOrAfterOutage(), timer.nowNanos());
-        listing.clear();
         onSuccess();
         publish();
         watch();
     }
 
     private void watch() {
-        watchCount++;
+        ItemBatch changes = cache.newBatch();
+        watchDelayed = false;
         watchPending = true;
-        long number = watchCount;
-        overdue.cancel();
-        overdue = timer.after(WATCH_OVERDUE, () -> watchOverdue(number));
-        store.watch(ALL_KEYS, revision, WATCH_WAIT)
+        call("watch", () -> store.watch(ALL_KEYS, revision, WATCH_WAIT, changes), result -> {
+            watchPending = false;
+            watchDone(changes, result);
+        });
+    }
+
+    /** Makes a call as the next step; its result counts unless another step has begun since. */
+    private <T> void call(
+            String name,
+            Supplier<CompletableFuture<Either<Failure, T>>> call,
+            Consumer<Either<Failure, T>> resultHandler) {
+        long step = steps.begin();
+        Handled.started(call)
                 .whenComplete(Handled.by(
                         result -> {
-                            if (number == watchCount) {
-                                watchPending = false;
-                                overdue.cancel();
-                                watchDone(result);
+                            if (steps.isCurrent(step)) {
+                                resultHandler.accept(result);
                             }
                         },
-                        error -> brokeOff("watch", error)));
+                        error -> {
+                            if (steps.isCurrent(step)) {
+                                brokeOff(name, error);
+                            }
+                        }));
     }
 
     /** Lists the store again after an error of a call, or of what takes its result. */
     private void brokeOff(String call, Throwable error) {
-        watchPending = false;
-        overdue.cancel();
         onFailure(call, Failure.of(ErrorCode.STORE_PROTOCOL, call, error.toString()), this::list);
     }
 
-    private void watchOverdue(long number) {
-        if (number != watchCount || !watchPending) {
-            return;
+    private void checkOverdue() {
+        if (steps.overdue()) {
+            LOG.warn("event=watch_overdue revision={}", revision.number());
+            onFailure("overdue", Failure.of(ErrorCode.STORE_TIMEOUT), this::list);
         }
-        LOG.warn("event=watch_overdue revision={}", revision.number());
-        watchPending = false;
-        // An answer that still comes belongs to no watch.
-        watchCount++;
-        onFailure("watch", Failure.of(ErrorCode.STORE_TIMEOUT), this::list);
     }
 
     /** Starts a new watch after an outage that other calls detected, because the store may have lost the open one. */
@@ -204,27 +208,29 @@
         }
     }
 
-    private void watchDone(Either<Failure, ItemChanges> result) {
+    private void watchDone(ItemBatch batch, Either<Failure, StoreRevision> result) {
         if (result.isLeft() && result.getLeft().code() == ErrorCode.STORE_HISTORY_GONE) {
             LOG.warn("event=store_history_gone revision={}", revision.number());
             list();
             return;
         }
         if (result.isLeft()) {
-            onFailure("watch", result.getLeft(), this::watch);
+            // The same watch would get the same answer again.
+            boolean unusable = result.getLeft().code() == ErrorCode.STORE_ANSWER_UNUSABLE;
+            onFailure("watch", result.getLeft(), unusable ? this::list : this::watch);
             return;
         }
-        ItemChanges changes = result.get();
-        if (changes.revision().isOfLaterEra(revision)) {
+        StoreRevision answered = result.get();
+        if (answered.isOfLaterEra(revision)) {
             list();
             return;
         }
-        cache.applyChanges(changes.changes(), duringOrAfterOutage(), timer.nowNanos());
-        if (changes.revision().includes(revision)) {
-            revision = changes.revision();
+        cache.applyChanges(batch, duringOrAfterOutage(), timer.nowNanos());
+        if (answered.includes(revision)) {
+            revision = answered;
         }
         onSuccess();
-        if (changes.changes().isEmpty()) {
+        if (batch.items().isEmpty()) {
             watch();
             return;
         }
@@ -239,10 +245,8 @@
     }
 
     private void watchAfter(Duration delay) {
-        delayedWatch = Optional.of(timer.after(delay, () -> {
-            delayedWatch = Optional.empty();
-            watch();
-        }));
+        watchDelayed = true;
+        steps.after(delay, this::watch);
     }
 
     /**
@@ -251,11 +255,10 @@
      */
     public void refreshSoon() {
         urgentUntilNanos = timer.nowNanos() + changeDelay.toNanos();
-        if (delayedWatch.isEmpty()) {
+        if (!watchDelayed) {
             return;
         }
         LOG.info("event=watch_hastened revision={}", revision.number());
-        delayedWatch.get().cancel();
         long sinceChange = timer.nowNanos() - changeNanos;
         long left = urgentDelay().toNanos() - sinceChange;
         watchAfter(Duration.ofNanos(Math.max(0, left)));
@@ -286,6 +289,13 @@
 
     private void onFailure(String call, Failure failure, Runnable retry) {
         failures++;
+        watchPending = false;
+        watchDelayed = false;
+        long backoff = INITIAL_RETRY_DELAY.toMillis() << Math.min(failures - 1, 4);
+        long limit = Math.min(backoff, MAX_RETRY_DELAY.toMillis());
+        long delay = limit / 2 + ThreadLocalRandom.current().nextLong(limit / 2 + 1);
+        // First, so that an error of what follows doesn't end the watching.
+        steps.after(Duration.ofMillis(delay), retry);
         if (failures == 1) {
             LOG.warn(
                     "event=store_lost call={} code={} detail={} revision={}",
@@ -295,10 +305,6 @@
                     revision.number());
             outageListener.run();
         }
-        long backoff = INITIAL_RETRY_DELAY.toMillis() << Math.min(failures - 1, 4);
-        long limit = Math.min(backoff, MAX_RETRY_DELAY.toMillis());
-        long delay = limit / 2 + ThreadLocalRandom.current().nextLong(limit / 2 + 1);
-        timer.after(Duration.ofMillis(delay), retry);
     }
 
     private void onSuccess() {
@@ -338,10 +344,11 @@
         if (!cache.hasMissingEntries() && !duringOrAfterOutage()) {
             return;
         }
+        // First, so that an error of what follows doesn't keep entries in use for good.
+        timer.after(EXPIRY_CHECK_INTERVAL, this::checkExpiry);
         if (cache.dropExpired(timer.nowNanos())) {
             publish();
         }
-        timer.after(EXPIRY_CHECK_INTERVAL, this::checkExpiry);
     }
 
     private void publish() {
--- a/src/main/java/org/arbutusfield/store/WatchableStore.java
+++ b/src/main/java/org/arbutusfield/store/WatchableStore.java
@@ -15,6 +15,8 @@
  *   <li>Calls do not block. Every future completes within the timeout of the implementation, and never exceptionally.
  *   <li>{@code STORE_UNAVAILABLE} means that the call had no effect. {@code STORE_TIMEOUT} and {@code STORE_PROTOCOL}
  *       mean that the call may have taken effect, or may still do so.
+ *   <li>{@code STORE_ANSWER_UNUSABLE} means that the answer of a list or a watch began, and can't be used: it is too
+ *       large, too slow, cut or not understood. The same call may end in the same way again.
  *   <li>Every successful result tells the era of the store, see {@link StoreRevision}.
  *   <li>Every call has a cost, including rejected ones.
  * </ul>
@@ -25,8 +27,9 @@
      *
      * @param prefix the key prefix
      * @param afterKey exclusive lower bound of the keys; empty for the first page
+     * @param items takes the items, in order of key
      */
-    CompletableFuture<Either<Failure, ItemPage>> list(String prefix, String afterKey);
+    CompletableFuture<Either<Failure, PageEnd>> list(String prefix, String afterKey, ItemSink items);
 
     /**
      * Waits for changes of items with a key prefix (long poll).
@@ -34,11 +37,13 @@
      * @param prefix the key prefix
      * @param after revision that the caller already has
      * @param wait maximum time that the store may hold the call
-     * @return the changes, possibly none; if their era is later than that of {@code after}, they do not continue from
-     *     it and the caller must list again. {@code STORE_HISTORY_GONE} when the store does not have the changes since
-     *     that revision
+     * @param changes takes the changes, possibly none
+     * @return the revision to pass to the next watch; if its era is later than that of {@code after}, the changes do
+     *     not continue from it and the caller must list again. {@code STORE_HISTORY_GONE} when the store does not have
+     *     the changes since that revision
      */
-    CompletableFuture<Either<Failure, ItemChanges>> watch(String prefix, StoreRevision after, Duration wait);
+    CompletableFuture<Either<Failure, StoreRevision>> watch(
+            String prefix, StoreRevision after, Duration wait, ItemSink changes);
 
     /**
      * Writes a value that is removed when its lease ends.
--- a/src/test/java/org/arbutusfield/state/ContentStore.java
+++ b/src/test/java/org/arbutusfield/state/ContentStore.java
@@ -2,16 +2,14 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.lab.platform.KeyValueContent;
 import org.arbutusfield.store.ConditionalWrite;
-import org.arbutusfield.store.ItemChange;
-import org.arbutusfield.store.ItemChanges;
-import org.arbutusfield.store.ItemPage;
+import org.arbutusfield.store.ItemSink;
+import org.arbutusfield.store.PageEnd;
 import org.arbutusfield.store.StoreItem;
 import org.arbutusfield.store.StoreLease;
 import org.arbutusfield.store.StoreRevision;
@@ -36,36 +34,38 @@
     }
 
     @Override
-    public CompletableFuture<Either<Failure, ItemPage>> list(String prefix, String after) {
+    public CompletableFuture<Either<Failure, PageEnd>> list(String prefix, String after, ItemSink items) {
         KeyValueContent.Page page = content.page(prefix, after, PAGE_ITEMS + 1);
-        List<StoreItem> items =
-                page.items().stream().limit(PAGE_ITEMS).map(ContentStore::item).toList();
-        return done(new ItemPage(items, page.items().size() > PAGE_ITEMS, revision(page.revision())));
+        page.items().stream().limit(PAGE_ITEMS).map(ContentStore::item).forEach(items::written);
+        return done(new PageEnd(page.items().size() > PAGE_ITEMS, revision(page.revision())));
     }
 
     @Override
-    public CompletableFuture<Either<Failure, ItemChanges>> watch(String prefix, StoreRevision after, Duration wait) {
-        CompletableFuture<Either<Failure, ItemChanges>> result = new CompletableFuture<>();
-        completeOnChange(prefix, after.number(), result);
-        timer.after(wait, () -> result.complete(Either.right(new ItemChanges(List.of(), revision(after.number())))));
+    public CompletableFuture<Either<Failure, StoreRevision>> watch(
+            String prefix, StoreRevision after, Duration wait, ItemSink changes) {
+        CompletableFuture<Either<Failure, StoreRevision>> result = new CompletableFuture<>();
+        completeOnChange(prefix, after.number(), changes, result);
+        timer.after(wait, () -> result.complete(Either.right(revision(after.number()))));
         return result;
     }
 
-    private void completeOnChange(String prefix, long after, CompletableFuture<Either<Failure, ItemChanges>> result) {
+    private void completeOnChange(
+            String prefix, long after, ItemSink sink, CompletableFuture<Either<Failure, StoreRevision>> result) {
         if (result.isDone()) {
             return;
         }
-        content.onNextChange(() -> completeOnChange(prefix, after, result));
+        content.onNextChange(() -> completeOnChange(prefix, after, sink, result));
         Optional<KeyValueContent.Changes> changes = content.changes(prefix, after);
         if (changes.isEmpty()) {
             result.complete(Either.left(Failure.of(ErrorCode.STORE_HISTORY_GONE)));
         } else if (!changes.get().events().isEmpty()) {
-            List<ItemChange> events = changes.get().events().stream()
-                    .map(event -> new ItemChange(
-                            event.key(), event.revision(), event.item().map(ContentStore::item)))
-                    .toList();
-            result.complete(
-                    Either.right(new ItemChanges(events, revision(changes.get().revision()))));
+            changes.get()
+                    .events()
+                    .forEach(event -> event.item()
+                            .ifPresentOrElse(
+                                    item -> sink.written(item(item)),
+                                    () -> sink.removed(event.key(), event.revision())));
+            result.complete(Either.right(revision(changes.get().revision())));
         }
     }
 
--- a/src/test/java/org/arbutusfield/state/ProcessStore.java
+++ b/src/test/java/org/arbutusfield/state/ProcessStore.java
@@ -7,8 +7,8 @@
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.store.ConditionalWrite;
-import org.arbutusfield.store.ItemChanges;
-import org.arbutusfield.store.ItemPage;
+import org.arbutusfield.store.ItemSink;
+import org.arbutusfield.store.PageEnd;
 import org.arbutusfield.store.StoreLease;
 import org.arbutusfield.store.StoreRevision;
 import org.arbutusfield.store.WatchableStore;
@@ -48,13 +48,14 @@
     }
 
     @Override
-    public CompletableFuture<Either<Failure, ItemPage>> list(String prefix, String afterKey) {
-        return call(TIMEOUT, () -> store.list(prefix, afterKey));
+    public CompletableFuture<Either<Failure, PageEnd>> list(String prefix, String afterKey, ItemSink items) {
+        return call(TIMEOUT, () -> store.list(prefix, afterKey, items));
     }
 
     @Override
-    public CompletableFuture<Either<Failure, ItemChanges>> watch(String prefix, StoreRevision after, Duration wait) {
-        return call(TIMEOUT.plus(wait), () -> store.watch(prefix, after, wait));
+    public CompletableFuture<Either<Failure, StoreRevision>> watch(
+            String prefix, StoreRevision after, Duration wait, ItemSink changes) {
+        return call(TIMEOUT.plus(wait), () -> store.watch(prefix, after, wait, changes));
     }
 
     @Override
--- a/src/test/java/org/arbutusfield/state/StateCacheTest.java
+++ b/src/test/java/org/arbutusfield/state/StateCacheTest.java
@@ -7,14 +7,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.arbutusfield.error.ErrorCode;
 import org.arbutusfield.error.Failure;
 import org.arbutusfield.http.Body;
 import org.arbutusfield.misc.Addresses;
 import org.arbutusfield.route.CallerLimits;
 import org.arbutusfield.route.RouteTable;
-import org.arbutusfield.store.ItemChange;
 import org.arbutusfield.store.StoreItem;
 import org.arbutusfield.store.StoreRevision;
 import org.junit.jupiter.api.Test;
@@ -63,22 +61,26 @@
                 .toList();
     }
 
-    private static List<ItemChange> written(StoreItem item) {
-        return List.of(new ItemChange(item.key(), item.revision(), Optional.of(item)));
+    private ItemBatch batch(StoreItem... items) {
+        ItemBatch batch = cache.newBatch();
+        List.of(items).forEach(batch::written);
+        return batch;
     }
 
-    private static List<ItemChange> removed(String key) {
-        return List.of(new ItemChange(key, 9, Optional.empty()));
+    private ItemBatch removed(String key) {
+        ItemBatch batch = cache.newBatch();
+        batch.removed(key, 9);
+        return batch;
     }
 
     /** Guards against hosts that stop following the store because of one entry that the decoder fails at. */
     @Test
     void entryThatTheDecoderFailsAtDoesNotKeepOthersFromBeingRead() {
         StoreItem odd = new StoreItem("u/odd", Body.empty(), 2);
-        cache.applyListing(List.of(ready("a", 1), odd, ready("b", 3)), ERA, false, 0);
+        cache.applyListing(batch(ready("a", 1), odd, ready("b", 3)), ERA, false, 0);
         assertThat(names()).containsExactly("a", "b");
-        cache.applyChanges(written(odd), false, 0);
-        cache.applyChanges(written(ready("c", 4)), false, 0);
+        cache.applyChanges(batch(odd), false, 0);
+        cache.applyChanges(batch(ready("c", 4)), false, 0);
         assertThat(names()).containsExactly("a", "b", "c");
     }
 
@@ -93,17 +95,17 @@
     })
     void missingEntryStaysInUseForTwoSecondsAfterAnOutage(
             boolean afterOutage, boolean draining, long millisLater, boolean inUse) {
-        cache.applyListing(List.of(upstream("a", 2, draining, Duration.ZERO, 1)), ERA, false, 0);
-        cache.applyListing(List.of(), ERA, afterOutage, SECOND);
+        cache.applyListing(batch(upstream("a", 2, draining, Duration.ZERO, 1)), ERA, false, 0);
+        cache.applyListing(batch(), ERA, afterOutage, SECOND);
         cache.dropExpired(SECOND + millisLater * 1_000_000);
         assertThat(names().contains("a")).isEqualTo(inUse);
     }
 
     @Test
     void entryRestoredWithinTheGracePeriodStays() {
-        cache.applyListing(List.of(ready("a", 2)), ERA, false, 0);
+        cache.applyListing(batch(ready("a", 2)), ERA, false, 0);
         cache.applyChanges(removed("u/a"), true, SECOND);
-        cache.applyChanges(written(ready("a", 10)), false, 2 * SECOND);
+        cache.applyChanges(batch(ready("a", 10)), false, 2 * SECOND);
         cache.dropExpired(10 * SECOND);
         assertThat(names()).containsExactly("a");
         assertThat(cache.hasMissingEntries()).isFalse();
@@ -111,9 +113,9 @@
 
     @Test
     void unchangedEntryInANewListingEndsTheGracePeriodAndKeepsItsColdTime() {
-        cache.applyListing(List.of(upstream("a", 2, false, Duration.ofSeconds(3), 1)), ERA, false, 0);
+        cache.applyListing(batch(upstream("a", 2, false, Duration.ofSeconds(3), 1)), ERA, false, 0);
         cache.applyChanges(removed("u/a"), true, SECOND);
-        cache.applyListing(List.of(upstream("a", 2, false, Duration.ofSeconds(3), 1)), ERA, true, 2 * SECOND);
+        cache.applyListing(batch(upstream("a", 2, false, Duration.ofSeconds(3), 1)), ERA, true, 2 * SECOND);
         cache.dropExpired(10 * SECOND);
         assertThat(names()).containsExactly("a");
         LiveUpstream upstream =
@@ -125,17 +127,17 @@
     @Test
     void unreadableEntryRemovesItsUpstream() {
         StoreItem good = ready("a", 2);
-        cache.applyListing(List.of(good, ready("b", 3)), ERA, false, 0);
+        cache.applyListing(batch(good, ready("b", 3)), ERA, false, 0);
         decoded.remove("u/a");
-        cache.applyChanges(written(new StoreItem("u/a", Body.empty(), 4)), false, SECOND);
+        cache.applyChanges(batch(new StoreItem("u/a", Body.empty(), 4)), false, SECOND);
         assertThat(names()).containsExactly("b");
     }
 
     @Test
     void drainedDomainExcludesItsUpstreamsUntilTheDrainIsRemoved() {
         decoded.put("d/gulf-a", new StateItem.DomainDrain("gulf-a"));
-        cache.applyListing(List.of(ready("a", 2)), ERA, false, 0);
-        cache.applyChanges(written(new StoreItem("d/gulf-a", Body.empty(), 3)), false, 0);
+        cache.applyListing(batch(ready("a", 2)), ERA, false, 0);
+        cache.applyChanges(batch(new StoreItem("d/gulf-a", Body.empty(), 3)), false, 0);
         assertThat(names()).isEmpty();
         cache.applyChanges(removed("d/gulf-a"), false, 0);
         assertThat(names()).containsExactly("a");
@@ -145,15 +147,15 @@
     void routesVersionNeverDecreases() {
         for (long version : new long[] {5, 3, 7, 6}) {
             decoded.put("routes", new StateItem.Routes(table(version)));
-            cache.applyChanges(written(new StoreItem("routes", Body.empty(), version)), false, 0);
+            cache.applyChanges(batch(new StoreItem("routes", Body.empty(), version)), false, 0);
         }
         assertThat(cache.snapshot(StoreRevision.of(ERA, 1)).routesVersion()).isEqualTo(7);
     }
 
     @Test
     void restartUnderTheSameIdCountsAsNew() {
-        cache.applyListing(List.of(ready("a", 2)), ERA, false, 0);
-        cache.applyChanges(written(upstream("a", 3, false, Duration.ZERO, 2)), false, 5 * SECOND);
+        cache.applyListing(batch(ready("a", 2)), ERA, false, 0);
+        cache.applyChanges(batch(upstream("a", 3, false, Duration.ZERO, 2)), false, 5 * SECOND);
         assertThat(cache.snapshot(StoreRevision.of(ERA, 1))
                         .upstreams("desk")
                         .get(0)
@@ -181,15 +183,15 @@
     })
     void entryFromAnOlderCopyDoesNotUndoALaterReport(
             String seen, boolean draining, long sequence, long start, boolean inUse) {
-        cache.applyListing(List.of(upstream("a", 5, seen.equals("draining"), Duration.ZERO, 1)), ERA, false, 0);
+        cache.applyListing(batch(upstream("a", 5, seen.equals("draining"), Duration.ZERO, 1)), ERA, false, 0);
         if (seen.equals("removed")) {
             cache.applyChanges(removed("u/a"), false, 0);
         }
         if (seen.equals("restarted")) {
-            cache.applyChanges(written(upstream("a", 6, false, Duration.ZERO, 2)), false, 0);
+            cache.applyChanges(batch(upstream("a", 6, false, Duration.ZERO, 2)), false, 0);
         }
         StoreItem copy = upstream("a", sequence, draining, Duration.ZERO, start);
-        cache.applyListing(List.of(copy), ERA + 1, true, SECOND);
+        cache.applyListing(batch(copy), ERA + 1, true, SECOND);
         assertThat(names().contains("a")).isEqualTo(inUse);
         if (seen.equals("restarted")) {
             assertThat(cache.snapshot(StoreRevision.of(ERA + 1, 1))
@@ -203,17 +205,17 @@
     /** A revision that a new era gives out again names another change. */
     @Test
     void equalRevisionOfANewEraIsNotTheSameEntry() {
-        cache.applyListing(List.of(ready("a", 5)), ERA, false, 0);
+        cache.applyListing(batch(ready("a", 5)), ERA, false, 0);
         StoreItem draining = upstream("a", 6, true, Duration.ZERO, 1);
-        cache.applyListing(List.of(new StoreItem("u/a", draining.value(), 5)), ERA + 1, true, SECOND);
+        cache.applyListing(batch(new StoreItem("u/a", draining.value(), 5)), ERA + 1, true, SECOND);
         assertThat(names()).isEmpty();
     }
 
     /** The remaining cold time of an old report must not be counted again from the time of the roll-back. */
     @Test
     void warmUpstreamStaysWarmWhenItsOldReportIsListedInANewEra() {
-        cache.applyListing(List.of(upstream("a", 5, false, Duration.ofSeconds(3), 1)), ERA, false, 0);
-        cache.applyListing(List.of(upstream("a", 5, false, Duration.ofSeconds(3), 1)), ERA + 1, true, 10 * SECOND);
+        cache.applyListing(batch(upstream("a", 5, false, Duration.ofSeconds(3), 1)), ERA, false, 0);
+        cache.applyListing(batch(upstream("a", 5, false, Duration.ofSeconds(3), 1)), ERA + 1, true, 10 * SECOND);
         LiveUpstream upstream =
                 cache.snapshot(StoreRevision.of(ERA + 1, 1)).upstreams("desk").get(0);
         assertThat(upstream.cold(10 * SECOND)).isFalse();
@@ -223,8 +225,8 @@
     @CsvSource({"false, 0, true", "true, 1990, false", "true, 2010, true"})
     void drainThatANewEraLacksStaysForTheGracePeriod(boolean newEra, long millisLater, boolean inUse) {
         decoded.put("d/gulf-a", new StateItem.DomainDrain("gulf-a"));
-        cache.applyListing(List.of(ready("a", 2), new StoreItem("d/gulf-a", Body.empty(), 3)), ERA, false, 0);
-        cache.applyListing(List.of(ready("a", 2)), newEra ? ERA + 1 : ERA, newEra, SECOND);
+        cache.applyListing(batch(ready("a", 2), new StoreItem("d/gulf-a", Body.empty(), 3)), ERA, false, 0);
+        cache.applyListing(batch(ready("a", 2)), newEra ? ERA + 1 : ERA, newEra, SECOND);
         cache.dropExpired(SECOND + millisLater * 1_000_000);
         assertThat(names().contains("a")).isEqualTo(inUse);
     }
@@ -233,9 +235,9 @@
     void drainWrittenAgainInANewEraStays() {
         decoded.put("d/gulf-a", new StateItem.DomainDrain("gulf-a"));
         StoreItem drain = new StoreItem("d/gulf-a", Body.empty(), 3);
-        cache.applyListing(List.of(ready("a", 2), drain), ERA, false, 0);
-        cache.applyListing(List.of(ready("a", 2)), ERA + 1, true, SECOND);
-        cache.applyChanges(written(drain), false, 2 * SECOND);
+        cache.applyListing(batch(ready("a", 2), drain), ERA, false, 0);
+        cache.applyListing(batch(ready("a", 2)), ERA + 1, true, SECOND);
+        cache.applyChanges(batch(drain), false, 2 * SECOND);
         cache.dropExpired(10 * SECOND);
         assertThat(names()).isEmpty();
     }
@@ -244,14 +246,14 @@
     @Test
     void configurationOfAnotherHostIsInstalledOnlyIfItIsLater() {
         decoded.put("config", new StateItem.Routes(table(5)));
-        cache.applyListing(List.of(new StoreItem("config", Body.of("five"), 1)), ERA, false, 0);
+        cache.applyListing(batch(new StoreItem("config", Body.of("five"), 1)), ERA, false, 0);
         assertThat(cache.configuration()).contains(new ConfigurationItem(5, "config", Body.of("five")));
         assertThat(cache.installRoutesFromPeer("config", Body.of("five"))).isFalse();
         assertThat(cache.installRoutesFromPeer("unreadable", Body.of("x"))).isFalse();
         decoded.put("config", new StateItem.Routes(table(7)));
         assertThat(cache.installRoutesFromPeer("config", Body.of("seven"))).isTrue();
         decoded.put("config", new StateItem.Routes(table(6)));
-        cache.applyListing(List.of(new StoreItem("config", Body.of("six"), 2)), ERA, false, 0);
+        cache.applyListing(batch(new StoreItem("config", Body.of("six"), 2)), ERA, false, 0);
         assertThat(cache.snapshot(StoreRevision.of(ERA, 2)).routesVersion()).isEqualTo(7);
         assertThat(cache.configuration()).contains(new ConfigurationItem(7, "config", Body.of("seven")));
     }
--- a/src/test/java/org/arbutusfield/state/StoreWatcherTest.java
+++ b/src/test/java/org/arbutusfield/state/StoreWatcherTest.java
@@ -14,9 +14,8 @@
 import org.arbutusfield.http.Body;
 import org.arbutusfield.misc.Addresses;
 import org.arbutusfield.store.ConditionalWrite;
-import org.arbutusfield.store.ItemChange;
-import org.arbutusfield.store.ItemChanges;
-import org.arbutusfield.store.ItemPage;
+import org.arbutusfield.store.ItemSink;
+import org.arbutusfield.store.PageEnd;
 import org.arbutusfield.store.StoreItem;
 import org.arbutusfield.store.StoreLease;
 import org.arbutusfield.store.StoreRevision;
@@ -37,12 +36,26 @@
     private boolean subscriberFails;
     private StoreWatcher watcher;
 
+    /** What the store answers to a watch: keys that were removed, and the revision. */
+    private record Changes(List<String> removed, StoreRevision revision) {}
+
+    /** A watch that the test completes. */
+    private record OpenWatch(ItemSink sink, CompletableFuture<Either<Failure, StoreRevision>> result) {
+        private void complete(Either<Failure, Changes> answer) {
+            answer.forEach(changes -> changes.removed()
+                    .forEach(key -> sink.removed(key, changes.revision().number())));
+            result.complete(answer.map(Changes::revision));
+        }
+    }
+
     /** A store whose responses the test controls; a watch stays open until the test completes it. */
     private static final class ScriptedStore implements WatchableStore {
         private final List<StoreItem> items = new ArrayList<>();
-        private final List<CompletableFuture<Either<Failure, ItemChanges>>> watches = new ArrayList<>();
+        private final List<OpenWatch> watches = new ArrayList<>();
+        private Optional<Error> errorOfTheNextCall = Optional.empty();
         private Optional<ErrorCode> failure = Optional.empty();
         private int listCount;
+        private boolean listsHang;
         private int pageSize = 100;
         private long revision = 10;
         private long era = 1;
@@ -54,24 +67,37 @@
         }
 
         @Override
-        public CompletableFuture<Either<Failure, ItemPage>> list(String prefix, String after) {
+        public CompletableFuture<Either<Failure, PageEnd>> list(String prefix, String after, ItemSink sink) {
             listCount++;
+            throwError();
             List<StoreItem> rest =
                     items.stream().filter(i -> i.key().compareTo(after) > 0).toList();
             List<StoreItem> page = rest.stream().limit(pageSize).toList();
-            return respond(new ItemPage(page, rest.size() > page.size(), StoreRevision.of(era, revision)));
+            page.forEach(sink::written);
+            if (listsHang) {
+                return new CompletableFuture<>();
+            }
+            return respond(new PageEnd(rest.size() > page.size(), StoreRevision.of(era, revision)));
         }
 
         @Override
-        public CompletableFuture<Either<Failure, ItemChanges>> watch(
-                String prefix, StoreRevision after, Duration wait) {
-            CompletableFuture<Either<Failure, ItemChanges>> watch = new CompletableFuture<>();
+        public CompletableFuture<Either<Failure, StoreRevision>> watch(
+                String prefix, StoreRevision after, Duration wait, ItemSink changes) {
+            throwError();
+            OpenWatch watch = new OpenWatch(changes, new CompletableFuture<>());
             watches.add(watch);
-            failure.ifPresent(code -> watch.complete(Either.left(Failure.of(code))));
-            return watch;
+            failure.ifPresent(code -> watch.result().complete(Either.left(Failure.of(code))));
+            return watch.result();
+        }
+
+        private void throwError() {
+            errorOfTheNextCall.ifPresent(error -> {
+                errorOfTheNextCall = Optional.empty();
+                throw error;
+            });
         }
 
-        private void completeWatch(Either<Failure, ItemChanges> result) {
+        private void completeWatch(Either<Failure, Changes> result) {
             watches.get(watches.size() - 1).complete(result);
         }
 
@@ -136,9 +162,8 @@
         return state.upstreams("desk").stream().map(LiveUpstream::name).toList();
     }
 
-    private static Either<Failure, ItemChanges> removed(String key) {
-        return Either.right(
-                new ItemChanges(List.of(new ItemChange(key, 11, Optional.empty())), StoreRevision.of(1, 11)));
+    private static Either<Failure, Changes> removed(String key) {
+        return Either.right(new Changes(List.of(key), StoreRevision.of(1, 11)));
     }
 
     @Test
@@ -263,7 +288,7 @@
         health.recordFailure();
         store.completeWatch(Either.left(Failure.of(ErrorCode.STORE_UNAVAILABLE)));
         timer.advance(Duration.ofSeconds(1));
-        store.completeWatch(Either.right(new ItemChanges(List.of(), StoreRevision.of(1, 10))));
+        store.completeWatch(Either.right(new Changes(List.of(), StoreRevision.of(1, 10))));
         timer.advance(Duration.ofMillis(1100));
         store.completeWatch(removed("a"));
         assertThat(names()).containsExactly("b");
@@ -275,8 +300,7 @@
         start("a", "b");
         store.era = 2;
         store.items.remove(0);
-        store.completeWatch(Either.right(
-                new ItemChanges(List.of(new ItemChange("b", 11, Optional.empty())), StoreRevision.of(2, 11))));
+        store.completeWatch(Either.right(new Changes(List.of("b"), StoreRevision.of(2, 11))));
         assertThat(store.listCount).isEqualTo(2);
         assertThat(names()).as("a in its grace period, b listed").containsExactly("a", "b");
         timer.advance(Duration.ofMillis(2200));
@@ -297,7 +321,7 @@
     void answersWithoutAnEraContinueTheWatch() {
         store.era = StoreRevision.UNKNOWN_ERA;
         start("a", "b");
-        store.completeWatch(Either.right(new ItemChanges(List.of(), StoreRevision.of(StoreRevision.UNKNOWN_ERA, 9))));
+        store.completeWatch(Either.right(new Changes(List.of(), StoreRevision.of(StoreRevision.UNKNOWN_ERA, 9))));
         assertThat(store.listCount).isEqualTo(1);
         assertThat(state.revision().number()).isEqualTo(10);
     }
@@ -307,7 +331,7 @@
     void watchGoesOnAfterACallThatBrokeOff() {
         start("a");
         store.items.add(item("b"));
-        store.watches.get(0).completeExceptionally(new OutOfMemoryError("test"));
+        store.watches.get(0).result().completeExceptionally(new OutOfMemoryError("test"));
         timer.advance(Duration.ofSeconds(2));
         assertThat(names()).containsExactly("a", "b");
         assertThat(store.watches).hasSize(2);
@@ -343,4 +367,68 @@
         timer.advance(Duration.ofSeconds(4));
         assertThat(store.watches).hasSize(1);
     }
+
+    /** Guards against a host that follows the store no more after an error that a call throws before it is made. */
+    @Test
+    void watchGoesOnAfterAnErrorBeforeACall() {
+        start("a");
+        store.items.add(item("b"));
+        store.errorOfTheNextCall = Optional.of(new OutOfMemoryError("test"));
+        store.completeWatch(Either.right(new Changes(List.of(), StoreRevision.of(1, 10))));
+        store.errorOfTheNextCall = Optional.of(new OutOfMemoryError("test"));
+        timer.advance(Duration.ofSeconds(3));
+        assertThat(names()).containsExactly("a", "b");
+    }
+
+    /**
+     * The same after a listing that never completes: the check that begins it again isn't ended by an answer before.
+     */
+    @Test
+    void listingThatIsOverdueIsBegunAgain() {
+        start("a");
+        store.items.add(item("b"));
+        store.listsHang = true;
+        store.completeWatch(Either.left(Failure.of(ErrorCode.STORE_HISTORY_GONE)));
+        timer.advance(Duration.ofSeconds(5));
+        store.listsHang = false;
+        assertThat(names()).containsExactly("a");
+        timer.advance(Duration.ofSeconds(6));
+        assertThat(names()).containsExactly("a", "b");
+    }
+
+    /**
+     * The same if the error hits the recovery from another one: whatever became of the last step, the next one comes.
+     */
+    @Test
+    void watchGoesOnAfterAnErrorOfItsRecovery() {
+        start("a");
+        store.items.add(item("b"));
+        watcher.onOutage(() -> {
+            throw new OutOfMemoryError("test");
+        });
+        store.watches.get(0).result().completeExceptionally(new OutOfMemoryError("test"));
+        timer.advance(Duration.ofSeconds(2));
+        assertThat(names()).containsExactly("a", "b");
+    }
+
+    /** Guards against an answer that is too large, and is asked for again and again. */
+    @Test
+    void storeIsListedAfterAnAnswerThatCannotBeUsed() {
+        start("a");
+        store.items.add(item("b"));
+        store.completeWatch(Either.left(Failure.of(ErrorCode.STORE_ANSWER_UNUSABLE)));
+        timer.advance(Duration.ofSeconds(1));
+        assertThat(store.listCount).isEqualTo(2);
+        assertThat(names()).containsExactly("a", "b");
+    }
+
+    /** The other side: while the store can't be reached, the watch is tried again, and nothing is listed. */
+    @Test
+    void storeIsNotListedWhileItCannotBeReached() {
+        start("a");
+        store.failure = Optional.of(ErrorCode.STORE_UNAVAILABLE);
+        store.completeWatch(Either.left(Failure.of(ErrorCode.STORE_UNAVAILABLE)));
+        timer.advance(Duration.ofSeconds(30));
+        assertThat(store.listCount).isEqualTo(1);
+    }
 }
