--- a/src/test/java/org/arbutusfield/proxy/BrokenHeadTest.java
+++ b/src/test/java/org/arbutusfield/proxy/BrokenHeadTest.java
@@ -9,6 +9,7 @@
 import org.arbutusfield.proxy.RawCaller.Response;
 import org.arbutusfield.proxy.ScriptedUpstream.Reply;
 import org.arbutusfield.proxy.upstream.MalformedPart;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -190,6 +191,25 @@
         }
     }
 
+    /** Guards against the same for the rest of a download that broke off. */
+    @Test
+    void restOfADownloadWithTwoLengthsIsNotPassedOn() {
+        String fields = "x-request-id: a\r\netag: \"v\"\r\naccept-ranges: bytes\r\n";
+        String begin = "HTTP/1.1 200 OK\r\n" + fields + "content-length: 10\r\n\r\n01234";
+        String rest = "HTTP/1.0 206 Partial Content\r\n" + fields
+                + "content-range: bytes 5-9/10\r\ncontent-length: 5\r\ncontent-length: 9\r\n\r\n56789";
+        try (ScriptedUpstream first = ScriptedUpstream.start((number, id) -> Reply.thenClose(begin));
+                ScriptedUpstream second = ScriptedUpstream.start((number, id) -> Reply.thenClose(rest));
+                ProxyFixture fixture = ProxyFixture.of(
+                        0, 0, components -> components.withPlacement(ScriptedUpstream.inTurn(first, second)));
+                RawCaller caller = fixture.caller()) {
+            Response response =
+                    caller.call(get("/desk/quote", "a").replace("host: x", "host: x\r\nx-request-deadline-ms: 1000"));
+            assertThat(second.requests()).isEqualTo(1);
+            assertThat(response.complete()).isFalse();
+        }
+    }
+
     /**
      * The other side: a connection is used again after a sound response without a body, whatever its head says of one.
      */
