Store answers: only a list or a watch has an answer that can't be used; elements that aren't items are not skipped

A write whose answer was cut ended with STORE_ANSWER_UNUSABLE, against the contract of WatchableStore: its outcome is unknown, STORE_PROTOCOL, as before. An element of a list of items that isn't an object was skipped, which the decoder before this change had refused; two more rows in StoreAnswerReaderTest.

--- a/src/main/java/org/arbutusfield/platform/PlatformStoreClient.java
+++ b/src/main/java/org/arbutusfield/platform/PlatformStoreClient.java
@@ -104,7 +104,7 @@
                         callTimeout)
                 .thenApply(r -> {
                     counter.count(kind, r.map(StoreAnswer::status).getOrElse(0));
-                    return r.mapLeft(this::storeFailure)
+                    return r.mapLeft(this::readFailure)
                             .flatMap(answer -> checkStatus(answer.status()).map(status -> answer));
                 });
     }
@@ -201,10 +201,17 @@
         });
     }
 
-    private Failure storeFailure(Failure failure) {
+    /** The failure of a list or a watch: once the answer has begun, the same call may end in the same way again. */
+    private Failure readFailure(Failure failure) {
         return switch (failure.code()) {
             case STORE_ANSWER_UNUSABLE -> failure;
             case PEER_INCOMPLETE -> Failure.of(ErrorCode.STORE_ANSWER_UNUSABLE, address.toString(), failure.detail());
+            default -> storeFailure(failure);
+        };
+    }
+
+    private Failure storeFailure(Failure failure) {
+        return switch (failure.code()) {
             case PEER_UNREACHABLE -> Failure.of(ErrorCode.STORE_UNAVAILABLE, address.toString());
             case PEER_TIMEOUT -> Failure.of(ErrorCode.STORE_TIMEOUT, address.toString());
             default -> Failure.of(ErrorCode.STORE_PROTOCOL, address.toString(), failure.detail());
--- a/src/main/java/org/arbutusfield/platform/StoreAnswerReader.java
+++ b/src/main/java/org/arbutusfield/platform/StoreAnswerReader.java
@@ -158,10 +158,17 @@
             inItems = token == JsonToken.START_ARRAY && ("items".equals(name) || "events".equals(name));
         }
         if (depth == ITEM_DEPTH && inItems) {
+            requireItem(token == JsonToken.START_OBJECT);
             item = new Item();
         }
     }
 
+    private static void requireItem(boolean present) {
+        if (!present) {
+            throw new InvalidFieldException("item");
+        }
+    }
+
     private void end() {
         if (depth == ITEM_DEPTH && inItems) {
             pass(item);
@@ -172,6 +179,7 @@
     }
 
     private void value(JsonToken token) throws IOException {
+        requireItem(depth != ITEM_DEPTH - 1 || !inItems);
         if (depth == ITEM_DEPTH && inItems) {
             itemValue(token);
         } else if (depth == 1) {
--- a/src/test/java/org/arbutusfield/platform/StoreAnswerReaderTest.java
+++ b/src/test/java/org/arbutusfield/platform/StoreAnswerReaderTest.java
@@ -6,6 +6,8 @@
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import org.arbutusfield.error.ErrorCode;
@@ -58,8 +60,8 @@
     void changesAreReadInAnyNumberOfParts() {
         byte[] bytes = CHANGES.getBytes(StandardCharsets.UTF_8);
         for (int cut = 0; cut <= bytes.length; cut++) {
-            byte[] first = java.util.Arrays.copyOf(bytes, cut);
-            byte[] second = java.util.Arrays.copyOfRange(bytes, cut, bytes.length);
+            byte[] first = Arrays.copyOf(bytes, cut);
+            byte[] second = Arrays.copyOfRange(bytes, cut, bytes.length);
             StoreAnswer answer = read(200, List.of(first, second)).get();
             assertThat(answer.at()).isEqualTo(9);
             assertThat(items).containsExactly("a=xy@7,5", "b removed@8", "\u00e4=@9,9");
@@ -95,6 +97,8 @@
                 "{\"events\":[{\"key\":7,\"value\":\"eA==\",\"revision\":7}],\"at\":9}",
                 "{\"events\":[{\"key\":\"a\",\"value\":\"!\",\"revision\":7}],\"at\":9}",
                 "{\"events\":[{\"key\":\"a\",\"value\":\"eA==\",\"revision\":\"7\"}],\"at\":9}",
+                "{\"events\":[7],\"at\":9}",
+                "{\"events\":[[{\"key\":\"a\"}]],\"at\":9}",
                 "{\"events\":[{\"key\":\"a\",\"value\":{},\"revision\":7}],\"at\":9}",
             })
     void answerThatIsNotUnderstoodIsUnusable(String text) {
@@ -121,7 +125,7 @@
     @Test
     void answerAboveTheLimitIsGivenUp() {
         byte[] blanks = " ".repeat(1 << 20).getBytes(StandardCharsets.US_ASCII);
-        List<byte[]> parts = java.util.Collections.nCopies(65, blanks);
+        List<byte[]> parts = Collections.nCopies(65, blanks);
         assertThat(read(200, parts).getLeft().code()).isEqualTo(ErrorCode.STORE_ANSWER_UNUSABLE);
     }
 }
